--- /dev/null
+++ b/siskin-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration document, patches, validation, version history and its follower.
--- /dev/null
+++ b/siskin-ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Command-line tool for operators.
+fn main() {}
--- /dev/null
+++ b/siskin-lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lease holding, fencing numbers and orders to engines.
--- /dev/null
+++ b/siskin-measure/src/main.rs
@@ -0,0 +1,2 @@
+//! siskin-measure.
+fn main() {}
--- /dev/null
+++ b/siskin-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership by probing and gossip, and placement of roles by rendezvous hashing.
--- /dev/null
+++ b/siskin-outcome/src/lib.rs
@@ -0,0 +1,1 @@
+//! Life of a request: outcomes, retries and requests that crash endpoints.
--- /dev/null
+++ b/siskin-quickstart/src/main.rs
@@ -0,0 +1,2 @@
+//! siskin-quickstart.
+fn main() {}
--- /dev/null
+++ b/siskin-route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of an endpoint by health, load and likely prefix cache hits.
--- /dev/null
+++ b/siskin-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router process: callers' requests, queues, dispatch and control roles.
--- /dev/null
+++ b/siskin-router/src/main.rs
@@ -0,0 +1,2 @@
+//! siskin-router.
+fn main() {}
--- /dev/null
+++ b/siskin-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings from flags and environment variables, checked at start.
--- /dev/null
+++ b/siskin-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the key-value service, the VM list, model engines and application endpoints.
--- /dev/null
+++ b/siskin-store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/siskin-types/src/lib.rs
@@ -0,0 +1,7 @@
+//! Identifiers, time and cost units shared by every crate.
+//!
+//! Types are single nouns; the module gives the rest: [`id::Customer`], [`time::Instant`], [`cost::Units`].
+
+pub mod cost;
+pub mod id;
+pub mod time;
--- /dev/null
+++ b/siskin-types/src/time.rs
@@ -0,0 +1,61 @@
+//! Monotonic time that decision code takes as an argument.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{
+        ops::{Add, Sub},
+        time::Duration,
+    },
+};
+
+/// Microseconds since an arbitrary start, by the monotonic clock of one process.
+///
+/// Values of different processes must not be compared.
+///
+/// ```
+/// use {siskin_types::time::Instant, std::time::Duration};
+/// let start = Instant::from_micros(500);
+/// let later = start + Duration::from_millis(2);
+/// assert_eq!(later - start, Duration::from_millis(2));
+/// assert_eq!(start - later, Duration::ZERO);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// Makes an instant from microseconds since the start of the clock.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Microseconds since the start of the clock.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub for Instant {
+    type Output = Duration;
+
+    /// The time from `earlier` to `self`, zero if `earlier` is the later one.
+    fn sub(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
--- /dev/null
+++ b/siskin-wire/src/config.rs
@@ -0,0 +1,7 @@
+//! Configuration versions and entries.
+
+use serde::{Deserialize, Serialize};
+
+/// A message of this kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {}
--- /dev/null
+++ b/siskin-wire/src/frame.rs
@@ -0,0 +1,1 @@
+//! Authenticated frames around messages.
--- /dev/null
+++ b/siskin-wire/src/lib.rs
@@ -0,0 +1,30 @@
+//! Protocol between the routers of a fleet: authenticated frames and typed messages.
+//!
+//! Messages are encoded with `postcard`. Small control messages travel as UDP datagrams, configuration
+//! entries and claims over TCP; both carry the same frames.
+
+use serde::{Deserialize, Serialize};
+
+pub mod claim;
+pub mod config;
+pub mod frame;
+pub mod member;
+pub mod poison;
+pub mod sched;
+
+/// Everything that one router may say to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Membership probes and gossip.
+    Member(member::Message),
+    /// A router's report to the owner of a pool.
+    Report(sched::Report),
+    /// An owner's grant to a router.
+    Grant(sched::Grant),
+    /// Configuration versions and entries.
+    Config(config::Message),
+    /// Claims sent to the writer of a bucket.
+    Claim(claim::Message),
+    /// Suspect requests and crashes.
+    Poison(poison::Message),
+}
--- /dev/null
+++ b/siskin-wire/src/member.rs
@@ -0,0 +1,7 @@
+//! Membership probes and gossip.
+
+use serde::{Deserialize, Serialize};
+
+/// A message of this kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {}
