Add the stand-ins for engines and applications

Cause: the router, the store client and the scenarios need endpoints whose true history is known and whose faults come on command. Change: siskin_standin::engine simulates continuous batching (slots in order of arrival, a token rate per stream, a prefix cache with late events), resumable streams, orders with fencing and lagging load reports. siskin_standin::application counts runs by idempotency key, identifier and body. Both share the faults of POST /control and a listener whose port can refuse for a while. Conclusion: tests of other crates can embed both servers.

--- /dev/null
+++ b/siskin-standin/src/load.rs
@@ -0,0 +1,76 @@
+//! Load reports that lag behind the true load.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::VecDeque,
+        sync::Mutex,
+        time::{Duration, Instant},
+    },
+};
+
+/// Answer of `GET /load`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that hold a slot.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Slots.
+    pub slots: u32,
+    /// Whether the endpoint asks for no new work.
+    pub leaving: bool,
+    /// Changes at every start of the endpoint.
+    pub instance: u64,
+    /// Models that are loaded; empty for applications and for engines that serve any model.
+    pub models: Vec<String>,
+    /// Models that are being loaded.
+    pub loading: Vec<String>,
+    /// Highest fencing number of an accepted order.
+    pub fencing: u64,
+}
+
+/// Reports, with the time from which each one held.
+#[derive(Debug)]
+pub(crate) struct Lagged {
+    lag: Duration,
+    reports: Mutex<VecDeque<(Instant, Load)>>,
+}
+
+impl Lagged {
+    /// Starts with `load`, which counts as reported at once.
+    pub(crate) fn new(lag: Duration, load: Load) -> Self {
+        let since = Instant::now().checked_sub(lag).unwrap_or_else(Instant::now);
+        Self { lag, reports: Mutex::new(VecDeque::from([(since, load)])) }
+    }
+
+    /// Changes the true load.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut Load)) {
+        let now = Instant::now();
+        let mut reports = crate::lock(&self.reports);
+        let mut load = reports.back().map(|(_, load)| load.clone()).unwrap_or_default();
+        change(&mut load);
+        reports.push_back((now, load));
+        self.prune(&mut reports, now);
+    }
+
+    /// The true load.
+    pub(crate) fn current(&self) -> Load {
+        crate::lock(&self.reports).back().map(|(_, load)| load.clone()).unwrap_or_default()
+    }
+
+    /// The load as reported now.
+    pub(crate) fn reported(&self) -> Load {
+        let now = Instant::now();
+        let mut reports = crate::lock(&self.reports);
+        self.prune(&mut reports, now);
+        reports.front().map(|(_, load)| load.clone()).unwrap_or_default()
+    }
+
+    /// Drops reports that a later one has replaced, seen with the lag.
+    fn prune(&self, reports: &mut VecDeque<(Instant, Load)>, now: Instant) {
+        while reports.get(1).is_some_and(|(since, _)| *since + self.lag <= now) {
+            reports.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/siskin-standin/tests/standin/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the stand-ins over their sockets.
+
+mod application;
+mod call;
+mod engine;
