Add the stand-ins for the key-value service and the VM list

Cause: the store client, claims and leases are to be tested against the published interface, with outages and lost answers on command. Change: siskin_standin::kv serves a subset of the etcd v3 JSON gateway with leases, watches, a bounded history, roll-back, limits that count a waiting watch as a read, and counters by kind. siskin_standin::vms serves a lagging list. A listener can drop connections without closing its port, so that a command never drops a connection that is opened after it.

--- a/siskin-standin/src/application.rs
+++ b/siskin-standin/src/application.rs
@@ -155,7 +155,7 @@
 #[derive(Debug)]
 struct Instance {
     number: u64,
-    load: Lagged,
+    load: Lagged<Load>,
     slots: Arc<Semaphore>,
 }
 
--- a/siskin-standin/src/body.rs
+++ b/siskin-standin/src/body.rs
@@ -54,6 +54,11 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Doubled;
 
+/// A body that breaks the connection before the answer begins.
+pub(crate) fn broken_at_once() -> Body {
+    streamed(futures_util::stream::iter([Err(cut())]))
+}
+
 /// The error that cuts an answer off.
 pub(crate) fn cut() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionAborted, "answer cut off on command")
--- a/siskin-standin/src/engine/batch.rs
+++ b/siskin-standin/src/engine/batch.rs
@@ -71,7 +71,7 @@
 #[derive(Debug)]
 pub(crate) struct Instance {
     pub(crate) number: u64,
-    pub(crate) load: Lagged,
+    pub(crate) load: Lagged<Load>,
     pub(crate) cache: Mutex<Cache>,
     slots: Arc<Semaphore>,
     jobs: Mutex<Jobs>,
--- a/siskin-standin/src/lib.rs
+++ b/siskin-standin/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod application;
 pub mod engine;
 pub mod fault;
+pub mod kv;
 pub mod load;
 pub mod run;
+pub mod vms;
 
 mod body;
 mod server;
--- a/siskin-standin/src/load.rs
+++ b/siskin-standin/src/load.rs
@@ -30,45 +30,45 @@
     pub fencing: u64,
 }
 
-/// Reports, with the time from which each one held.
+/// A value that is reported late: reports, with the time from which each one held.
 #[derive(Debug)]
-pub(crate) struct Lagged {
+pub(crate) struct Lagged<T> {
     lag: Duration,
-    reports: Mutex<VecDeque<(Instant, Load)>>,
+    reports: Mutex<VecDeque<(Instant, T)>>,
 }
 
-impl Lagged {
-    /// Starts with `load`, which counts as reported at once.
-    pub(crate) fn new(lag: Duration, load: Load) -> Self {
+impl<T: Clone + Default> Lagged<T> {
+    /// Starts with `first`, which counts as reported at once.
+    pub(crate) fn new(lag: Duration, first: T) -> Self {
         let since = Instant::now().checked_sub(lag).unwrap_or_else(Instant::now);
-        Self { lag, reports: Mutex::new(VecDeque::from([(since, load)])) }
+        Self { lag, reports: Mutex::new(VecDeque::from([(since, first)])) }
     }
 
-    /// Changes the true load.
-    pub(crate) fn change(&self, change: impl FnOnce(&mut Load)) {
+    /// Changes the true value.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut T)) {
         let now = Instant::now();
         let mut reports = crate::lock(&self.reports);
-        let mut load = reports.back().map(|(_, load)| load.clone()).unwrap_or_default();
-        change(&mut load);
-        reports.push_back((now, load));
+        let mut value = reports.back().map(|(_, value)| value.clone()).unwrap_or_default();
+        change(&mut value);
+        reports.push_back((now, value));
         self.prune(&mut reports, now);
     }
 
-    /// The true load.
-    pub(crate) fn current(&self) -> Load {
-        crate::lock(&self.reports).back().map(|(_, load)| load.clone()).unwrap_or_default()
+    /// The true value.
+    pub(crate) fn current(&self) -> T {
+        crate::lock(&self.reports).back().map(|(_, value)| value.clone()).unwrap_or_default()
     }
 
-    /// The load as reported now.
-    pub(crate) fn reported(&self) -> Load {
+    /// The value as reported now.
+    pub(crate) fn reported(&self) -> T {
         let now = Instant::now();
         let mut reports = crate::lock(&self.reports);
         self.prune(&mut reports, now);
-        reports.front().map(|(_, load)| load.clone()).unwrap_or_default()
+        reports.front().map(|(_, value)| value.clone()).unwrap_or_default()
     }
 
     /// Drops reports that a later one has replaced, seen with the lag.
-    fn prune(&self, reports: &mut VecDeque<(Instant, Load)>, now: Instant) {
+    fn prune(&self, reports: &mut VecDeque<(Instant, T)>, now: Instant) {
         while reports.get(1).is_some_and(|(since, _)| *since + self.lag <= now) {
             reports.pop_front();
         }
--- a/siskin-standin/src/server.rs
+++ b/siskin-standin/src/server.rs
@@ -47,9 +47,9 @@
         let holder = socket(address).map_err(failed)?;
         let address = holder.local_addr().map_err(failed)?;
         let listener = listen(address).map_err(failed)?;
-        let (phase, changes) = watch::channel(Phase::Serving);
-        let handle = Self { address, phase: Arc::new(phase) };
-        Ok((handle, Bound { address, holder, listener, changes }))
+        let phase = Arc::new(watch::Sender::new(Phase::Serving));
+        let handle = Self { address, phase: Arc::clone(&phase) };
+        Ok((handle, Bound { address, holder, listener, phase }))
     }
 
     /// The bound address.
@@ -62,6 +62,11 @@
         self.phase.send_replace(Phase::Down(pause));
     }
 
+    /// Drops all connections, but accepts new ones.
+    pub(crate) fn drop_connections(&self) {
+        self.phase.send_replace(Phase::Serving);
+    }
+
     /// Drops all connections and closes the port.
     pub(crate) fn stop(&self) {
         self.phase.send_replace(Phase::Stopped);
@@ -74,7 +79,7 @@
     /// Keeps the port reserved while nothing listens on it, so that a restart finds it free.
     holder: TcpSocket,
     listener: TcpListener,
-    changes: watch::Receiver<Phase>,
+    phase: Arc<watch::Sender<Phase>>,
 }
 
 impl Bound {
@@ -92,7 +97,8 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let Self { address, holder, listener, mut changes } = self;
+        let Self { address, holder, listener, phase: source } = self;
+        let mut changes = source.subscribe();
         let mut open = Some(listener);
         loop {
             let phase = *changes.borrow_and_update();
@@ -102,10 +108,7 @@
                     drop(open.take());
                     tokio::select! {
                         () = tokio::time::sleep(pause) => {}
-                        change = changes.changed() => {
-                            if change.is_err() { break; }
-                            continue;
-                        }
+                        _ = changes.changed() => continue,
                     }
                 }
                 Phase::Serving => {}
@@ -117,33 +120,29 @@
                 tokio::time::sleep(ACCEPT_RETRY).await;
                 continue;
             };
-            if !accept_until_change(listener, &mut changes, &handler).await {
-                break;
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = accept(listener, &source, &handler) => {}
             }
         }
         drop(holder);
     }
 }
 
-/// Accepts connections until the phase changes; false if the handle is gone.
-async fn accept_until_change<H, F>(
-    listener: &TcpListener,
-    changes: &mut watch::Receiver<Phase>,
-    handler: &H,
-) -> bool
+/// Accepts connections.
+async fn accept<H, F>(listener: &TcpListener, source: &watch::Sender<Phase>, handler: &H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
-        tokio::select! {
-            change = changes.changed() => return change.is_ok(),
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    tokio::spawn(connection(stream, changes.clone(), handler.clone()));
-                }
-                Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
-            },
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // A subscription made here sees only later changes, so that a connection opened
+                // after a command is not dropped by it.
+                tokio::spawn(connection(stream, source.subscribe(), handler.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
     }
 }
--- a/siskin-standin/tests/standin/main.rs
+++ b/siskin-standin/tests/standin/main.rs
@@ -3,3 +3,5 @@
 mod application;
 mod call;
 mod engine;
+mod kv;
+mod vms;
