Add the client of the key-value service and its fake

Cause: configuration, claims and leases need the store behind one interface that tells a write that did not happen from one that may have. Change: the Store trait; http::Client over the etcd v3 JSON gateway with time limits, addresses tried in turn, a budget of calls, jittered retries of reads only and counters by kind; memory::Store with the same behaviour and fault switches. Conclusion: other crates can use either implementation through the trait.

--- /dev/null
+++ b/siskin-store/src/count.rs
@@ -0,0 +1,131 @@
+//! Counters of store calls by kind.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Kind of call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Read of one key.
+    Get,
+    /// Read of a range.
+    Range,
+    /// Create if absent.
+    Create,
+    /// Compare-and-swap.
+    Swap,
+    /// Conditional deletion.
+    Delete,
+    /// Grant of a lease.
+    Grant,
+    /// Renewal of a lease.
+    KeepAlive,
+    /// End of a lease.
+    Revoke,
+    /// Watch.
+    Watch,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 9] = [
+        Self::Get,
+        Self::Range,
+        Self::Create,
+        Self::Swap,
+        Self::Delete,
+        Self::Grant,
+        Self::KeepAlive,
+        Self::Revoke,
+        Self::Watch,
+    ];
+
+    /// Name for metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::Range => "range",
+            Self::Create => "create",
+            Self::Swap => "swap",
+            Self::Delete => "delete",
+            Self::Grant => "grant",
+            Self::KeepAlive => "keep_alive",
+            Self::Revoke => "revoke",
+            Self::Watch => "watch",
+        }
+    }
+}
+
+/// Calls of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Calls sent, retries included.
+    pub sent: u64,
+    /// Calls that failed without effect.
+    pub failed: u64,
+    /// Calls whose effect is unknown.
+    pub unknown: u64,
+    /// Calls that repeated a failed one.
+    pub retries: u64,
+}
+
+/// Counters of all kinds at one time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts([Count; Kind::ALL.len()]);
+
+impl Counts {
+    /// The calls of one kind.
+    #[must_use]
+    pub const fn of(&self, kind: Kind) -> Count {
+        self.0[kind as usize]
+    }
+
+    /// Calls sent, of all kinds.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.0.iter().map(|count| count.sent).sum()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Cell {
+    sent: AtomicU64,
+    failed: AtomicU64,
+    unknown: AtomicU64,
+    retries: AtomicU64,
+}
+
+/// Counters of one client.
+#[derive(Debug, Default)]
+pub(crate) struct Counters([Cell; Kind::ALL.len()]);
+
+impl Counters {
+    pub(crate) fn sent(&self, kind: Kind) {
+        self.0[kind as usize].sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn retried(&self, kind: Kind) {
+        self.0[kind as usize].retries.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the error of a call, if it has one.
+    pub(crate) fn ended<T>(&self, kind: Kind, result: &Result<T, crate::Error>) {
+        let Err(error) = result else { return };
+        let cell = &self.0[kind as usize];
+        let count = match error.effect() {
+            crate::Effect::NotApplied => &cell.failed,
+            crate::Effect::Unknown => &cell.unknown,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn counts(&self) -> Counts {
+        let read = |cell: &Cell| Count {
+            sent: cell.sent.load(Ordering::Relaxed),
+            failed: cell.failed.load(Ordering::Relaxed),
+            unknown: cell.unknown.load(Ordering::Relaxed),
+            retries: cell.retries.load(Ordering::Relaxed),
+        };
+        Counts(std::array::from_fn(|index| read(&self.0[index])))
+    }
+}
