Add endpoint health, the prefix table and connections to endpoints

Cause: dispatch needs to know which endpoints are usable and which likely hold a prompt's prefix. Change: siskin-route with back-off after failures, restart detection by instance number and a bounded table of prefix blocks; connections that report whether any byte was sent. Conclusion: the router's request path can be built on these.

--- /dev/null
+++ b/siskin-route/src/health.rs
@@ -0,0 +1,156 @@
+//! Which endpoints can be used: failures, restarts and reported load.
+
+use {
+    indexmap::IndexMap,
+    siskin_types::{id::Endpoint, time::Instant},
+    std::time::Duration,
+};
+
+/// Times and limits of health tracking.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Time without dispatches after a first failure; doubled with each further one.
+    pub backoff_min: Duration,
+    /// Longest time without dispatches.
+    pub backoff_max: Duration,
+    /// A load report older than this says nothing.
+    pub report_lifetime: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            backoff_min: Duration::from_millis(250),
+            backoff_max: Duration::from_secs(5),
+            report_lifetime: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What an endpoint reports of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Requests being served.
+    pub running: u32,
+    /// Requests waiting at the endpoint.
+    pub waiting: u32,
+    /// Requests that it can serve at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Number that changes when the endpoint restarts.
+    pub instance: u64,
+}
+
+/// What a report or failure revealed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that others need to know.
+    None,
+    /// The endpoint restarted: its caches are empty and its requests are gone.
+    Restarted,
+    /// The endpoint cannot be used until the given time.
+    Down {
+        /// When it may be tried again.
+        until: Instant,
+    },
+    /// The endpoint can be used again.
+    Up,
+}
+
+/// Health of all endpoints as one router sees it.
+#[derive(Debug)]
+pub struct Tracker {
+    options: Options,
+    states: IndexMap<Endpoint, State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    failures: u32,
+    down_until: Option<Instant>,
+    report: Option<(Instant, Report)>,
+}
+
+impl Tracker {
+    /// Makes a tracker to which every endpoint is usable.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self { options, states: IndexMap::new() }
+    }
+
+    /// Records that the endpoint could not be reached or died.
+    ///
+    /// ```
+    /// use {
+    ///     siskin_route::health::{Change, Options, Tracker},
+    ///     siskin_types::{id::Endpoint, time::Instant},
+    ///     std::time::Duration,
+    /// };
+    /// let mut tracker = Tracker::new(Options::default());
+    /// let Change::Down { until } = tracker.failed(Instant::ZERO, Endpoint(1)) else { panic!() };
+    /// assert!(!tracker.usable(Instant::ZERO, Endpoint(1)));
+    /// assert!(tracker.usable(until, Endpoint(1)));
+    /// assert_eq!(tracker.succeeded(Endpoint(1)), Change::Up);
+    /// ```
+    pub fn failed(&mut self, now: Instant, endpoint: Endpoint) -> Change {
+        let options = self.options;
+        let state = self.states.entry(endpoint).or_default();
+        // Several requests of one death fail together and count once.
+        if state.down_until.is_some_and(|until| now < until) {
+            return Change::None;
+        }
+        let backoff = options.backoff_min * 2_u32.saturating_pow(state.failures.min(16));
+        let until = now + backoff.min(options.backoff_max);
+        state.failures = state.failures.saturating_add(1);
+        state.down_until = Some(until);
+        Change::Down { until }
+    }
+
+    /// Records an answer of the endpoint.
+    pub fn succeeded(&mut self, endpoint: Endpoint) -> Change {
+        let state = self.states.entry(endpoint).or_default();
+        state.failures = 0;
+        match state.down_until.take() {
+            Some(_) => Change::Up,
+            None => Change::None,
+        }
+    }
+
+    /// Records a load report.
+    pub fn reported(&mut self, now: Instant, endpoint: Endpoint, report: Report) -> Change {
+        let state = self.states.entry(endpoint).or_default();
+        let before = state.report.replace((now, report));
+        let restarted = before.is_some_and(|(_, before)| before.instance != report.instance);
+        let up = self.succeeded(endpoint);
+        if restarted { Change::Restarted } else { up }
+    }
+
+    /// Whether the endpoint may be tried.
+    #[must_use]
+    pub fn usable(&self, now: Instant, endpoint: Endpoint) -> bool {
+        let Some(state) = self.states.get(&endpoint) else { return true };
+        state.down_until.is_none_or(|until| until <= now)
+    }
+
+    /// The last report, if it is recent enough to be trusted.
+    #[must_use]
+    pub fn report(&self, now: Instant, endpoint: Endpoint) -> Option<Report> {
+        let (at, report) = self.states.get(&endpoint)?.report?;
+        (now - at <= self.options.report_lifetime).then_some(report)
+    }
+
+    /// Whether the endpoint's last report, however old, says that it is leaving.
+    #[must_use]
+    pub fn leaving(&self, endpoint: Endpoint) -> bool {
+        self.states
+            .get(&endpoint)
+            .and_then(|state| state.report)
+            .is_some_and(|(_, report)| report.leaving)
+    }
+
+    /// Forgets endpoints that are no longer configured.
+    pub fn retain(&mut self, keep: impl Fn(Endpoint) -> bool) {
+        self.states.retain(|&endpoint, _| keep(endpoint));
+    }
+}
--- a/siskin-route/src/lib.rs
+++ b/siskin-route/src/lib.rs
@@ -1,1 +1,8 @@
-//! Choice of an endpoint by health, load and likely prefix cache hits.
+//! Choice of an endpoint by health and likely prefix cache hits.
+//!
+//! The scheduler decides which customer is served next and which endpoints have slots. This crate says which
+//! endpoints must not be used ([`health`]) and which of the usable ones likely hold a prompt's prefix
+//! ([`prefix`]). Both are views that may be lost and are rebuilt from traffic.
+
+pub mod health;
+pub mod prefix;
--- /dev/null
+++ b/siskin-router/src/metrics.rs
@@ -0,0 +1,153 @@
+//! Prometheus metrics of a router.
+//!
+//! Label values come from closed sets (outcomes, reasons, pools, kinds of message), never from customers or
+//! requests, so the page stays small with any number of customers.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Upper bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS_SECONDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.9, 5.0, 15.0, 60.0];
+
+/// All metrics of one router.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Finished requests by outcome.
+    pub requests: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Retries by reason.
+    pub retries: IntCounterVec,
+    /// Resumed streams.
+    pub resumes: IntCounter,
+    /// Answers that were dropped because they belong to another request.
+    pub crossed_answers: IntCounter,
+    /// Time to the first byte of an answer, by pool.
+    pub first_byte: HistogramVec,
+    /// Requests waiting, by pool.
+    pub queued: IntGaugeVec,
+    /// Requests in flight, by pool.
+    pub in_flight: IntGaugeVec,
+    /// Service in units, by pool.
+    pub service: IntCounterVec,
+    /// Control messages by direction and kind.
+    pub control_messages: IntCounterVec,
+    /// Control bytes by direction, with 28 bytes of IP and UDP header for each datagram.
+    pub control_bytes: IntCounterVec,
+    /// Frames dropped, by reason.
+    pub frames_rejected: IntCounterVec,
+    /// Store calls by kind.
+    pub store_calls: IntCounterVec,
+    /// Failed store calls by kind.
+    pub store_errors: IntCounterVec,
+    /// Configuration version in force.
+    pub config_version: IntGauge,
+    /// Members by state.
+    pub members: IntGaugeVec,
+    /// Pools that this router owns.
+    pub owned_pools: IntGauge,
+    /// Endpoint deaths seen.
+    pub endpoint_crashes: IntCounter,
+    /// Connections found silent.
+    pub silent_connections: IntCounter,
+}
+
+impl Metrics {
+    /// Creates the metrics and registers them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the registry's error if a name is malformed or taken.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            prometheus::Result::Ok(counters)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            prometheus::Result::Ok(gauges)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let first_byte = HistogramVec::new(
+            HistogramOpts::new("siskin_first_byte_seconds", "Time to the first byte of an answer.")
+                .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
+            &["pool"],
+        )?;
+        registry.register(Box::new(first_byte.clone()))?;
+        Ok(Self {
+            requests: counters("siskin_requests_total", "Finished requests.", &["outcome"])?,
+            refusals: counters("siskin_refusals_total", "Requests refused.", &["reason"])?,
+            retries: counters("siskin_retries_total", "Requests sent again.", &["reason"])?,
+            resumes: counter("siskin_stream_resumes_total", "Streams resumed.")?,
+            crossed_answers: counter(
+                "siskin_crossed_answers_total",
+                "Answers dropped because they belong to another request.",
+            )?,
+            first_byte,
+            queued: gauges("siskin_queued_requests", "Requests waiting.", &["pool"])?,
+            in_flight: gauges("siskin_in_flight_requests", "Requests in flight.", &["pool"])?,
+            service: counters("siskin_service_units_total", "Service in units.", &["pool"])?,
+            control_messages: counters(
+                "siskin_control_messages_total",
+                "Control messages between routers.",
+                &["direction", "kind"],
+            )?,
+            control_bytes: counters(
+                "siskin_control_bytes_total",
+                "Control bytes between routers, IP and transport headers included.",
+                &["direction", "kind"],
+            )?,
+            frames_rejected: counters(
+                "siskin_frames_rejected_total",
+                "Frames from other routers dropped.",
+                &["reason"],
+            )?,
+            store_calls: counters("siskin_store_calls_total", "Store calls.", &["kind"])?,
+            store_errors: counters("siskin_store_errors_total", "Failed store calls.", &["kind"])?,
+            config_version: gauge("siskin_config_version", "Configuration version in force.")?,
+            members: gauges("siskin_members", "Routers known, by state.", &["state"])?,
+            owned_pools: gauge("siskin_owned_pools", "Pools that this router owns.")?,
+            endpoint_crashes: counter("siskin_endpoint_crashes_total", "Endpoint deaths seen.")?,
+            silent_connections: counter(
+                "siskin_silent_connections_total",
+                "Connections to endpoints found silent.",
+            )?,
+            registry,
+        })
+    }
+
+    /// The metrics in the Prometheus text format.
+    ///
+    /// ```
+    /// let metrics = siskin_router::metrics::Metrics::new().unwrap();
+    /// metrics.requests.with_label_values(&["completed"]).inc();
+    /// assert!(metrics.page().contains("siskin_requests_total{outcome=\"completed\"} 1"));
+    /// ```
+    #[must_use]
+    pub fn page(&self) -> String {
+        let mut buffer = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
+            Err(error) => {
+                log::error!("metrics cannot be encoded: {error}");
+                String::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/siskin-router/src/upstream/connect.rs
@@ -0,0 +1,47 @@
+//! Opens connections to endpoints.
+
+use {
+    super::{Connection, Error, Options},
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    socket2::{SockRef, TcpKeepalive},
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Idle time before the kernel probes a connection, and the time between its probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without an answer before the kernel closes a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// Opens a connection within the connect timeout.
+pub(super) async fn open(address: SocketAddr, options: &Options) -> Result<Connection, Error> {
+    let failed = |source| Error::Connect { address, source };
+    let stream = timeout(options.connect_timeout, TcpStream::connect(address))
+        .await
+        .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
+        .map_err(failed)?;
+    tune(&stream, options).map_err(failed)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(io::Error::other(error)))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(endpoint:% = address; "connection to endpoint ended: {error}");
+        }
+    });
+    Ok(Connection { address, sender })
+}
+
+/// Lets the kernel find a connection that lost its other end.
+fn tune(stream: &TcpStream, options: &Options) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(options.user_timeout))
+}
--- /dev/null
+++ b/siskin-router/src/upstream/mod.rs
@@ -0,0 +1,101 @@
+//! Connections to endpoints.
+//!
+//! A connection carries one request at a time and is kept for the next only after its answer was read to the
+//! end. A connection whose answer was abandoned is closed, so a late answer can never reach another caller.
+
+mod connect;
+mod pool;
+
+use {
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest},
+    std::{net::SocketAddr, time::Duration},
+};
+
+pub use pool::Pool;
+
+/// How connections are made and kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Idle connections older than this are closed.
+    pub idle_timeout: Duration,
+    /// Idle connections kept for each endpoint.
+    pub idle_limit: usize,
+    /// Longest time that sent data may stay unacknowledged before the kernel closes the connection.
+    pub user_timeout: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            idle_timeout: Duration::from_secs(10),
+            idle_limit: 64,
+            user_timeout: Duration::from_secs(4),
+        }
+    }
+}
+
+/// Why a request was not answered.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection could be opened. No byte of the request was sent.
+    #[error("cannot connect to endpoint {address}: {source}; check that it runs and is reachable")]
+    Connect {
+        /// The endpoint.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The connection was closed before any byte of the request was written to it.
+    #[error("connection to endpoint {address} was closed before the request was sent")]
+    Unsent {
+        /// The endpoint.
+        address: SocketAddr,
+    },
+    /// The connection broke after the request may have been sent.
+    #[error("connection to endpoint {address} broke: {source}")]
+    Broken {
+        /// The endpoint.
+        address: SocketAddr,
+        /// The cause.
+        source: hyper::Error,
+    },
+}
+
+/// An open connection, taken from the pool or new.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsent`] if no byte was written, [`Error::Broken`] if some may have been.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let address = self.address;
+        self.sender.try_send_request(request).await.map_err(|mut error| {
+            if error.take_message().is_some() {
+                Error::Unsent { address }
+            } else {
+                Error::Broken { address, source: error.into_error() }
+            }
+        })
+    }
+
+    /// The endpoint's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
--- /dev/null
+++ b/siskin-router/src/upstream/pool.rs
@@ -0,0 +1,81 @@
+//! Idle connections by endpoint.
+
+use {
+    super::{Connection, Error, Options, connect},
+    indexmap::IndexMap,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+        time::Instant,
+    },
+};
+
+/// Idle connections to endpoints.
+#[derive(Debug)]
+pub struct Pool {
+    options: Options,
+    idle: Mutex<IndexMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Pool {
+    /// Makes an empty pool.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self { options, idle: Mutex::default() }
+    }
+
+    /// Takes the most recently used idle connection, or opens a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] if none can be opened in time.
+    pub async fn take(&self, address: SocketAddr) -> Result<Connection, Error> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => self.open(address).await,
+        }
+    }
+
+    /// Opens a new connection, whatever is idle.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] if it cannot be opened in time.
+    pub async fn open(&self, address: SocketAddr) -> Result<Connection, Error> {
+        connect::open(address, &self.options).await
+    }
+
+    /// Gives back a connection whose last answer was read to its end. It is kept once the connection says that it
+    /// can carry another request, which the connection's task reports a moment after the last byte.
+    pub async fn give_back(&self, mut connection: Connection) {
+        if connection.sender.ready().await.is_err() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(connection.address).or_default();
+        if connections.len() < self.options.idle_limit {
+            connections.push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes all idle connections to an endpoint, because one of its connections was found silent or it died.
+    pub fn purge(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.swap_remove(&address);
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&address)?;
+        let limit = self.options.idle_timeout;
+        connections
+            .retain(|idle| idle.since.elapsed() < limit && idle.connection.sender.is_ready());
+        connections.pop().map(|idle| idle.connection)
+    }
+}
