--- /dev/null
+++ b/siskin-router/src/caller/mod.rs
@@ -0,0 +1,3 @@
+//! What callers see: authentication, request bodies, answers.
+
+pub mod chat;
