Add the configuration document, its rules, merge patches and entries

Cause: other crates need the types of the configuration to build against.

Change: the document with its tables, validation with field, value and remedy, merge patches that convert only the touched items, an index that follows a patch, entries of the history, the messages between routers and the types of the operators' interface.

Times and sizes are not measured yet.

--- /dev/null
+++ b/siskin-config/src/operator.rs
@@ -0,0 +1,204 @@
+//! Requests and answers of the operators' HTTP interface. All bodies are JSON, and every request
+//! carries `Authorization: Bearer <token>`.
+//!
+//! | Request | Answer |
+//! | --- | --- |
+//! | `GET /v1/config` | [`Config`] |
+//! | `GET /v1/config/history?limit=N` | [`History`] |
+//! | `GET /v1/config/diff?from=A&to=B` | [`Diff`] |
+//! | `POST /v1/config/patches` with a [`Patch`] | 200 [`Accepted`], 409 [`Stale`], 422 [`Invalid`], 503 [`Failure`] |
+//! | `GET /v1/endpoints` | [`Endpoints`] |
+//! | `GET /v1/suspects` | [`Suspects`] |
+//! | `DELETE /v1/suspects/<fingerprint>` | 204, or 404 [`Failure`] |
+//! | `GET /v1/status` | [`Status`] |
+
+use {
+    crate::{
+        document::{self, Document, Service},
+        entry::Entry,
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::Value,
+};
+
+pub use crate::patch::Patch;
+
+/// Path of the document.
+pub const CONFIG_PATH: &str = "/v1/config";
+/// Path of the history.
+pub const HISTORY_PATH: &str = "/v1/config/history";
+/// Path of the difference between two versions.
+pub const DIFF_PATH: &str = "/v1/config/diff";
+/// Path that takes patches.
+pub const PATCHES_PATH: &str = "/v1/config/patches";
+/// Path of the list of endpoints.
+pub const ENDPOINTS_PATH: &str = "/v1/endpoints";
+/// Path of the list of suspects; a fingerprint may follow.
+pub const SUSPECTS_PATH: &str = "/v1/suspects";
+/// Path of the status.
+pub const STATUS_PATH: &str = "/v1/status";
+
+/// The document in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    /// Its version.
+    pub version: u64,
+    /// The document.
+    pub document: Document,
+}
+
+/// The latest entries, newest first.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct History {
+    /// The version in force.
+    pub version: u64,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+/// The changes between two versions, as one merge patch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Diff {
+    /// The earlier version.
+    pub from: u64,
+    /// The later version.
+    pub to: u64,
+    /// The merge patch that leads from one to the other.
+    pub changes: Value,
+}
+
+/// The patch is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The version that it led to.
+    pub version: u64,
+}
+
+/// The patch was made against a version that is no longer in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stale {
+    /// Text for the operator.
+    pub error: String,
+    /// The version in force.
+    pub current: u64,
+    /// What changed since the base of the patch. Empty, with `truncated` set, if the base is too old.
+    pub changes_since: Vec<Entry>,
+    /// Whether entries are missing from `changes_since` because they are no longer kept.
+    #[serde(default)]
+    pub truncated: bool,
+}
+
+/// The patch breaks a rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Invalid {
+    /// Text for the operator.
+    pub error: String,
+    /// The field that was refused.
+    pub field: String,
+    /// Its value.
+    pub value: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl From<&document::Error> for Invalid {
+    fn from(error: &document::Error) -> Self {
+        Self {
+            error: error.to_string(),
+            field: error.field.clone(),
+            value: error.value.clone(),
+            remedy: error.remedy.clone(),
+        }
+    }
+}
+
+/// Any other failure.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// Text for the operator.
+    pub error: String,
+    /// What to do about it.
+    #[serde(default)]
+    pub remedy: String,
+}
+
+/// The endpoints and their load over the fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Endpoints {
+    /// One per endpoint.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Its name in the document.
+    pub name: String,
+    /// Engine or application.
+    pub kind: Service,
+    /// Name of its pool.
+    pub pool: String,
+    /// Where it listens.
+    pub address: std::net::SocketAddr,
+    /// Data centre of its VM.
+    pub data_centre: String,
+    /// Requests that may run at the same time.
+    pub slots: u32,
+    /// Requests in flight over the fleet.
+    pub in_flight: u32,
+    /// Whether it gets no new work, for whatever reason.
+    pub leaving: bool,
+    /// Whether it is leaving and nothing is in flight, so that it may be stopped.
+    pub empty: bool,
+}
+
+/// Requests suspected of crashing endpoints.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// One per request.
+    pub suspects: Vec<Suspect>,
+}
+
+/// One suspect request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Keyed hash of the customer and the content, in hexadecimal.
+    pub fingerprint: String,
+    /// Name of the customer.
+    pub customer: String,
+    /// Endpoints that died with the request in flight.
+    pub strikes: u32,
+    /// Whether it is refused.
+    pub refused: bool,
+    /// Time until it is forgotten.
+    pub expires_in_ms: u64,
+}
+
+/// State of the answering router and of its view of the fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Number of the router.
+    pub node: u32,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its data centre.
+    pub data_centre: String,
+    /// The version in force.
+    pub version: u64,
+    /// Time since the version was confirmed, if ever.
+    pub confirmed_ms_ago: Option<u64>,
+    /// Whether the store answers.
+    pub store_reachable: bool,
+    /// Members that are seen now.
+    pub visible: usize,
+    /// Members that are known.
+    pub known: usize,
+    /// Whether new work is accepted.
+    pub serving: bool,
+    /// Why new work is refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refusing: Option<String>,
+    /// Problems that need an operator, such as a divergence of the configuration.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub alarms: Vec<String>,
+}
