--- /dev/null
+++ b/siskin-member/src/member.rs
@@ -0,0 +1,665 @@
+//! The state machine: probes, suspicions, refutations and the exchange of views.
+
+use {
+    crate::{
+        gossip::Queue,
+        options::{Options, Timing},
+        platform::{List, Listed},
+        probe::{Probe, Schedule},
+        pull::{self, Exchange},
+        rank,
+        table::{self, Merge, Record, State, Table},
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    siskin_types::{id::Node, time::Instant},
+    siskin_wire::member::{
+        Body, Identity, MAX_DATA_CENTRE_BYTES, MAX_UPDATES, Message, Status, Update,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Members that are asked to probe a target that does not answer.
+const INDIRECT_PROBES: usize = 3;
+
+/// Members that are told of a planned stop directly; the others hear of it by gossip.
+const LEAVE_MESSAGES: usize = 8;
+
+/// Members are not forgotten while more than one in this many is unreachable, because that is more likely a partition
+/// than the death of so many. A site of four data centres may lose one and still forget it.
+const MASS_FAILURE_DIVISOR: usize = 3;
+
+/// Updates waiting to be sent that show a change of many members, after which full views are exchanged.
+const MANY_UPDATES: usize = 4 * MAX_UPDATES;
+
+/// Bytes of an entry in a full view, to keep views within [`VIEW_BYTES_PER_SECOND`].
+const VIEW_ENTRY_BYTES: u64 = 30;
+
+/// Full views requested on average; half of the control traffic that a router may cause.
+const VIEW_BYTES_PER_SECOND: u64 = 2_500;
+
+/// What the caller has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message.
+    Send {
+        /// Address of the receiver.
+        to: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// The visible or the known members have changed, so roles may have moved.
+    Changed,
+    /// A member has told which configuration it follows. Emitted for every message of a visible member.
+    Config {
+        /// The member.
+        from: Node,
+        /// The version that it follows.
+        version: u64,
+        /// Time since the store confirmed the version to it; `None` if the store never did.
+        age: Option<Duration>,
+    },
+}
+
+/// Version of the own configuration.
+#[derive(Clone, Copy, Debug, Default)]
+struct Config {
+    version: u64,
+    /// Time since the store confirmed it, at `set`.
+    age: Option<Duration>,
+    set: Instant,
+}
+
+impl Config {
+    fn age_ms(&self, now: Instant) -> Option<u32> {
+        let age = self.age? + (now - self.set);
+        Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+    }
+}
+
+/// One router's view of the fleet.
+#[derive(Debug)]
+pub struct Member {
+    me: Identity,
+    seeds: Vec<SocketAddr>,
+    timing: Timing,
+    sealed_as: u64,
+    leaving: bool,
+    config: Config,
+    table: Table,
+    queue: Queue,
+    schedule: Schedule,
+    exchange: Exchange,
+    list: List,
+    rng: SmallRng,
+    last_tick: Option<Instant>,
+    next_expiry: Instant,
+    last_change: Instant,
+}
+
+impl Member {
+    /// Makes a member that knows nobody; it joins through the seed addresses on the first tick.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        let mut data_centre = options.data_centre;
+        while data_centre.len() > MAX_DATA_CENTRE_BYTES {
+            data_centre.pop();
+        }
+        let me = Identity {
+            node: options.node,
+            incarnation: options.incarnation,
+            address: options.address,
+            data_centre,
+        };
+        let seeds: Vec<_> =
+            options.seeds.into_iter().filter(|seed| *seed != options.address).collect();
+        let mut exchange = Exchange::new();
+        exchange.joined = seeds.is_empty();
+        Self {
+            sealed_as: me.incarnation,
+            me,
+            seeds,
+            timing: options.timing,
+            leaving: false,
+            config: Config::default(),
+            table: Table::default(),
+            queue: Queue::default(),
+            schedule: Schedule::default(),
+            exchange,
+            list: List::default(),
+            rng: SmallRng::seed_from_u64(options.seed),
+            last_tick: None,
+            next_expiry: Instant::ZERO,
+            last_change: Instant::ZERO,
+        }
+    }
+
+    /// The own node.
+    #[must_use]
+    pub const fn node(&self) -> Node {
+        self.me.node
+    }
+
+    /// The own incarnation: the start time plus the number of refutations.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.me.incarnation
+    }
+
+    /// The incarnation that frames should carry. It stays the same when a suspicion is refuted, and changes only if an
+    /// earlier process of this node turns out to have had a later clock; see `Sealer::raise_incarnation`.
+    #[must_use]
+    pub const fn frame_incarnation(&self) -> u64 {
+        self.sealed_as
+    }
+
+    /// Whether a full view has been received, or there was nobody to ask.
+    #[must_use]
+    pub const fn joined(&self) -> bool {
+        self.exchange.joined
+    }
+
+    /// The members that may have roles, the own process first. A suspected member is among them until it is found
+    /// unreachable.
+    pub fn alive(&self) -> impl Iterator<Item = &Identity> {
+        let others = self.table.visible().iter();
+        let others = others.filter_map(|node| Some(&self.table.get(*node)?.about));
+        std::iter::once(&self.me).chain(others)
+    }
+
+    /// The visible members of a data centre.
+    #[must_use]
+    pub fn in_data_centre(&self, data_centre: &str) -> Vec<Node> {
+        let members = self.alive().filter(|member| member.data_centre == data_centre);
+        members.map(|member| member.node).collect()
+    }
+
+    /// Whether a node is visible, the own one included.
+    #[must_use]
+    pub fn is_visible(&self, node: Node) -> bool {
+        node == self.me.node || self.table.visible().contains(&node)
+    }
+
+    /// Address of a known node.
+    #[must_use]
+    pub fn address(&self, node: Node) -> Option<SocketAddr> {
+        if node == self.me.node {
+            return Some(self.me.address);
+        }
+        self.table.get(node).map(|record| record.about.address)
+    }
+
+    /// Everything that is known about the other members, for operators.
+    #[must_use]
+    pub fn view(&self, now: Instant) -> Vec<Update> {
+        let update = |record: &Record| Update {
+            about: record.about.clone(),
+            status: record.status(now, &self.timing),
+        };
+        self.table.records().map(update).collect()
+    }
+
+    /// Number of known members, with the own process and the unreachable ones.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.visible() + self.table.unreachable().len()
+    }
+
+    /// Number of visible members, with the own process.
+    #[must_use]
+    pub fn visible(&self) -> usize {
+        1 + self.table.visible().len()
+    }
+
+    /// The visible nodes in the rendezvous order of a key, the owner of the role first.
+    ///
+    /// Costs one hash per visible member and a sort; see [`rank`].
+    #[must_use]
+    pub fn rank(&self, key: &[u8]) -> Vec<Node> {
+        rank::order(key, self.visible_nodes())
+    }
+
+    /// The owner of a role: the first node of [`Member::rank`], found without a sort.
+    #[must_use]
+    pub fn owner(&self, key: &[u8]) -> Node {
+        rank::first(key, self.visible_nodes()).unwrap_or(self.me.node)
+    }
+
+    /// The visible ones of `nodes` in the rendezvous order of a key. Used with [`Member::in_data_centre`] to place a
+    /// role within a data centre.
+    #[must_use]
+    pub fn rank_in(&self, key: &[u8], nodes: &[Node]) -> Vec<Node> {
+        rank::order(key, nodes.iter().copied().filter(|node| self.is_visible(*node)))
+    }
+
+    fn visible_nodes(&self) -> impl Iterator<Item = Node> {
+        std::iter::once(self.me.node).chain(self.table.visible().iter().copied())
+    }
+
+    /// Sets what is told to other members about the own configuration. `age` is the time since the store confirmed
+    /// the version.
+    pub fn set_config(&mut self, now: Instant, version: u64, age: Option<Duration>) {
+        self.config = Config { version, age, set: now };
+    }
+
+    /// Takes over the platform's list of VMs. A member that it has dropped is forgotten once it is also unreachable;
+    /// nothing else follows from the list.
+    pub fn platform_list(&mut self, now: Instant, list: &[Listed]) -> Vec<Action> {
+        let generation = self.table.generation();
+        self.list.replace(now, list, self.timing.keep_unreachable);
+        self.expire(now);
+        self.finish(now, generation, Vec::new())
+    }
+
+    /// Announces the planned stop. The process should stop after the messages were sent; it no longer answers.
+    pub fn leave(&mut self, now: Instant) -> Vec<Action> {
+        self.leaving = true;
+        let targets = self.random_visible(LEAVE_MESSAGES, None);
+        targets.into_iter().filter_map(|node| self.send(now, node, Body::Leave)).collect()
+    }
+
+    /// A message has arrived from `from`.
+    pub fn receive(&mut self, now: Instant, from: SocketAddr, message: &Message) -> Vec<Action> {
+        if self.leaving || message.updates.len() > MAX_UPDATES {
+            return Vec::new();
+        }
+        let sender = message.from.node;
+        if sender == self.me.node {
+            log::warn!(node:% = sender, from:%; "message carries the own node number; give each VM its own number");
+            return Vec::new();
+        }
+        let generation = self.table.generation();
+        let incarnation = self.me.incarnation;
+        let status = match message.body {
+            Body::Leave => Status::Left { for_s: 0 },
+            _ => Status::Alive,
+        };
+        let merge = self.learn(now, &Update { about: message.from.clone(), status }, true);
+        for update in &message.updates {
+            self.learn(now, update, true);
+        }
+        let mut actions = self.act(now, from, message);
+        let answered = matches!(message.body, Body::Ping { .. });
+        if self.me.incarnation != incarnation && !answered {
+            let number = self.schedule.number();
+            actions.extend(self.send(now, sender, Body::Ping { number }));
+        }
+        if merge == Merge::Returned || self.should_compare(now, message.digest) {
+            actions.extend(self.pull(now, from));
+        }
+        if self.is_visible(sender) {
+            let age = message.config_age_ms.map(|ms| Duration::from_millis(ms.into()));
+            actions.push(Action::Config { from: sender, version: message.config_version, age });
+        }
+        self.finish(now, generation, actions)
+    }
+
+    fn act(&mut self, now: Instant, from: SocketAddr, message: &Message) -> Vec<Action> {
+        let sender = message.from.node;
+        match &message.body {
+            Body::Ping { number } => {
+                vec![self.send_to(now, from, Some(sender), Body::Ack { number: *number })]
+            }
+            Body::Ack { number } | Body::Relayed { number } => {
+                let relay = self.schedule.answered(*number);
+                let answer = relay.map(|relay| {
+                    self.send_to(now, relay.requester, None, Body::Relayed { number: relay.number })
+                });
+                answer.into_iter().collect()
+            }
+            Body::PingRequest { number, target, address } => {
+                let number = self.schedule.relay(now, from, *number);
+                let ping = number.map(|number| {
+                    self.send_to(now, *address, Some(*target), Body::Ping { number })
+                });
+                ping.into_iter().collect()
+            }
+            Body::Pull { number } => self.answer_pull(now, from, sender, *number),
+            Body::State { number, piece, pieces, entries } => {
+                let spread = self.joined();
+                for entry in entries {
+                    self.learn(now, entry, spread);
+                }
+                self.exchange.received(*number, *piece, *pieces);
+                Vec::new()
+            }
+            Body::Leave => Vec::new(),
+        }
+    }
+
+    /// Advances timers. To be called at least every 50 ms.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        if self.leaving {
+            return Vec::new();
+        }
+        let generation = self.table.generation();
+        self.extend_after_stall(now);
+        let mut actions = self.probe(now);
+        actions.extend(self.check_suspects(now));
+        actions.extend(self.probe_unreachable(now));
+        actions.extend(self.contact_seeds(now));
+        if now >= self.next_expiry {
+            self.next_expiry = now + Duration::from_secs(1);
+            self.expire(now);
+            self.schedule.expire(now, self.timing.probe_interval);
+        }
+        self.finish(now, generation, actions)
+    }
+
+    fn finish(&mut self, now: Instant, generation: u64, mut actions: Vec<Action>) -> Vec<Action> {
+        if self.table.generation() != generation {
+            self.last_change = now;
+            actions.push(Action::Changed);
+        }
+        actions
+    }
+
+    /// A suspended process finds its time limits exceeded although nobody failed to answer.
+    fn extend_after_stall(&mut self, now: Instant) {
+        let pause = self.last_tick.map_or(Duration::ZERO, |last| now - last);
+        self.last_tick = Some(now);
+        if pause <= self.timing.stall {
+            return;
+        }
+        self.schedule.current = None;
+        for node in self.table.suspects().clone() {
+            if let Some(suspicion) = self.table.suspicion(node) {
+                suspicion.since = suspicion.since + pause;
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Instant) -> Vec<Action> {
+        if now >= self.schedule.next {
+            return self.next_probe(now);
+        }
+        let Some(probe) = self.schedule.current.as_mut() else {
+            return Vec::new();
+        };
+        if probe.indirect || now - probe.sent < self.timing.indirect_after {
+            return Vec::new();
+        }
+        probe.indirect = true;
+        let Probe { target, number, .. } = *probe;
+        let Some(address) = self.address(target) else {
+            return Vec::new();
+        };
+        let helpers = self.random_visible(INDIRECT_PROBES, Some(target));
+        let request = Body::PingRequest { number, target, address };
+        helpers.into_iter().filter_map(|node| self.send(now, node, request.clone())).collect()
+    }
+
+    fn next_probe(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(probe) = self.schedule.current.take()
+            && self.table.suspect(now, probe.target)
+        {
+            log::info!(node:% = probe.target; "member does not answer; suspecting it");
+            self.queue.push(probe.target);
+        }
+        let due = self.schedule.next + self.timing.probe_interval;
+        self.schedule.next = if due > now { due } else { now + self.timing.probe_interval };
+        let visible = self.table.visible();
+        let all = visible.iter().copied();
+        let picked = self.schedule.pick(all, |node| visible.contains(&node), &mut self.rng);
+        if let Some(target) = picked {
+            let number = self.schedule.number();
+            self.schedule.current = Some(Probe { target, number, sent: now, indirect: false });
+            actions.extend(self.send(now, target, Body::Ping { number }));
+        }
+        actions
+    }
+
+    fn check_suspects(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for node in self.table.suspects().clone() {
+            let Some(suspicion) = self.table.suspicion(node) else {
+                continue;
+            };
+            let decides = suspicion.own || suspicion.verdict;
+            let grace = if decides { Duration::ZERO } else { self.timing.hearsay_grace };
+            if now - suspicion.since >= self.timing.suspicion + grace {
+                log::info!(node:%; "member did not refute the suspicion; it is unreachable");
+                self.table.give_up(node, now + self.timing.keep_unreachable);
+                self.queue.push(node);
+                continue;
+            }
+            if suspicion.own && now >= suspicion.next_ping {
+                suspicion.next_ping = now + self.timing.probe_interval;
+                let number = self.schedule.number();
+                actions.extend(self.send(now, node, Body::Ping { number }));
+            }
+        }
+        actions
+    }
+
+    /// The more routers share the work, the less often each of them probes an unreachable member.
+    fn probe_unreachable(&mut self, now: Instant) -> Vec<Action> {
+        let unreachable = self.table.unreachable().len();
+        if unreachable == 0 {
+            self.schedule.last_unreachable = now;
+            return Vec::new();
+        }
+        let share = u32::try_from(self.visible() / unreachable).unwrap_or(u32::MAX).max(1);
+        let spread = self.rng.random_range(0.5..1.5);
+        let interval = self.timing.unreachable_probe.saturating_mul(share).mul_f64(spread);
+        if now - self.schedule.last_unreachable < interval {
+            return Vec::new();
+        }
+        self.schedule.last_unreachable = now;
+        let index = self.rng.random_range(0..unreachable);
+        let Some(node) = self.table.unreachable().get_index(index).copied() else {
+            return Vec::new();
+        };
+        let number = self.schedule.number();
+        self.send(now, node, Body::Ping { number }).into_iter().collect()
+    }
+
+    fn contact_seeds(&mut self, now: Instant) -> Vec<Action> {
+        if self.seeds.is_empty() || now < self.exchange.next_seed {
+            return Vec::new();
+        }
+        if self.joined() {
+            self.exchange.next_seed = now + self.timing.seed_retry;
+            let visible: Vec<_> = self.alive().map(|member| member.address).collect();
+            let missing: Vec<_> =
+                self.seeds.iter().copied().filter(|seed| !visible.contains(seed)).collect();
+            return self.pull_one_of(now, &missing);
+        }
+        let jitter = self.rng.random_range(0.75..1.25);
+        self.exchange.next_seed = now + self.timing.join_retry.mul_f64(jitter);
+        let known = self.random_visible(1, None);
+        let known: Vec<_> = known.into_iter().filter_map(|node| self.address(node)).collect();
+        let use_seed = known.is_empty() || self.rng.random_bool(0.25);
+        let targets = if use_seed { self.seeds.clone() } else { known };
+        self.pull_one_of(now, &targets)
+    }
+
+    fn pull_one_of(&mut self, now: Instant, targets: &[SocketAddr]) -> Vec<Action> {
+        if targets.is_empty() {
+            return Vec::new();
+        }
+        let target = targets[self.rng.random_range(0..targets.len())];
+        vec![self.request_view(now, target)]
+    }
+
+    /// Whether the sender of `digest` should be asked for its view.
+    fn should_compare(&self, now: Instant, digest: u32) -> bool {
+        let settled = now - self.last_change >= self.timing.settle;
+        let many = self.queue.len() > MANY_UPDATES;
+        self.joined() && digest != self.digest() && (settled || many)
+    }
+
+    fn digest(&self) -> u32 {
+        self.table.digest() ^ table::digest_of(&self.me)
+    }
+
+    /// Asks for a full view unless one was asked for a short time ago.
+    fn pull(&mut self, now: Instant, from: SocketAddr) -> Option<Action> {
+        if !self.joined() || now < self.exchange.next || self.exchange.waiting(now) {
+            return None;
+        }
+        let bytes = VIEW_ENTRY_BYTES * u64::try_from(self.known()).unwrap_or(u64::MAX);
+        let spread = self.rng.random_range(0.75..1.25);
+        let paced = Duration::from_millis(bytes * 1_000 / VIEW_BYTES_PER_SECOND);
+        self.exchange.next = now + paced.max(self.timing.pull_interval).mul_f64(spread);
+        Some(self.request_view(now, from))
+    }
+
+    fn request_view(&mut self, now: Instant, from: SocketAddr) -> Action {
+        let number = self.schedule.number();
+        self.exchange.requested(now, number);
+        self.send_to(now, from, None, Body::Pull { number })
+    }
+
+    /// Sends the own view, beginning at a random place: if not all of it can be sent, routers that join at the same
+    /// time get different parts and ask different members next.
+    fn answer_pull(
+        &mut self,
+        now: Instant,
+        to: SocketAddr,
+        node: Node,
+        number: u32,
+    ) -> Vec<Action> {
+        let records = self.table.records().len();
+        let offset = if records == 0 { 0 } else { self.rng.random_range(0..records) };
+        let rotated = self.table.records().skip(offset).chain(self.table.records().take(offset));
+        let entries = rotated.map(|record| Update {
+            about: record.about.clone(),
+            status: record.status(now, &self.timing),
+        });
+        let pieces = pull::pieces(entries);
+        let total = u16::try_from(pieces.len()).unwrap_or(u16::MAX);
+        let allowed = self.exchange.allow(now, pieces.len());
+        let numbered = (0..total).zip(pieces).take(allowed);
+        let state = |(piece, entries)| Body::State { number, piece, pieces: total, entries };
+        let bodies: Vec<_> = numbered.map(state).collect();
+        bodies.into_iter().map(|body| self.send_to(now, to, Some(node), body)).collect()
+    }
+
+    /// Takes a belief over, its own process excepted, which it refutes.
+    fn learn(&mut self, now: Instant, update: &Update, spread: bool) -> Merge {
+        let node = update.about.node;
+        if node == self.me.node {
+            self.refute(update);
+            return Merge::Nothing;
+        }
+        if update.about.data_centre.len() > MAX_DATA_CENTRE_BYTES {
+            return Merge::Nothing;
+        }
+        let gone = matches!(update.status, Status::Unreachable { .. })
+            && self.table.get(node).is_none()
+            && self.dropped(now, update.about.address);
+        if gone {
+            return Merge::Nothing;
+        }
+        let merge = self.table.merge(now, update, &self.timing);
+        match merge {
+            Merge::Nothing | Merge::News => {}
+            Merge::Appeared | Merge::Returned => {
+                log::debug!(node:%, incarnation = update.about.incarnation; "member appeared");
+                self.schedule.insert(node, &mut self.rng);
+            }
+            Merge::Doubted => self.schedule.put_first(node),
+        }
+        if spread && !matches!(merge, Merge::Nothing | Merge::Doubted) {
+            self.queue.push(node);
+        }
+        merge
+    }
+
+    fn refute(&mut self, update: &Update) {
+        let claimed = update.about.incarnation;
+        let predecessor = claimed > self.me.incarnation;
+        let contradicts = claimed == self.me.incarnation && update.status != Status::Alive;
+        if !predecessor && !contradicts {
+            return;
+        }
+        self.me.incarnation = claimed + 1;
+        if predecessor {
+            log::warn!(incarnation = claimed; "an earlier process of this node had a later clock; continuing from its incarnation");
+            self.sealed_as = self.me.incarnation;
+        }
+        self.queue.push(self.me.node);
+    }
+
+    fn dropped(&self, now: Instant, address: SocketAddr) -> bool {
+        self.list.dropped(now, address.ip(), self.timing.drop_grace)
+    }
+
+    /// Forgets members whose time is over and unreachable ones that the platform has dropped.
+    fn expire(&mut self, now: Instant) {
+        let mass_failure = self.table.unreachable().len() > self.known() / MASS_FAILURE_DIVISOR;
+        let over = |record: &&Record| {
+            let expired = record.state.until().is_some_and(|until| now >= until);
+            match record.state {
+                State::Alive { .. } | State::Suspect(_) => false,
+                State::Left { .. } => expired,
+                State::Unreachable { .. } => {
+                    !mass_failure && (expired || self.dropped(now, record.about.address))
+                }
+            }
+        };
+        let gone: Vec<_> =
+            self.table.records().filter(over).map(|record| record.about.node).collect();
+        for node in gone {
+            log::info!(node:%; "member is forgotten");
+            self.table.remove(node);
+            self.queue.remove(node);
+        }
+    }
+
+    /// Up to `count` different visible members other than `except`.
+    fn random_visible(&mut self, count: usize, except: Option<Node>) -> Vec<Node> {
+        let visible = self.table.visible();
+        let amount = visible.len().min(count + 1);
+        let sample = rand::seq::index::sample(&mut self.rng, visible.len(), amount);
+        let nodes = sample.into_iter().filter_map(|index| visible.get_index(index).copied());
+        nodes.filter(|node| Some(*node) != except).take(count).collect()
+    }
+
+    fn send(&mut self, now: Instant, node: Node, body: Body) -> Option<Action> {
+        let address = self.table.get(node)?.about.address;
+        Some(self.send_to(now, address, Some(node), body))
+    }
+
+    /// Makes a message. If the receiver is not taken for alive, it is told first, so that it can refute.
+    fn send_to(&mut self, now: Instant, to: SocketAddr, node: Option<Node>, body: Body) -> Action {
+        let claim = node.and_then(|node| self.claim(now, node));
+        let room = match body {
+            Body::State { .. } => 0,
+            _ => MAX_UPDATES - usize::from(claim.is_some()),
+        };
+        let picked = self.queue.pick(room, self.known());
+        let others = picked.into_iter().filter(|picked| claim.is_none() || Some(*picked) != node);
+        let others: Vec<_> = others.filter_map(|node| self.update(now, node)).collect();
+        let message = Message {
+            from: self.me.clone(),
+            config_version: self.config.version,
+            config_age_ms: self.config.age_ms(now),
+            digest: self.digest(),
+            updates: claim.into_iter().chain(others).collect(),
+            body,
+        };
+        Action::Send { to, message }
+    }
+
+    fn update(&self, now: Instant, node: Node) -> Option<Update> {
+        if node == self.me.node {
+            return Some(Update { about: self.me.clone(), status: Status::Alive });
+        }
+        self.table.update(now, node, &self.timing)
+    }
+
+    fn claim(&self, now: Instant, node: Node) -> Option<Update> {
+        let record = self.table.get(node)?;
+        let mut update = self.table.update(now, node, &self.timing)?;
+        match record.state {
+            State::Alive { doubted: false } => None,
+            State::Alive { doubted: true } => {
+                update.status = Status::Unreachable { for_s: 0 };
+                Some(update)
+            }
+            _ => Some(update),
+        }
+    }
+}
--- /dev/null
+++ b/siskin-member/src/rank.rs
@@ -0,0 +1,38 @@
+//! Rendezvous hashing: every router that knows the same nodes computes the same order for a key.
+//!
+//! The cost is one blake3 compression for the key and one for each node, plus a sort for [`order`]. See the example
+//! `gossip_cost` for measured times. Callers that need a role on every request should keep the result until
+//! [`crate::Action::Changed`].
+
+use siskin_types::id::Node;
+
+/// Orders nodes for a key, the owner first.
+///
+/// ```
+/// use {siskin_member::rank, siskin_types::id::Node};
+/// let all = rank::order(b"pool 7", (0..5).map(Node));
+/// let without_owner = rank::order(b"pool 7", (0..5).map(Node).filter(|node| *node != all[0]));
+/// assert_eq!(without_owner, all[1..], "only the lost node's place is filled");
+/// ```
+#[must_use]
+pub fn order(key: &[u8], nodes: impl Iterator<Item = Node>) -> Vec<Node> {
+    let hash = blake3::hash(key);
+    let mut scored: Vec<_> = nodes.map(|node| (score(&hash, node), node)).collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    scored.into_iter().map(|(_, node)| node).collect()
+}
+
+/// The owner of a key: the first in its order, found without a sort.
+#[must_use]
+pub fn first(key: &[u8], nodes: impl Iterator<Item = Node>) -> Option<Node> {
+    let hash = blake3::hash(key);
+    nodes.max_by_key(|node| (score(&hash, *node), *node))
+}
+
+/// Hashes 36 bytes, which is one compression.
+fn score(key: &blake3::Hash, node: Node) -> u64 {
+    let hash = blake3::keyed_hash(key.as_bytes(), &node.0.to_be_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
