--- /dev/null
+++ b/siskin-router/src/clock.rs
@@ -0,0 +1,37 @@
+//! The process's monotonic clock in the form that decision code takes.
+
+use {siskin_types::time::Instant, std::time::Duration, tokio::time};
+
+/// Counts time from the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: time::Instant,
+}
+
+impl Clock {
+    /// Starts the clock.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { start: time::Instant::now() }
+    }
+
+    /// The current time. It starts at one second, so that times before the start of the process exist.
+    ///
+    /// ```
+    /// let clock = siskin_router::clock::Clock::start();
+    /// assert!(clock.now() <= clock.now());
+    /// ```
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        Instant::ZERO + OFFSET + self.start.elapsed()
+    }
+
+    /// The runtime's time for an instant of this clock.
+    #[must_use]
+    pub fn deadline(&self, at: Instant) -> time::Instant {
+        self.start + (at - (Instant::ZERO + OFFSET))
+    }
+}
+
+/// Time on the clock when the process starts.
+const OFFSET: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/siskin-router/src/control.rs
@@ -0,0 +1,234 @@
+//! Frames to and from other routers.
+//!
+//! A frame that fits a datagram goes over UDP; a larger one goes over a TCP connection of its own, with its length
+//! in front. Loss is made up for by the state machines, which repeat what was not acknowledged.
+
+use {
+    crate::{metrics::Metrics, settings::Settings},
+    siskin_types::id::Node,
+    siskin_wire::{
+        Message,
+        frame::{Key, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, Opened, Opener, Rejection, Sealer},
+    },
+    std::{
+        collections::HashSet,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream, UdpSocket},
+        sync::{Semaphore, mpsc},
+        time::timeout,
+    },
+};
+
+/// Bytes of IP and UDP header in front of a datagram, counted as control traffic.
+const DATAGRAM_HEADER_BYTES: u64 = 28;
+
+/// Bytes of header of a short TCP connection: handshake, one data segment, acknowledgements and close.
+const CONNECTION_HEADER_BYTES: u64 = 320;
+
+/// Longest time to send or receive a frame over TCP.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// TCP connections from other routers that are served at the same time.
+const CONNECTIONS_MAX: usize = 128;
+
+/// Received frames that wait to be handled. More are dropped, as a full socket buffer would.
+const QUEUE_FRAMES: usize = 4_096;
+
+/// A message from another router.
+#[derive(Debug)]
+pub(crate) struct Received {
+    /// The sender's address.
+    pub(crate) from: SocketAddr,
+    /// The sender and its message.
+    pub(crate) opened: Opened,
+}
+
+/// Sockets for other routers.
+#[derive(Debug)]
+pub(crate) struct Control {
+    socket: UdpSocket,
+    sealer: Mutex<Sealer>,
+    opener: Mutex<Opener>,
+    metrics: Metrics,
+    /// Nodes cut off on purpose, in tests and measurements of partitions.
+    blocked: RwLock<HashSet<Node>>,
+}
+
+impl Control {
+    /// Binds both sockets. The TCP listener is returned for [`Control::run`].
+    pub(crate) async fn bind(
+        settings: &Settings,
+        incarnation: u64,
+        metrics: Metrics,
+    ) -> io::Result<(Self, TcpListener)> {
+        let socket = UdpSocket::bind(settings.control).await?;
+        let listener = TcpListener::bind(socket.local_addr()?).await?;
+        let key = Key::derive(settings.fleet_key.reveal().as_bytes());
+        let next =
+            settings.fleet_key_next.as_ref().map(|key| Key::derive(key.reveal().as_bytes()));
+        let control = Self {
+            socket,
+            sealer: Mutex::new(Sealer::new(settings.node, incarnation, key.clone())),
+            opener: Mutex::new(Opener::new(key, next)),
+            metrics,
+            blocked: RwLock::default(),
+        };
+        Ok((control, listener))
+    }
+
+    /// The bound address.
+    pub(crate) fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Cuts this router off from some others, in both directions. For tests and measurements of partitions.
+    pub(crate) fn block(&self, nodes: impl IntoIterator<Item = Node>) {
+        *self.blocked.write().unwrap_or_else(PoisonError::into_inner) = nodes.into_iter().collect();
+    }
+
+    /// Raises the incarnation in frames, after another router knew a later one of this node.
+    pub(crate) fn raise_incarnation(&self, incarnation: u64) {
+        lock(&self.sealer).raise_incarnation(incarnation);
+    }
+
+    /// Sends a message. A message that cannot be sent now is lost, as on the network.
+    pub(crate) fn send(self: &Arc<Self>, node: Option<Node>, to: SocketAddr, message: &Message) {
+        if node.is_some_and(|node| self.is_blocked(node)) {
+            return;
+        }
+        let kind = kind(message);
+        let sealed = lock(&self.sealer).seal(message);
+        let frame = match sealed {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::error!(kind; "message cannot be sent: {error}");
+                return;
+            }
+        };
+        if frame.len() <= MAX_DATAGRAM_BYTES {
+            self.count("sent", kind, frame.len() as u64 + DATAGRAM_HEADER_BYTES);
+            if let Err(error) = self.socket.try_send_to(&frame, to) {
+                log::debug!(to:% = to, kind; "datagram was not sent: {error}");
+            }
+            return;
+        }
+        self.count("sent", kind, frame.len() as u64 + CONNECTION_HEADER_BYTES);
+        tokio::spawn(async move {
+            match timeout(CONNECTION_TIMEOUT, send_stream(to, &frame)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log::debug!(to:% = to, kind; "frame was not sent: {error}"),
+                Err(_) => log::debug!(to:% = to, kind; "frame was not sent in time"),
+            }
+        });
+    }
+
+    /// Receives frames until the router stops.
+    pub(crate) async fn run(self: Arc<Self>, listener: TcpListener, queue: mpsc::Sender<Received>) {
+        tokio::join!(self.receive_datagrams(&queue), self.accept(listener, &queue));
+    }
+
+    async fn receive_datagrams(&self, queue: &mpsc::Sender<Received>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!("datagram cannot be received: {error}");
+                    continue;
+                }
+            };
+            let opened = lock(&self.opener).open_datagram(&buffer[..length]);
+            self.accepted(queue, from, opened, length as u64 + DATAGRAM_HEADER_BYTES);
+        }
+    }
+
+    async fn accept(self: &Arc<Self>, listener: TcpListener, queue: &mpsc::Sender<Received>) {
+        let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+        loop {
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+            let Ok((stream, from)) = listener.accept().await else { continue };
+            let control = Arc::clone(self);
+            let queue = queue.clone();
+            tokio::spawn(async move {
+                let _permit = permit;
+                let Ok(Ok(frame)) = timeout(CONNECTION_TIMEOUT, receive_stream(stream)).await else {
+                    return;
+                };
+                let opened = lock(&control.opener).open(&frame);
+                let bytes = frame.len() as u64 + CONNECTION_HEADER_BYTES;
+                control.accepted(&queue, from, opened, bytes);
+            });
+        }
+    }
+
+    fn accepted(
+        &self,
+        queue: &mpsc::Sender<Received>,
+        from: SocketAddr,
+        opened: Result<Opened, Rejection>,
+        bytes: u64,
+    ) {
+        match opened {
+            Ok(opened) if self.is_blocked(opened.node) => {}
+            Ok(opened) => {
+                self.count("received", kind(&opened.message), bytes);
+                if queue.try_send(Received { from, opened }).is_err() {
+                    self.metrics.frames_rejected.with_label_values(&["queue_full"]).inc();
+                }
+            }
+            Err(rejection) => {
+                self.metrics.frames_rejected.with_label_values(&[rejection.label()]).inc();
+                log::debug!(from:% = from; "frame was dropped: {rejection}");
+            }
+        }
+    }
+
+    fn is_blocked(&self, node: Node) -> bool {
+        self.blocked.read().unwrap_or_else(PoisonError::into_inner).contains(&node)
+    }
+
+    fn count(&self, direction: &str, kind: &str, bytes: u64) {
+        self.metrics.control_messages.with_label_values(&[direction, kind]).inc();
+        self.metrics.control_bytes.with_label_values(&[direction, kind]).inc_by(bytes);
+    }
+}
+
+async fn send_stream(to: SocketAddr, frame: &[u8]) -> io::Result<()> {
+    let mut stream = TcpStream::connect(to).await?;
+    let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
+    stream.write_u32(length).await?;
+    stream.write_all(frame).await?;
+    stream.shutdown().await
+}
+
+async fn receive_stream(mut stream: TcpStream) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await? as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut frame = vec![0; length];
+    stream.read_exact(&mut frame).await?;
+    Ok(frame)
+}
+
+/// Label of a message in metrics.
+const fn kind(message: &Message) -> &'static str {
+    match message {
+        Message::Member(_) => "member",
+        Message::Report(_) => "report",
+        Message::Grant(_) => "grant",
+        Message::Config(_) => "config",
+        Message::Claim(_) => "claim",
+        Message::Poison(_) => "poison",
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/siskin-router/src/exchange/mod.rs
@@ -0,0 +1,439 @@
+//! Carries one request from the queue to an endpoint and its answer back to the caller.
+//!
+//! [`Life`] decides what is done; an [`Exchange`] does it: it waits for a slot, connects, sends, reads, probes
+//! silent endpoints, and reports each event back.
+
+mod deliver;
+mod read;
+mod send;
+mod stage;
+
+use {
+    crate::{
+        caller::{
+            answer,
+            chat::{Chat, Usage},
+            respond::Responder,
+        },
+        pool::{Assignment, Pool},
+        shared::Shared,
+        upstream,
+    },
+    bytes::Bytes,
+    hyper::{HeaderMap, Method, Response, body::Incoming},
+    siskin_outcome::{
+        life::{self, Action, Attempt, Life},
+        outcome::{Outcome, Reason},
+        poison::{Fingerprint, Verdict},
+    },
+    siskin_sched::ticket::Ticket,
+    siskin_types::{
+        cost::Units,
+        id::{Customer, Endpoint, Model, Request},
+        time::Instant,
+    },
+    stage::{Event, Stage},
+    std::{sync::Arc, time::Duration},
+    tokio::time,
+};
+
+pub use deliver::Summary;
+
+/// A caller's request after it was checked.
+#[derive(Debug)]
+pub struct Call {
+    /// Identifier of the request.
+    pub request: Request,
+    /// Who pays.
+    pub customer: Customer,
+    /// The pool that serves it.
+    pub pool: Arc<Pool>,
+    /// The model, or the number of the route.
+    pub model: Model,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// Expected cost.
+    pub estimate: Units,
+    /// Keyed hash of customer and content.
+    pub fingerprint: Fingerprint,
+    /// What is asked for.
+    pub kind: Kind,
+}
+
+/// What a call asks for.
+#[derive(Debug)]
+pub enum Kind {
+    /// A chat completion by an engine.
+    Chat {
+        /// The request.
+        chat: Chat,
+        /// Endpoints that likely hold the prompt's prefix.
+        prefer: Vec<Endpoint>,
+        /// Most output tokens that the pool allows for it.
+        limit: Units,
+    },
+    /// A call of an application.
+    Application(Application),
+}
+
+/// A call of an application, passed through.
+#[derive(Clone, Debug)]
+pub struct Application {
+    /// Method of the call.
+    pub method: Method,
+    /// Path and query below the route.
+    pub target: String,
+    /// Headers without those that concern only the caller's connection.
+    pub headers: HeaderMap,
+    /// Body of the call.
+    pub body: Bytes,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+}
+
+impl Kind {
+    /// Whether the call may run twice.
+    #[must_use]
+    pub const fn idempotent(&self) -> bool {
+        match self {
+            Self::Chat { .. } => true,
+            Self::Application(application) => application.idempotent,
+        }
+    }
+}
+
+/// Time without any event of a stream before its first token, as a multiple of the progress timeout: the engine may
+/// be busy with a long prompt.
+const FIRST_EVENT_FACTOR: u32 = 5;
+
+/// Part of its time that an idempotent application call may take before the path is suspected, as a divisor.
+const APPLICATION_PATIENCE_DIVISOR: u32 = 3;
+
+/// Service that is reported to the scheduler at once while a stream runs.
+const PROGRESS_STEP: Units = Units(32);
+
+/// One request on its way.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    shared: Arc<Shared>,
+    call: Call,
+    life: Life,
+    stage: Stage,
+    responder: Responder,
+    delivery: deliver::Delivery,
+    /// Endpoint whose slot the request holds.
+    slot: Option<Endpoint>,
+    /// When the slot was taken.
+    slot_since: time::Instant,
+    /// Service of the current dispatch.
+    used: Units,
+    /// Service last reported to the scheduler.
+    reported: Units,
+    /// Last event of the current attempt.
+    progress_at: time::Instant,
+    /// Whether the endpoint was already found alive during the present silence.
+    probed: bool,
+    started_at: time::Instant,
+    resuming: bool,
+}
+
+/// Runs a request to its end.
+pub(crate) async fn run(shared: Arc<Shared>, call: Call, responder: Responder) -> Summary {
+    let options = life::Options {
+        idempotent: call.kind.idempotent(),
+        resumable: matches!(call.kind, Kind::Chat { .. }),
+        ..life::Options::new(call.request, call.deadline)
+    };
+    let delivery = deliver::Delivery::new(&call);
+    let exchange = Exchange {
+        life: Life::new(options),
+        shared,
+        call,
+        stage: Stage::Idle,
+        responder,
+        delivery,
+        slot: None,
+        slot_since: time::Instant::now(),
+        used: Units(0),
+        reported: Units(0),
+        progress_at: time::Instant::now(),
+        probed: false,
+        started_at: time::Instant::now(),
+        resuming: false,
+    };
+    exchange.run().await
+}
+
+impl Exchange {
+    async fn run(mut self) -> Summary {
+        self.call.pool.budget().request();
+        let now = self.now();
+        let actions = self.life.accepted(now);
+        let mut outcome = self.perform(actions).await;
+        while outcome.is_none() {
+            let event = self.next_event().await;
+            let actions = self.handle(event).await;
+            outcome = self.perform(actions).await;
+        }
+        let outcome = outcome.unwrap_or(Outcome::Unknown(Reason::Broken));
+        self.finish(outcome).await
+    }
+
+    fn now(&self) -> Instant {
+        self.shared.clock.now()
+    }
+
+    /// Waits for the next thing that happens to the request.
+    async fn next_event(&mut self) -> Event {
+        let clock = self.shared.clock;
+        let timer = clock.deadline(self.life.next_tick().unwrap_or(self.call.deadline));
+        let quiet = self.quiet_at();
+        tokio::select! {
+            biased;
+            event = self.stage.advance() => event,
+            () = self.responder.gone() => Event::CallerGone,
+            () = time::sleep_until(timer) => Event::Timer,
+            () = time::sleep_until(quiet.unwrap_or(timer)), if quiet.is_some() => Event::Quiet,
+        }
+    }
+
+    /// When the present silence of the endpoint becomes suspicious.
+    fn quiet_at(&self) -> Option<time::Instant> {
+        if self.probed || !self.stage.waits_for_endpoint() {
+            return None;
+        }
+        let timeout = self.shared.view().document.fleet.progress_timeout();
+        let patience = match &self.call.kind {
+            Kind::Chat { .. } if self.life.delivered() == 0 => timeout * FIRST_EVENT_FACTOR,
+            Kind::Application(_) if self.life.delivered() == 0 => {
+                let allowed = self.shared.clock.deadline(self.call.deadline) - self.started_at;
+                timeout.max(allowed / APPLICATION_PATIENCE_DIVISOR)
+            }
+            Kind::Chat { .. } | Kind::Application(_) => timeout,
+        };
+        Some(self.progress_at + patience)
+    }
+
+    async fn handle(&mut self, event: Event) -> Vec<Action> {
+        let now = self.now();
+        match event {
+            Event::Assigned(attempt, assignment) => self.assigned(now, attempt, assignment),
+            Event::Connected(attempt, Ok(connection)) => self.connected(now, attempt, connection),
+            Event::Connected(attempt, Err(error)) => {
+                log::debug!(request:% = self.call.request; "{error}");
+                self.endpoint_failed();
+                self.life.connect_failed(now, attempt, &mut self.call.pool.budget())
+            }
+            Event::Answered(attempt, connection, answer) => {
+                self.answered(now, attempt, connection, answer).await
+            }
+            Event::Part(attempt, part) => self.part(now, attempt, part).await,
+            Event::Quiet => self.quiet().await,
+            Event::Timer => self.life.tick(now),
+            Event::CallerGone => self.life.cancelled(now),
+        }
+    }
+
+    /// Carries out actions in order; returns the outcome once there is one.
+    async fn perform(&mut self, actions: Vec<Action>) -> Option<Outcome> {
+        let mut outcome = None;
+        let mut pending = actions;
+        while !pending.is_empty() {
+            let resumes = pending.iter().any(|action| matches!(action, Action::Resume { .. }));
+            let only_cancel = matches!(pending.as_slice(), [Action::Cancel { .. }]);
+            let mut next = Vec::new();
+            for action in pending {
+                match action {
+                    Action::Dispatch { attempt, exclude } => next.extend(self.submit(attempt, exclude)),
+                    Action::Resume { attempt, endpoint, offset } => {
+                        self.resume(attempt, endpoint, offset);
+                    }
+                    Action::Retry { after, reason } => self.retry(after, reason),
+                    Action::Deliver { .. } => next.extend(self.deliver().await),
+                    Action::Cancel { attempt, endpoint } => {
+                        self.cancel(endpoint, resumes);
+                        if only_cancel && self.life.outcome().is_none() {
+                            next.extend(self.discarded(attempt));
+                        }
+                    }
+                    Action::Charge(_) => {}
+                    Action::Finish(result) => outcome = Some(result),
+                }
+            }
+            pending = next;
+        }
+        outcome
+    }
+
+    /// Queues the request for a slot.
+    fn submit(&mut self, attempt: Attempt, exclude: Vec<Endpoint>) -> Vec<Action> {
+        let now = self.now();
+        let alone = match self.shared.poison().admit(now, self.call.fingerprint) {
+            Verdict::Run => false,
+            Verdict::RunAlone => true,
+            Verdict::Refuse { retry_after } => {
+                self.delivery.retry_after = Some(retry_after);
+                return self.life.refused(now, Reason::SuspectRefused);
+            }
+        };
+        let prefer = match &self.call.kind {
+            Kind::Chat { prefer, .. } => prefer.clone(),
+            Kind::Application(_) => Vec::new(),
+        };
+        let ticket = Ticket {
+            prefer,
+            exclude,
+            alone,
+            ..Ticket::new(
+                self.call.request,
+                self.call.customer,
+                self.call.model,
+                self.call.estimate,
+                self.call.deadline,
+            )
+        };
+        match self.call.pool.submit(&self.shared, now, ticket) {
+            Ok(assignment) => {
+                self.stage = Stage::Queued { attempt, assignment };
+                Vec::new()
+            }
+            Err(refusal) => {
+                log::debug!(request:% = self.call.request; "{refusal}");
+                self.delivery.retry_after = Some(refusal.retry_after());
+                self.life.refused(now, crate::pool::reason(&refusal))
+            }
+        }
+    }
+
+    fn assigned(&mut self, now: Instant, attempt: Attempt, assignment: Assignment) -> Vec<Action> {
+        match assignment {
+            Assignment::Endpoint(endpoint) => {
+                self.slot = Some(endpoint);
+                self.slot_since = time::Instant::now();
+                self.used = Units(0);
+                self.reported = Units(0);
+                let actions = self.life.dispatched(now, attempt, endpoint);
+                if actions.is_empty() {
+                    self.connect(attempt, endpoint);
+                }
+                actions
+            }
+            Assignment::Expired => self.life.deadline(now),
+        }
+    }
+
+    fn retry(&mut self, after: Duration, reason: Reason) {
+        log::info!(
+            request:% = self.call.request, reason = reason.label(), after_ms = after.as_millis();
+            "request is sent again"
+        );
+        self.shared.metrics.retries.with_label_values(&[reason.label()]).inc();
+        self.stop_run();
+        self.release();
+        self.stage = Stage::Idle;
+    }
+
+    fn cancel(&mut self, endpoint: Option<Endpoint>, resumes: bool) {
+        if endpoint.is_none() {
+            self.call.pool.cancel(&self.shared, self.now(), self.call.request);
+        } else if !resumes && self.life.outcome().is_some() {
+            self.stop_run();
+        }
+        // Dropping the stage closes its connection, so an answer that comes later reaches nobody.
+        self.stage = Stage::Idle;
+    }
+
+    fn discarded(&mut self, attempt: Attempt) -> Vec<Action> {
+        self.shared.metrics.crossed_answers.inc();
+        let now = self.now();
+        self.life.discarded(now, attempt, &mut self.call.pool.budget())
+    }
+
+    /// Reports the silence or its end: probes the endpoint on a fresh connection.
+    async fn quiet(&mut self) -> Vec<Action> {
+        let Some((attempt, endpoint)) = self.stage.attempt() else { return Vec::new() };
+        self.shared.metrics.silent_connections.inc();
+        let probe = self.shared.probe(endpoint).await;
+        self.probed = true;
+        log::info!(
+            request:% = self.call.request, endpoint:% = endpoint, answered = probe.is_some();
+            "endpoint was silent and has been probed"
+        );
+        let now = self.now();
+        let result = if probe.is_some() {
+            self.shared.purge_idle(endpoint);
+            life::Probe::Answered
+        } else {
+            self.endpoint_failed();
+            life::Probe::Failed
+        };
+        self.life.silent(now, attempt, result, &mut self.call.pool.budget())
+    }
+
+    /// Tells the health view that the endpoint of this request did not answer.
+    fn endpoint_failed(&self) {
+        if let Some(endpoint) = self.slot {
+            self.shared.endpoint_failed(endpoint);
+        }
+    }
+
+    /// Tells an engine to stop a run that nobody follows any more.
+    fn stop_run(&self) {
+        let Some(endpoint) = self.slot else { return };
+        if matches!(self.call.kind, Kind::Chat { .. }) && self.stage.sent() {
+            self.shared.stop_run(endpoint, self.call.request);
+        }
+    }
+
+    /// Gives the slot back and settles the charge of this dispatch.
+    fn release(&mut self) {
+        if self.slot.take().is_some() {
+            self.call.pool.finish(&self.shared, self.now(), self.call.request, self.used);
+        }
+    }
+
+    /// Raises the service of this dispatch and reports it in steps.
+    fn charge(&mut self, used: Units) {
+        self.used = self.used.max(used);
+        if self.used - self.reported >= PROGRESS_STEP {
+            self.reported = self.used;
+            self.call.pool.progress(&self.shared, self.now(), self.call.request, self.used);
+        }
+    }
+
+    async fn finish(mut self, outcome: Outcome) -> Summary {
+        if !matches!(outcome, Outcome::Completed | Outcome::Failed) {
+            self.stop_run();
+        }
+        self.release();
+        if matches!(outcome, Outcome::Completed) {
+            self.shared.poison().completed(self.now(), self.call.fingerprint);
+        }
+        let summary = self.conclude(outcome).await;
+        self.shared.finished(&self.call, outcome, self.started_at.elapsed());
+        summary
+    }
+}
+
+/// Answer of an endpoint to an attempt: the head, or why there is none.
+type Answer = Result<Response<Incoming>, upstream::Error>;
+
+/// Charge for a chat whose usage is not known yet.
+fn running_cost(prompt: Units, events: u64) -> Units {
+    prompt + Units(events)
+}
+
+/// Charge for a finished chat.
+fn final_cost(usage: Option<Usage>, prompt: Units, events: u64) -> Units {
+    usage.map_or_else(|| running_cost(prompt, events), |usage| usage.cost())
+}
+
+/// The error event at the end of a stream that broke off.
+fn error_event(outcome: Outcome) -> Bytes {
+    let data = answer::error_body(
+        outcome.label(),
+        outcome.reason().map(Reason::label),
+        &answer::explain(outcome),
+    );
+    Bytes::from(format!("event: error\ndata: {data}\n\n"))
+}
