--- /dev/null
+++ b/siskin-sched/src/baseline.rs
@@ -0,0 +1,1 @@
+//! Schedulers for comparison.
--- /dev/null
+++ b/siskin-sched/src/owner.rs
@@ -0,0 +1,553 @@
+//! The owner's side: virtual times and slot grants.
+
+use {
+    crate::pool,
+    demand::Table,
+    peer::{Ledger, Peer, Promise},
+    siskin_types::{id, time::Instant},
+    siskin_wire::sched::{self, Clock, Floor, Grant, Granted, Report, Term},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+mod demand;
+mod peer;
+
+/// What the runtime has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a grant to a router, which may be this node.
+    Send {
+        /// The router.
+        to: id::Node,
+        /// The grant.
+        message: Grant,
+    },
+}
+
+/// Age beyond which a load report says nothing.
+const LOAD_VALID: Duration = Duration::from_secs(2);
+/// Virtual times of customers just reported or granted to, at most per grant.
+const MENTIONS: usize = 16;
+/// Virtual times told in turn, at most per grant.
+const MENTIONS_IN_TURN: usize = 4;
+
+/// Grants the slots of one pool.
+#[derive(Debug)]
+pub struct Owner {
+    options: pool::Options,
+    term: Term,
+    /// When the first event came; the collection of reports starts then.
+    started: Option<Instant>,
+    collecting: bool,
+    visible: BTreeSet<id::Node>,
+    known: usize,
+    sites: BTreeMap<id::Endpoint, Site>,
+    peers: BTreeMap<id::Node, Peer>,
+    table: Table,
+    /// Models for which all routers with slots know that others wait.
+    announced: BTreeSet<id::Model>,
+    /// Routers that get a grant at once.
+    urgent: BTreeSet<id::Node>,
+}
+
+/// An endpoint and its slots.
+#[derive(Debug)]
+struct Site {
+    config: pool::Endpoint,
+    /// Requests that are not this side's, by the last load report.
+    foreign: Option<(Instant, u32)>,
+    /// Whether the endpoint itself says that it is leaving.
+    leaving: bool,
+    /// Slots held by all routers.
+    held: u32,
+    /// Whether routers may keep slots.
+    keep: bool,
+}
+
+impl Site {
+    fn usable(&self, now: Instant, visible: usize, known: usize) -> u32 {
+        if self.leaving || self.config.leaving {
+            return 0;
+        }
+        let limit = self.config.limit;
+        if visible >= known {
+            return limit;
+        }
+        let share = u64::from(limit) * visible as u64 / known as u64;
+        let foreign = match self.foreign {
+            Some((at, foreign)) if now - at <= LOAD_VALID => foreign,
+            _ => limit,
+        };
+        u32::try_from(share).unwrap_or(limit).max(limit.saturating_sub(foreign))
+    }
+}
+
+/// A grant that can be given now.
+#[derive(Clone, Copy, Debug)]
+struct Pick {
+    customer: id::Customer,
+    model: id::Model,
+    node: id::Node,
+    endpoint: id::Endpoint,
+}
+
+impl Owner {
+    /// An owner that knows nothing yet and collects reports first.
+    #[must_use]
+    pub fn new(options: pool::Options) -> Self {
+        Self {
+            term: Term { incarnation: options.incarnation, start: options.start },
+            options,
+            started: None,
+            collecting: true,
+            visible: BTreeSet::new(),
+            known: 0,
+            sites: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            table: Table::default(),
+            announced: BTreeSet::new(),
+            urgent: BTreeSet::new(),
+        }
+    }
+
+    /// Applies a router's report.
+    pub fn receive(&mut self, now: Instant, from: id::Node, report: &Report) -> Vec<Action> {
+        if report.pool != self.options.pool {
+            return Vec::new();
+        }
+        let known = self.peers.get(&from).map(|peer| (peer.account, peer.lapsed));
+        match known {
+            Some((account, _)) if account > report.account => return Vec::new(),
+            Some((account, false)) if account == report.account => {}
+            Some((account, true)) if account == report.account => return self.reject(from, report),
+            _ if report.full => self.adopt(now, from, report.account),
+            _ => return self.reject(from, report),
+        }
+        self.update(now, from, report);
+        self.step(now)
+    }
+
+    /// Takes an endpoint's load report.
+    pub fn load(&mut self, now: Instant, endpoint: id::Endpoint, load: pool::Load) -> Vec<Action> {
+        let own = self.peers.values().filter_map(|peer| peer.ledgers.get(&endpoint));
+        let own: u32 = own.map(Ledger::busy).sum();
+        if let Some(site) = self.sites.get_mut(&endpoint) {
+            site.foreign = Some((now, load.running.saturating_sub(own)));
+            site.leaving = load.leaving;
+        }
+        self.step(now)
+    }
+
+    /// Takes the routers that membership sees, and how many it knows.
+    pub fn members(&mut self, now: Instant, visible: &[id::Node], known: usize) -> Vec<Action> {
+        self.visible = visible.iter().copied().collect();
+        self.known = known;
+        let nodes: Vec<_> = self.peers.keys().copied().collect();
+        for node in nodes {
+            if !self.visible.contains(&node) {
+                self.set_away(node, true);
+            }
+        }
+        self.step(now)
+    }
+
+    /// Takes the endpoints of the configuration in force. Endpoints that are gone count as leaving.
+    pub fn endpoints(&mut self, now: Instant, endpoints: &[pool::Endpoint]) -> Vec<Action> {
+        for site in self.sites.values_mut() {
+            site.config.leaving = true;
+        }
+        for endpoint in endpoints {
+            let config = endpoint.clone();
+            self.site(endpoint.id).config = config;
+        }
+        self.step(now)
+    }
+
+    /// Takes the customers of the configuration in force.
+    pub fn customers(&mut self, now: Instant, customers: &[pool::Customer]) -> Vec<Action> {
+        for customer in customers {
+            self.table.weight(customer.id, customer.weight);
+        }
+        self.step(now)
+    }
+
+    /// Takes back lapsed slots, ends the collection of reports and sends the answers that are due.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.step(now)
+    }
+
+    /// The earliest time at which [`Self::tick`] has something to do.
+    #[must_use]
+    pub fn next_tick(&self) -> Instant {
+        let collected =
+            self.started.filter(|_| self.collecting).map(|at| at + self.options.collect);
+        let lapse = self.options.owner_lapse();
+        let peers = self.peers.values().filter(|peer| !peer.lapsed);
+        let times = peers.flat_map(|peer| [Some(peer.received + lapse), peer.due]);
+        times.chain([collected]).flatten().min().unwrap_or(Instant::from_micros(u64::MAX))
+    }
+
+    fn step(&mut self, now: Instant) -> Vec<Action> {
+        self.collect(now);
+        self.take_back(now);
+        self.review(now);
+        if !self.collecting {
+            self.allocate(now);
+            self.announce();
+        }
+        self.flush(now)
+    }
+
+    fn site(&mut self, endpoint: id::Endpoint) -> &mut Site {
+        self.sites.entry(endpoint).or_insert_with(|| {
+            // A router reported the endpoint before the configuration named it.
+            let mut config = pool::Endpoint::new(endpoint, 0, Vec::new());
+            config.leaving = true;
+            Site { config, foreign: None, leaving: false, held: 0, keep: true }
+        })
+    }
+
+    fn collect(&mut self, now: Instant) {
+        let started = *self.started.get_or_insert(now);
+        if !self.collecting {
+            return;
+        }
+        let all = self.visible.iter().all(|node| self.peers.contains_key(node));
+        if (all && !self.visible.is_empty()) || now - started >= self.options.collect {
+            self.collecting = false;
+        }
+    }
+
+    /// Asks the router for a full report in a new account.
+    fn reject(&self, to: id::Node, report: &Report) -> Vec<Action> {
+        let message = Grant {
+            pool: self.options.pool,
+            term: self.term,
+            account: report.account,
+            ..Grant::default()
+        };
+        vec![Action::Send { to, message }]
+    }
+
+    fn adopt(&mut self, now: Instant, node: id::Node, account: u64) {
+        self.forget(node);
+        self.peers.insert(node, Peer::new(account, now));
+        self.announced.clear();
+    }
+
+    /// Drops everything that the router reported and held.
+    fn forget(&mut self, node: id::Node) {
+        self.set_away(node, true);
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        for promise in peer.promises.drain(..) {
+            self.table.redeem(promise.customer, promise.units);
+        }
+        for (customer, queue) in std::mem::take(&mut peer.queues) {
+            for (model, line) in queue.lines {
+                self.table.reported(customer, model, line.waiting, 0);
+            }
+        }
+        for (endpoint, ledger) in std::mem::take(&mut peer.ledgers) {
+            if let Some(site) = self.sites.get_mut(&endpoint) {
+                site.held -= ledger.held();
+            }
+        }
+        peer.lapsed = true;
+        peer.due = None;
+        self.urgent.remove(&node);
+    }
+
+    fn set_away(&mut self, node: id::Node, away: bool) {
+        let Some(peer) = self.peers.get_mut(&node).filter(|peer| peer.away != away) else { return };
+        peer.away = away;
+        for (customer, queue) in &peer.queues {
+            for (model, line) in &queue.lines {
+                let (before, after) = if away { (line.open(), 0) } else { (0, line.open()) };
+                self.table.wait(*customer, *model, node, before, after);
+            }
+        }
+    }
+
+    fn update(&mut self, now: Instant, from: id::Node, report: &Report) {
+        self.set_away(from, false);
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        if report.sequence <= peer.sequence {
+            return;
+        }
+        let first = peer.sequence == 0;
+        peer.sequence = report.sequence;
+        peer.received = now;
+        peer.due.get_or_insert(now + self.options.answer_delay);
+        peer.heard(report.heard);
+        self.redeem(from, report.heard);
+        for entry in &report.queues {
+            self.update_queue(from, entry, first);
+        }
+        for entry in &report.slots {
+            self.update_slots(from, entry);
+        }
+        if first {
+            self.table.limit_lead(self.options.max_catch_up);
+        }
+    }
+
+    /// Drops the promises that the router has heard: its report now shows their effect.
+    fn redeem(&mut self, node: id::Node, heard: u64) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        while let Some(promise) = peer.promises.front().copied() {
+            if promise.sequence > heard {
+                break;
+            }
+            peer.promises.pop_front();
+            self.table.redeem(promise.customer, promise.units);
+            let queue = peer.queues.get_mut(&promise.customer);
+            if let Some(line) = queue.and_then(|queue| queue.lines.get_mut(&promise.model)) {
+                let before = line.open();
+                line.promised = line.promised.saturating_sub(1);
+                self.table.wait(promise.customer, promise.model, node, before, line.open());
+            }
+        }
+    }
+
+    fn update_queue(&mut self, node: id::Node, entry: &sched::Queue, first: bool) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        let queue = peer.queues.entry(entry.customer).or_default();
+        match entry.clock {
+            Some(clock) if first => {
+                self.table.merge(entry.customer, clock);
+            }
+            _ => self.table.charge(entry.customer, entry.charged - queue.charged),
+        }
+        queue.charged = entry.charged;
+        if !entry.lines.is_empty() {
+            peer.mention.insert(entry.customer);
+        }
+        let old = queue.lines.keys().copied();
+        let models: BTreeSet<_> = old.chain(entry.lines.iter().map(|line| line.model)).collect();
+        for model in models {
+            let line = queue.lines.entry(model).or_default();
+            let (waited, open) = (line.waiting, line.open());
+            match entry.lines.iter().find(|line| line.model == model) {
+                Some(news) => {
+                    line.waiting = news.waiting;
+                    line.estimate = news.estimate.min(self.options.max_request);
+                    line.prefer = news.prefer;
+                }
+                None => line.waiting = 0,
+            }
+            self.table.reported(entry.customer, model, waited, line.waiting);
+            self.table.wait(entry.customer, model, node, open, line.open());
+            if line.waiting == 0 && line.promised == 0 {
+                queue.lines.remove(&model);
+            }
+        }
+    }
+
+    fn update_slots(&mut self, node: id::Node, entry: &sched::Slots) {
+        self.site(entry.endpoint);
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        let ledger = peer.ledgers.entry(entry.endpoint).or_default();
+        let before = ledger.held();
+        ledger.report(entry);
+        let after = ledger.held();
+        if after > 0 && self.sites.get(&entry.endpoint).is_some_and(|site| !site.keep) {
+            peer.touch(entry.endpoint);
+        }
+        if let Some(site) = self.sites.get_mut(&entry.endpoint) {
+            debug_assert!(site.held >= before, "slots are not conserved at {}", entry.endpoint);
+            site.held = site.held - before + after;
+        }
+    }
+
+    /// Takes back the slots of routers that have been silent for the lapse.
+    fn take_back(&mut self, now: Instant) {
+        let lapse = self.options.owner_lapse();
+        let lapsed = |peer: &Peer| !peer.lapsed && now - peer.received >= lapse;
+        let silent: Vec<_> =
+            self.peers.iter().filter(|(_, peer)| lapsed(peer)).map(|(node, _)| *node).collect();
+        for node in silent {
+            self.forget(node);
+        }
+    }
+
+    /// Tells routers about endpoints whose slots they may no longer keep, or may keep again.
+    fn review(&mut self, now: Instant) {
+        let (visible, known) = (self.visible.len(), self.known);
+        for (endpoint, site) in &mut self.sites {
+            let usable = site.usable(now, visible, known);
+            let keep = usable > 0 && site.held <= usable;
+            if keep == site.keep {
+                continue;
+            }
+            site.keep = keep;
+            for (node, peer) in &mut self.peers {
+                if !peer.lapsed && peer.held(*endpoint) > 0 {
+                    peer.touch(*endpoint);
+                    self.urgent.insert(*node);
+                }
+            }
+        }
+    }
+
+    /// Grants free slots to the customers with the lowest virtual time.
+    fn allocate(&mut self, now: Instant) {
+        let (visible, known) = (self.visible.len(), self.known);
+        let mut free: BTreeMap<id::Endpoint, u32> = BTreeMap::new();
+        for (endpoint, site) in &self.sites {
+            let count = site.usable(now, visible, known).saturating_sub(site.held);
+            if count > 0 {
+                free.insert(*endpoint, count);
+            }
+        }
+        while let Some(pick) = self.pick(&free) {
+            self.grant(pick);
+            if let Some(count) = free.get_mut(&pick.endpoint) {
+                *count -= 1;
+            }
+            free.retain(|_, count| *count > 0);
+        }
+    }
+
+    fn pick(&self, free: &BTreeMap<id::Endpoint, u32>) -> Option<Pick> {
+        let sites = free.keys().filter_map(|endpoint| self.sites.get(endpoint));
+        let models: BTreeSet<_> = sites.flat_map(|site| &site.config.models).copied().collect();
+        let firsts = models.iter().filter_map(|model| {
+            let (clock, customer) = self.table.first(*model)?;
+            Some((clock, customer, *model))
+        });
+        let (_, customer, model) = firsts.min()?;
+        let node = self.table.holder(customer, model)?;
+        let line = self.peers.get(&node)?.queues.get(&customer)?.lines.get(&model)?;
+        let serves = |endpoint: &id::Endpoint| {
+            self.sites.get(endpoint).is_some_and(|site| site.config.models.contains(&model))
+        };
+        let preferred = line.prefer.filter(|endpoint| free.contains_key(endpoint));
+        let endpoint = preferred.filter(serves).or_else(|| {
+            let usable = free.iter().filter(|(endpoint, _)| serves(endpoint));
+            usable.max_by_key(|(_, count)| **count).map(|(endpoint, _)| *endpoint)
+        })?;
+        Some(Pick { customer, model, node, endpoint })
+    }
+
+    fn grant(&mut self, pick: Pick) {
+        let Some(peer) = self.peers.get_mut(&pick.node) else { return };
+        peer.ledgers.entry(pick.endpoint).or_default().grant();
+        peer.touch(pick.endpoint);
+        peer.mention.insert(pick.customer);
+        if let Some(site) = self.sites.get_mut(&pick.endpoint) {
+            site.held += 1;
+        }
+        let queue = peer.queues.get_mut(&pick.customer);
+        let Some(line) = queue.and_then(|queue| queue.lines.get_mut(&pick.model)) else { return };
+        let open = line.open();
+        line.promised += 1;
+        let units = line.estimate;
+        let sequence = peer.sent + 1;
+        peer.promises.push_back(Promise {
+            sequence,
+            customer: pick.customer,
+            model: pick.model,
+            units,
+        });
+        self.table.wait(pick.customer, pick.model, pick.node, open, line.open());
+        self.table.promise(pick.customer, units);
+        self.urgent.insert(pick.node);
+    }
+
+    /// Tells routers that hold slots that others wait: first those with idle slots, as many as it takes,
+    /// then all.
+    fn announce(&mut self) {
+        let models: Vec<_> = self.table.models().collect();
+        for model in models {
+            if self.announced.contains(&model) {
+                continue;
+            }
+            let serves = |site: &&Site| site.config.models.contains(&model);
+            let sites: Vec<_> =
+                self.sites.values().filter(serves).map(|site| site.config.id).collect();
+            let waiting = self.table.waiting(model);
+            let mut recalled = 0;
+            let mut untold = Vec::new();
+            for (node, peer) in self.peers.iter().filter(|(_, peer)| !peer.lapsed) {
+                let idle: u32 = sites.iter().map(|endpoint| peer.idle(*endpoint)).sum();
+                if peer.told.contains(&model) {
+                    recalled += idle;
+                } else if sites.iter().any(|endpoint| peer.held(*endpoint) > 0) {
+                    untold.push((idle, *node));
+                }
+            }
+            untold.sort_unstable();
+            while recalled < waiting {
+                let Some((idle, node)) = untold.pop() else { break };
+                recalled += idle;
+                self.urgent.insert(node);
+            }
+            if untold.is_empty() {
+                self.announced.insert(model);
+            }
+        }
+    }
+
+    /// Sends the grants that are urgent or due.
+    fn flush(&mut self, now: Instant) -> Vec<Action> {
+        let late = |peer: &Peer| peer.due.is_some_and(|due| due <= now);
+        let due = self.peers.iter().filter(|(_, peer)| late(peer)).map(|(node, _)| *node);
+        let mut nodes = std::mem::take(&mut self.urgent);
+        nodes.extend(due);
+        nodes.into_iter().filter_map(|to| self.write(now, to)).collect()
+    }
+
+    fn write(&mut self, now: Instant, to: id::Node) -> Option<Action> {
+        let reserve = self.reserve(now);
+        let floors = self.floors(to);
+        let peer = self.peers.get_mut(&to).filter(|peer| !peer.lapsed)?;
+        peer.due = None;
+        peer.sent += 1;
+        peer.told =
+            floors.iter().filter(|floor| floor.elsewhere).map(|floor| floor.model).collect();
+        self.announced.retain(|model| peer.told.contains(model));
+        let names = peer.mentions(MENTIONS, MENTIONS_IN_TURN);
+        let clocks = names
+            .into_iter()
+            .map(|customer| Clock { customer, clock: self.table.clock(customer) })
+            .collect();
+        let mut slots = Vec::new();
+        for endpoint in peer.changed() {
+            let granted = peer.ledgers.get(&endpoint).map_or(0, Ledger::granted);
+            let keep = self.sites.get(&endpoint).is_some_and(|site| site.keep);
+            slots.push(Granted { endpoint, granted, keep });
+        }
+        let message = Grant {
+            pool: self.options.pool,
+            term: self.term,
+            account: peer.account,
+            sequence: peer.sent,
+            answers: peer.sequence,
+            reserve,
+            floors,
+            clocks,
+            slots,
+        };
+        Some(Action::Send { to, message })
+    }
+
+    /// Idle slots that each router may keep while nobody waits: an equal part of half the pool.
+    fn reserve(&self, now: Instant) -> u32 {
+        let (visible, known) = (self.visible.len(), self.known);
+        let total: u32 = self.sites.values().map(|site| site.usable(now, visible, known)).sum();
+        let routers = u32::try_from(self.visible.len().max(1)).unwrap_or(u32::MAX);
+        (total / 2 / routers).max(1)
+    }
+
+    fn floors(&self, node: id::Node) -> Vec<Floor> {
+        let floor = |model| {
+            let (floor, _) = self.table.first(model)?;
+            let elsewhere = self.table.elsewhere(model, node);
+            Some(Floor { model, floor, elsewhere })
+        };
+        self.table.models().filter_map(floor).collect()
+    }
+}
--- /dev/null
+++ b/siskin-sched/src/owner/peer.rs
@@ -0,0 +1,180 @@
+//! What the owner knows of one router.
+
+use {
+    siskin_types::{cost::Units, id, time::Instant},
+    siskin_wire::sched,
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
+};
+
+/// Slots of one router at one endpoint, as totals of its account.
+#[derive(Debug, Default)]
+pub(super) struct Ledger {
+    opening: u32,
+    granted: u64,
+    returned: u64,
+    busy: u32,
+}
+
+impl Ledger {
+    pub(super) fn held(&self) -> u32 {
+        debug_assert!(
+            u64::from(self.opening) + self.granted >= self.returned,
+            "more slots returned than granted"
+        );
+        let held = u64::from(self.opening) + self.granted - self.returned;
+        u32::try_from(held).unwrap_or(u32::MAX)
+    }
+
+    /// Slots held but not in use when the router last reported, or granted since.
+    pub(super) fn idle(&self) -> u32 {
+        self.held().saturating_sub(self.busy)
+    }
+
+    pub(super) fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    pub(super) fn grant(&mut self) {
+        self.granted += 1;
+    }
+
+    pub(super) fn granted(&self) -> u64 {
+        self.granted
+    }
+
+    pub(super) fn report(&mut self, entry: &sched::Slots) {
+        debug_assert!(entry.returned >= self.returned, "the total of returned slots went down");
+        self.opening = entry.opening;
+        self.returned = entry.returned.max(self.returned);
+        self.busy = entry.busy;
+    }
+}
+
+/// Waiting requests of one customer for one model at one router.
+#[derive(Debug, Default)]
+pub(super) struct Line {
+    pub(super) waiting: u32,
+    /// Slots granted for these requests that the router has not yet heard of.
+    pub(super) promised: u32,
+    pub(super) estimate: Units,
+    pub(super) prefer: Option<id::Endpoint>,
+}
+
+impl Line {
+    /// Requests for which no slot is under way.
+    pub(super) fn open(&self) -> u32 {
+        self.waiting.saturating_sub(self.promised)
+    }
+}
+
+/// One customer at one router.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    pub(super) charged: i64,
+    pub(super) lines: BTreeMap<id::Model, Line>,
+}
+
+/// A slot granted but not yet heard of, and the request for which it was meant.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Promise {
+    pub(super) sequence: u64,
+    pub(super) customer: id::Customer,
+    pub(super) model: id::Model,
+    pub(super) units: Units,
+}
+
+/// One router.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) account: u64,
+    /// Sequence of the newest report applied.
+    pub(super) sequence: u64,
+    /// When that report arrived.
+    pub(super) received: Instant,
+    /// Whether its slots were taken back; the account is then dead.
+    pub(super) lapsed: bool,
+    /// Whether membership cannot see it, so that it gets no slots until it reports again.
+    pub(super) away: bool,
+    /// Sequence of the last grant sent.
+    pub(super) sent: u64,
+    pub(super) ledgers: BTreeMap<id::Endpoint, Ledger>,
+    pub(super) queues: BTreeMap<id::Customer, Queue>,
+    pub(super) promises: VecDeque<Promise>,
+    /// Endpoints whose entry the router has not acknowledged, with the grant that first carries it.
+    changed: BTreeMap<id::Endpoint, u64>,
+    /// Models for which the router was told that others wait.
+    pub(super) told: BTreeSet<id::Model>,
+    /// Customers whose virtual time the next grant carries.
+    pub(super) mention: BTreeSet<id::Customer>,
+    /// Last customer mentioned in turn.
+    pub(super) cursor: id::Customer,
+    /// When an answer is due at the latest.
+    pub(super) due: Option<Instant>,
+}
+
+impl Peer {
+    pub(super) fn new(account: u64, now: Instant) -> Self {
+        Self {
+            account,
+            sequence: 0,
+            received: now,
+            lapsed: false,
+            away: false,
+            sent: 0,
+            ledgers: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            promises: VecDeque::new(),
+            changed: BTreeMap::new(),
+            told: BTreeSet::new(),
+            mention: BTreeSet::new(),
+            cursor: id::Customer(0),
+            due: None,
+        }
+    }
+
+    /// Notes that the entry of `endpoint` goes into grants until acknowledged.
+    pub(super) fn touch(&mut self, endpoint: id::Endpoint) {
+        self.changed.insert(endpoint, self.sent + 1);
+    }
+
+    pub(super) fn changed(&self) -> impl Iterator<Item = id::Endpoint> {
+        self.changed.keys().copied()
+    }
+
+    pub(super) fn heard(&mut self, sequence: u64) {
+        self.changed.retain(|_, first| *first > sequence);
+    }
+
+    /// Slots held at `endpoint`.
+    pub(super) fn held(&self, endpoint: id::Endpoint) -> u32 {
+        self.ledgers.get(&endpoint).map_or(0, Ledger::held)
+    }
+
+    /// Idle slots known at `endpoint`.
+    pub(super) fn idle(&self, endpoint: id::Endpoint) -> u32 {
+        self.ledgers.get(&endpoint).map_or(0, Ledger::idle)
+    }
+
+    /// The customers to mention next: those asked for, then some of those queued here in turn.
+    pub(super) fn mentions(&mut self, most: usize, in_turn: usize) -> Vec<id::Customer> {
+        let waits = |queue: &Queue| !queue.lines.is_empty();
+        let mut names: Vec<_> = std::mem::take(&mut self.mention)
+            .into_iter()
+            .filter(|customer| self.queues.get(customer).is_some_and(waits))
+            .take(most)
+            .collect();
+        let start = id::Customer(self.cursor.0.wrapping_add(1));
+        let later = self.queues.range(start..);
+        let turn: Vec<_> = later
+            .chain(self.queues.range(..start))
+            .filter(|(_, queue)| waits(queue))
+            .map(|(customer, _)| *customer)
+            .take(in_turn)
+            .collect();
+        self.cursor = turn.last().copied().unwrap_or(self.cursor);
+        names.extend(turn);
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+}
