Serve a caller's request end to end through a router

Cause: nothing connected callers, schedulers and endpoints. Conclusion: the whole path works, thin: claims, poison detection, the stored configuration and the operators' interface are not connected yet.

--- a/siskin-router/src/caller/answer.rs
+++ b/siskin-router/src/caller/answer.rs
@@ -9,7 +9,7 @@
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
     serde_json::json,
-    siskin_outcome::outcome::Outcome,
+    siskin_outcome::outcome::{Outcome, Reason},
     siskin_types::id::Request,
     std::time::Duration,
     tokio::sync::mpsc,
@@ -69,8 +69,12 @@
 
 /// The answer for an outcome without an endpoint's answer.
 #[must_use]
-pub fn outcome(request: Request, outcome: Outcome, retry_after: Option<Duration>) -> Response<Body> {
-    let body = error_body(outcome.label(), outcome.reason().map(|reason| reason.label()), &explain(outcome));
+pub fn outcome(
+    request: Request,
+    outcome: Outcome,
+    retry_after: Option<Duration>,
+) -> Response<Body> {
+    let body = error_body(outcome.label(), outcome.reason().map(Reason::label), &explain(outcome));
     let mut response = json_response(status(outcome.status()), body);
     label(response.headers_mut(), request, outcome);
     set_retry_after(response.headers_mut(), retry_after.or(outcome.retry_after()));
--- a/siskin-router/src/control.rs
+++ b/siskin-router/src/control.rs
@@ -37,9 +37,6 @@
 /// TCP connections from other routers that are served at the same time.
 const CONNECTIONS_MAX: usize = 128;
 
-/// Received frames that wait to be handled. More are dropped, as a full socket buffer would.
-const QUEUE_FRAMES: usize = 4_096;
-
 /// A message from another router.
 #[derive(Debug)]
 pub(crate) struct Received {
@@ -70,8 +67,7 @@
         let socket = UdpSocket::bind(settings.control).await?;
         let listener = TcpListener::bind(socket.local_addr()?).await?;
         let key = Key::derive(settings.fleet_key.reveal().as_bytes());
-        let next =
-            settings.fleet_key_next.as_ref().map(|key| Key::derive(key.reveal().as_bytes()));
+        let next = settings.fleet_key_next.as_ref().map(|key| Key::derive(key.reveal().as_bytes()));
         let control = Self {
             socket,
             sealer: Mutex::new(Sealer::new(settings.node, incarnation, key.clone())),
@@ -157,7 +153,8 @@
             let queue = queue.clone();
             tokio::spawn(async move {
                 let _permit = permit;
-                let Ok(Ok(frame)) = timeout(CONNECTION_TIMEOUT, receive_stream(stream)).await else {
+                let Ok(Ok(frame)) = timeout(CONNECTION_TIMEOUT, receive_stream(stream)).await
+                else {
                     return;
                 };
                 let opened = lock(&control.opener).open(&frame);
--- a/siskin-router/src/exchange/deliver.rs
+++ b/siskin-router/src/exchange/deliver.rs
@@ -274,8 +274,7 @@
 
     fn conclude_whole(&mut self, outcome: Outcome, answered: bool) -> Summary {
         if !answered {
-            let response =
-                answer::outcome(self.call.request, outcome, self.delivery.retry_after);
+            let response = answer::outcome(self.call.request, outcome, self.delivery.retry_after);
             let status = response.status().as_u16();
             self.responder.whole(response);
             return Summary { outcome, status, body: None };
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -16,7 +16,7 @@
             respond::Responder,
         },
         pool::{Assignment, Pool},
-        shared::Shared,
+        shared::{Shared, lock},
         upstream,
     },
     bytes::Bytes,
@@ -24,8 +24,8 @@
     siskin_outcome::{
         life::{self, Action, Attempt, Life},
         outcome::{Outcome, Reason},
-        poison::{Fingerprint, Verdict},
     },
+    siskin_route::prefix::Chain,
     siskin_sched::ticket::Ticket,
     siskin_types::{
         cost::Units,
@@ -38,6 +38,7 @@
 };
 
 pub use deliver::Summary;
+pub(crate) use deliver::passed_headers;
 
 /// A caller's request after it was checked.
 #[derive(Debug)]
@@ -54,8 +55,6 @@
     pub deadline: Instant,
     /// Expected cost.
     pub estimate: Units,
-    /// Keyed hash of customer and content.
-    pub fingerprint: Fingerprint,
     /// What is asked for.
     pub kind: Kind,
 }
@@ -67,8 +66,8 @@
     Chat {
         /// The request.
         chat: Chat,
-        /// Endpoints that likely hold the prompt's prefix.
-        prefer: Vec<Endpoint>,
+        /// Blocks of the prompt, by which engines that hold its prefix are found.
+        chain: Chain,
         /// Most output tokens that the pool allows for it.
         limit: Units,
     },
@@ -240,22 +239,18 @@
         let mut pending = actions;
         while !pending.is_empty() {
             let resumes = pending.iter().any(|action| matches!(action, Action::Resume { .. }));
-            let only_cancel = matches!(pending.as_slice(), [Action::Cancel { .. }]);
             let mut next = Vec::new();
             for action in pending {
                 match action {
-                    Action::Dispatch { attempt, exclude } => next.extend(self.submit(attempt, exclude)),
+                    Action::Dispatch { attempt, exclude } => {
+                        next.extend(self.submit(attempt, exclude));
+                    }
                     Action::Resume { attempt, endpoint, offset } => {
                         self.resume(attempt, endpoint, offset);
                     }
                     Action::Retry { after, reason } => self.retry(after, reason),
                     Action::Deliver { .. } => next.extend(self.deliver().await),
-                    Action::Cancel { attempt, endpoint } => {
-                        self.cancel(endpoint, resumes);
-                        if only_cancel && self.life.outcome().is_none() {
-                            next.extend(self.discarded(attempt));
-                        }
-                    }
+                    Action::Cancel { endpoint, .. } => self.cancel(endpoint, resumes),
                     Action::Charge(_) => {}
                     Action::Finish(result) => outcome = Some(result),
                 }
@@ -268,22 +263,13 @@
     /// Queues the request for a slot.
     fn submit(&mut self, attempt: Attempt, exclude: Vec<Endpoint>) -> Vec<Action> {
         let now = self.now();
-        let alone = match self.shared.poison().admit(now, self.call.fingerprint) {
-            Verdict::Run => false,
-            Verdict::RunAlone => true,
-            Verdict::Refuse { retry_after } => {
-                self.delivery.retry_after = Some(retry_after);
-                return self.life.refused(now, Reason::SuspectRefused);
-            }
-        };
         let prefer = match &self.call.kind {
-            Kind::Chat { prefer, .. } => prefer.clone(),
+            Kind::Chat { chain, .. } => lock(&self.shared.prefixes).prefer(chain),
             Kind::Application(_) => Vec::new(),
         };
         let ticket = Ticket {
             prefer,
             exclude,
-            alone,
             ..Ticket::new(
                 self.call.request,
                 self.call.customer,
@@ -336,19 +322,13 @@
     fn cancel(&mut self, endpoint: Option<Endpoint>, resumes: bool) {
         if endpoint.is_none() {
             self.call.pool.cancel(&self.shared, self.now(), self.call.request);
-        } else if !resumes && self.life.outcome().is_some() {
+        } else if !resumes {
             self.stop_run();
         }
         // Dropping the stage closes its connection, so an answer that comes later reaches nobody.
         self.stage = Stage::Idle;
     }
 
-    fn discarded(&mut self, attempt: Attempt) -> Vec<Action> {
-        self.shared.metrics.crossed_answers.inc();
-        let now = self.now();
-        self.life.discarded(now, attempt, &mut self.call.pool.budget())
-    }
-
     /// Reports the silence or its end: probes the endpoint on a fresh connection.
     async fn quiet(&mut self) -> Vec<Action> {
         let Some((attempt, endpoint)) = self.stage.attempt() else { return Vec::new() };
@@ -401,14 +381,19 @@
         }
     }
 
+    /// Learns from a finished chat what such requests cost and where its prefix is cached.
+    fn learn(&self) {
+        let (Some(endpoint), Some(usage)) = (self.slot, self.delivery.usage()) else { return };
+        self.shared.learn(&self.call, endpoint, Units(usage.completion_tokens));
+    }
+
     async fn finish(mut self, outcome: Outcome) -> Summary {
         if !matches!(outcome, Outcome::Completed | Outcome::Failed) {
             self.stop_run();
         }
+        self.learn();
         self.release();
-        if matches!(outcome, Outcome::Completed) {
-            self.shared.poison().completed(self.now(), self.call.fingerprint);
-        }
+        self.shared.metrics.crossed_answers.inc_by(self.life.ignored().crossed);
         let summary = self.conclude(outcome).await;
         self.shared.finished(&self.call, outcome, self.started_at.elapsed());
         summary
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -63,7 +63,7 @@
             return self.life.endpoint_refused(now, attempt, &mut self.call.pool.budget());
         }
         let echoed = echoed(&response, self.call.request);
-        let actions = self.life.started(now, attempt, echoed);
+        let actions = self.life.started(now, attempt, echoed, &mut self.call.pool.budget());
         if !actions.is_empty() {
             return actions;
         }
@@ -109,7 +109,7 @@
                 let used = self.elapsed_cost();
                 self.charge(used);
                 self.delivery.add_bytes(bytes);
-                self.life.chunk(now, attempt, offset, length, used)
+                self.life.chunk(now, attempt, offset, length, used, &mut self.call.pool.budget())
             }
             Some(Err(error)) => {
                 log::info!(request:% = self.call.request; "answer broke off: {error}");
@@ -125,7 +125,7 @@
                 self.charge(used);
                 self.keep_connection();
                 let end = self.delivery.received();
-                self.life.completed(now, attempt, end, outcome, used)
+                self.life.completed(now, attempt, end, outcome, used, &mut self.call.pool.budget())
             }
         }
     }
@@ -148,7 +148,15 @@
             self.charge(used);
             self.keep_connection();
             let end = self.delivery.received();
-            return self.life.completed(now, attempt, end, Outcome::Completed, used);
+            let outcome = Outcome::Completed;
+            return self.life.completed(
+                now,
+                attempt,
+                end,
+                outcome,
+                used,
+                &mut self.call.pool.budget(),
+            );
         }
         let chunk = match Chunk::parse(&event.data) {
             Ok(chunk) => chunk,
@@ -161,7 +169,7 @@
         let used = running_cost(prompt, offset + 1);
         self.charge(used);
         self.delivery.add_event(event, chunk);
-        self.life.chunk(now, attempt, offset, 1, used)
+        self.life.chunk(now, attempt, offset, 1, used, &mut self.call.pool.budget())
     }
 
     /// Keeps the connection if its answer was read to the end.
@@ -199,7 +207,8 @@
 }
 
 /// Stands for an echoed identifier that no router gives out.
-const FOREIGN: Request = Request { node: Node(u32::MAX), incarnation: u64::MAX, sequence: u64::MAX };
+const FOREIGN: Request =
+    Request { node: Node(u32::MAX), incarnation: u64::MAX, sequence: u64::MAX };
 
 /// The request identifier that the endpoint returned, if it returns them.
 fn echoed(response: &Response<Incoming>, own: Request) -> Option<Request> {
--- a/siskin-router/src/exchange/send.rs
+++ b/siskin-router/src/exchange/send.rs
@@ -48,7 +48,11 @@
             let Some(address) = address else {
                 return Err(Error::Unconfigured { endpoint });
             };
-            if fresh { shared.upstream.open(address).await } else { shared.upstream.take(address).await }
+            if fresh {
+                shared.upstream.open(address).await
+            } else {
+                shared.upstream.take(address).await
+            }
         };
         self.stage = Stage::Connecting { attempt, endpoint, opening: opening.boxed() };
     }
@@ -86,7 +90,7 @@
                 let mut headers = HeaderMap::new();
                 headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                 if self.resuming {
-                    let last = self.delivery.last_event()?;
+                    let last = self.delivery.last_event();
                     headers.insert(LAST_EVENT_ID, HeaderValue::from_str(last).ok()?);
                 }
                 (Method::POST, "/v1/chat/completions", headers, Bytes::from(chat.forwarded(*limit)))
--- a/siskin-router/src/exchange/stage.rs
+++ b/siskin-router/src/exchange/stage.rs
@@ -6,7 +6,7 @@
         pool::Assignment,
         upstream::{Connection, Error},
     },
-    futures_util::{FutureExt, StreamExt, future::BoxFuture, stream::BoxStream},
+    futures_util::{StreamExt, future::BoxFuture, stream::BoxStream},
     siskin_outcome::life::Attempt,
     siskin_types::id::Endpoint,
     std::{fmt, future},
@@ -100,14 +100,6 @@
         }
     }
 
-    /// The next part if it has already arrived, so that parts that came together are sent on together.
-    pub(super) fn ready_part(&mut self) -> Option<Result<Part, hyper::Error>> {
-        match self {
-            Self::Reading { parts, .. } => parts.next().now_or_never().flatten(),
-            _ => None,
-        }
-    }
-
     /// The attempt and endpoint of a stage that has one.
     pub(super) const fn attempt(&self) -> Option<(Attempt, Endpoint)> {
         match self {
--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -1,6 +1,15 @@
 //! Router process: callers' requests, queues, dispatch and control roles.
 
 pub mod caller;
+pub mod clock;
+mod configure;
+mod control;
+pub mod exchange;
 pub mod metrics;
+mod operator;
+pub mod pool;
+pub mod router;
 pub mod settings;
+mod shared;
 pub mod upstream;
+pub mod view;
--- a/siskin-router/src/pool.rs
+++ b/siskin-router/src/pool.rs
@@ -78,10 +78,7 @@
         retries: retry::Options,
     ) -> Self {
         let options = pool::Options {
-            measure: match config.unit {
-                Unit::Tokens => Measure::Tokens,
-                Unit::Milliseconds => Measure::Milliseconds,
-            },
+            measure: measure(config.unit),
             max_request: config.max_request,
             reuse_slack: config.reuse_slack,
             max_catch_up: config.catch_up(),
@@ -107,6 +104,16 @@
         }
     }
 
+    /// Whether the configuration still describes this pool. Otherwise the pool is made anew.
+    pub(crate) fn matches(&self, name: &str, config: &document::Pool) -> bool {
+        let measure = measure(config.unit);
+        self.name == name
+            && self.options.measure == measure
+            && self.options.max_request == config.max_request
+            && self.options.reuse_slack == config.reuse_slack
+            && self.options.max_catch_up == config.catch_up()
+    }
+
     /// The pool's number.
     #[must_use]
     pub const fn id(&self) -> Id {
@@ -176,7 +183,13 @@
     }
 
     /// Takes a report, if this router owns the pool.
-    pub(crate) fn reported(&self, shared: &Shared, now: Instant, from: Node, report: &sched::Report) {
+    pub(crate) fn reported(
+        &self,
+        shared: &Shared,
+        now: Instant,
+        from: Node,
+        report: &sched::Report,
+    ) {
         self.change_owner(shared, now, |owner| owner.receive(now, from, report));
     }
 
@@ -208,7 +221,7 @@
             owner.customers(now, &state.customers);
             state.owner = Some(owner);
         }
-        let replies = state.owner.as_mut().map(|state| state.members(now, visible, known));
+        let replies = state.owner.as_mut().map(|owner| owner.members(now, visible, known));
         let actions = state.scheduler.owner_changed(now, Some(owner));
         let outgoing = state.apply(now, self.options.node, actions, replies.unwrap_or_default());
         self.after(shared, state, outgoing);
@@ -371,7 +384,17 @@
 
 impl fmt::Debug for Pool {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Pool").field("id", &self.id).field("name", &self.name).finish_non_exhaustive()
+        f.debug_struct("Pool")
+            .field("id", &self.id)
+            .field("name", &self.name)
+            .finish_non_exhaustive()
+    }
+}
+
+const fn measure(unit: Unit) -> Measure {
+    match unit {
+        Unit::Tokens => Measure::Tokens,
+        Unit::Milliseconds => Measure::Milliseconds,
     }
 }
 
--- a/siskin-router/src/settings.rs
+++ b/siskin-router/src/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of a router.
 
 use {
+    siskin_config::document::{Document, validate},
     siskin_settings::{Error, Setting, Values},
     siskin_types::id::Node,
-    std::{fmt, net::SocketAddr, path::PathBuf, time::Duration},
+    std::{fmt, net::SocketAddr, time::Duration},
 };
 
 /// How slots are shared. The modes other than [`Scheduling::Fleet`] are baselines for measurements.
@@ -60,9 +61,11 @@
     /// Address of the platform's list of VMs.
     pub vm_list: Option<SocketAddr>,
     /// Configuration document to create if the store holds none.
-    pub bootstrap: Option<PathBuf>,
+    pub bootstrap: Option<Document>,
     /// Longest time to finish requests in flight after a stop was asked for.
     pub stop_timeout: Duration,
+    /// Time between failing readiness and closing the listener, for the balancer to notice.
+    pub stop_notice: Duration,
     /// How slots are shared.
     pub scheduling: Scheduling,
     /// Fleet size that the isolated baseline divides slots by.
@@ -203,8 +206,9 @@
             seeds: values.addresses("seeds")?,
             store,
             vm_list: values.text("vm-list").map(|_| values.address("vm-list")).transpose()?,
-            bootstrap: values.text("bootstrap").map(PathBuf::from),
+            bootstrap: values.text("bootstrap").map(|path| document(values, path)).transpose()?,
             stop_timeout: values.millis("stop-timeout-ms", 0..=600_000)?,
+            stop_notice: values.millis("stop-notice-ms", 0..=600_000)?,
             scheduling,
             fleet_size: values.number("fleet-size", 1..=10_000)?,
             fleet_key: secret(values, "SISKIN_FLEET_KEY")?,
@@ -218,6 +222,16 @@
     }
 }
 
+fn document(values: &Values, path: &str) -> Result<Document, Error> {
+    let refuse = |remedy: String| values.invalid("bootstrap", path, &remedy);
+    let text =
+        std::fs::read(path).map_err(|error| refuse(format!("name a readable file ({error})")))?;
+    let document: Document = serde_json::from_slice(&text)
+        .map_err(|error| refuse(format!("correct the JSON document in it ({error})")))?;
+    validate(&document).map_err(|error| refuse(format!("correct the document ({error})")))?;
+    Ok(document)
+}
+
 fn secret(values: &Values, variable: &str) -> Result<Secret, Error> {
     match values.secret(variable) {
         Some(text) if text.len() >= SECRET_BYTES_MIN => Ok(Secret::new(text)),
--- a/siskin-router/src/upstream/mod.rs
+++ b/siskin-router/src/upstream/mod.rs
@@ -10,6 +10,7 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest},
+    siskin_types::id::Endpoint,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -50,6 +51,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The endpoint is not in the configuration in force. No byte of the request was sent.
+    #[error("{endpoint} is no longer configured; the request goes to another endpoint")]
+    Unconfigured {
+        /// The endpoint.
+        endpoint: Endpoint,
+    },
     /// The connection was closed before any byte of the request was written to it.
     #[error("connection to endpoint {address} was closed before the request was sent")]
     Unsent {
--- /dev/null
+++ b/siskin-router/src/view.rs
@@ -0,0 +1,114 @@
+//! The configuration in force, in the form that the request path reads.
+
+use {
+    siskin_config::{
+        document::{Document, Endpoint, Service},
+        index::Index,
+    },
+    siskin_sched::pool::{self, Rate},
+    siskin_types::id::{self, Model},
+    std::{collections::HashMap, net::SocketAddr},
+};
+
+/// Burst of a rate limit, as seconds of its rate.
+const RATE_BURST_SECONDS: u32 = 2;
+
+/// Route numbers have this bit, so that they differ from model numbers.
+const ROUTE_BIT: u32 = 1 << 31;
+
+/// A version of the configuration.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Its number.
+    pub version: u64,
+    /// The document.
+    pub document: Document,
+    /// Look-up tables.
+    pub index: Index,
+    addresses: HashMap<id::Endpoint, SocketAddr>,
+}
+
+impl View {
+    /// Makes the view of a document.
+    #[must_use]
+    pub fn new(version: u64, document: Document) -> Self {
+        let index = Index::new(&document);
+        Self::with_index(version, document, index)
+    }
+
+    /// Makes the view of a document whose index is known.
+    #[must_use]
+    pub fn with_index(version: u64, document: Document, index: Index) -> Self {
+        let addresses = document
+            .endpoints
+            .iter()
+            .map(|(_, endpoint)| (endpoint.id, endpoint.address))
+            .collect();
+        Self { version, document, index, addresses }
+    }
+
+    /// Where an endpoint listens.
+    #[must_use]
+    pub fn address(&self, endpoint: id::Endpoint) -> Option<SocketAddr> {
+        self.addresses.get(&endpoint).copied()
+    }
+
+    /// The endpoints of a pool.
+    pub fn endpoints<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Endpoint> {
+        let endpoints = self.document.endpoints.iter().map(|(_, endpoint)| endpoint.as_ref());
+        endpoints.filter(move |endpoint| endpoint.pool == pool)
+    }
+
+    /// What the scheduler knows of an endpoint.
+    #[must_use]
+    pub fn scheduled(&self, endpoint: &Endpoint, leaving: bool) -> pool::Endpoint {
+        let models = match endpoint.kind {
+            Service::Engine => endpoint.models.iter().filter_map(|name| self.model(name)).collect(),
+            Service::Application => endpoint.route.iter().map(|name| route_number(name)).collect(),
+        };
+        pool::Endpoint {
+            leaving: endpoint.leaving || leaving,
+            ..pool::Endpoint::new(endpoint.id, endpoint.slots, models)
+        }
+    }
+
+    /// What the scheduler knows of the customers.
+    #[must_use]
+    pub fn customers(&self) -> Vec<pool::Customer> {
+        self.document
+            .customers
+            .iter()
+            .map(|(_, customer)| pool::Customer {
+                weight: customer.weight,
+                max_in_flight: customer.max_in_flight,
+                max_queued: customer.max_queue,
+                rate: customer.rate_per_second.map(|per_second| Rate {
+                    per_second,
+                    burst: per_second.saturating_mul(RATE_BURST_SECONDS),
+                }),
+                ..pool::Customer::new(customer.id)
+            })
+            .collect()
+    }
+
+    /// The number of a model.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<Model> {
+        self.document.models.get(name).map(|model| model.id)
+    }
+}
+
+/// The number of a route in tickets, which name a model or a route. It is derived from the name, so that all routers
+/// agree without a number in the configuration.
+///
+/// ```
+/// use siskin_router::view::route_number;
+/// assert_eq!(route_number("bookings"), route_number("bookings"));
+/// assert_ne!(route_number("bookings"), route_number("stock"));
+/// ```
+#[must_use]
+pub fn route_number(name: &str) -> Model {
+    let hash = blake3::hash(name.as_bytes());
+    let bytes = hash.as_bytes();
+    Model(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) | ROUTE_BIT)
+}
