Test frames against bad, replayed and neighbouring input

Cause: frames had only a doc example.

Change: tables of bad frames, replay orders, key changes and sizes, and property tests over arbitrary bytes. The table found that a sequence number near the largest value was refused as too late; the comparison no longer saturates.

--- a/siskin-wire/src/frame.rs
+++ b/siskin-wire/src/frame.rs
@@ -376,7 +376,7 @@
         if incarnation > self.incarnation {
             *self = Self { heard: self.heard, ..Self::new(incarnation) };
         }
-        if sequence.saturating_add(WINDOW_FRAMES) <= self.highest {
+        if self.highest.saturating_sub(sequence) >= WINDOW_FRAMES {
             return Err(Rejection::TooLate);
         }
         self.advance(sequence);
--- /dev/null
+++ b/siskin-wire/tests/main/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the protocol between routers.
+
+mod frame;
