--- /dev/null
+++ b/siskin-claim/src/writer.rs
@@ -0,0 +1,838 @@
+//! Writes claims to the store in groups.
+
+use {
+    crate::{
+        bucket::{self, Base, Kind, Op, Plan, Verdict},
+        cache::Cache,
+        format::{self, BODY_LIMIT_BYTES, Entry, Head, Name, Segment, SegmentId, SegmentRef},
+        key,
+        rate::Rate,
+    },
+    indexmap::{IndexMap, IndexSet},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    siskin_types::{id::Node, time::Instant},
+    siskin_wire::claim::{BodyHash, Decision, Key, Record, Token},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        time::Duration,
+    },
+};
+
+/// Settings of a writer.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The router it runs on.
+    pub node: Node,
+    /// That router's incarnation.
+    pub incarnation: u64,
+    /// Unix time, in milliseconds, at the start of the clock that `now` is read from.
+    pub unix_at_zero_ms: u64,
+    /// Buckets; the same for the whole fleet.
+    pub buckets: u8,
+    /// Claims kept in a head, in bytes.
+    pub head_bytes: usize,
+    /// Largest segment, in bytes.
+    pub segment_bytes: usize,
+    /// Longest time between the oldest and the newest claim of a segment.
+    pub segment_span: Duration,
+    /// Contents of segments kept in memory, in bytes; indexes come on top.
+    pub cache_bytes: usize,
+    /// Longest time that a call may last. A claim that is older and has no record is unknown.
+    pub longest_deadline: Duration,
+    /// How long claims are kept.
+    pub retention: Duration,
+    /// Most segments removed with one write of a head.
+    pub retention_batch: usize,
+    /// Time between looks for expired segments in a bucket without traffic.
+    pub retention_interval: Duration,
+    /// Writes allowed per second.
+    pub writes_per_s: f64,
+    /// Writes that may be saved up.
+    pub write_burst: u32,
+    /// How long a record or release is tried.
+    pub settle_for: Duration,
+    /// Claims, records and releases that may wait; more are refused.
+    pub max_waiting: usize,
+    /// First and longest delay after a failed store call.
+    pub backoff: (Duration, Duration),
+    /// Seed of the random part of the delays.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            node: Node(0),
+            incarnation: 0,
+            unix_at_zero_ms: 0,
+            buckets: 64,
+            head_bytes: 16 * 1_024,
+            segment_bytes: 256 * 1_024,
+            segment_span: Duration::from_secs(3_600),
+            cache_bytes: 4 * 1_024 * 1_024,
+            longest_deadline: Duration::from_secs(600),
+            retention: Duration::from_secs(24 * 3_600),
+            retention_batch: 16,
+            retention_interval: Duration::from_secs(60),
+            writes_per_s: 20.0,
+            write_burst: 4,
+            settle_for: Duration::from_secs(300),
+            max_waiting: 20_000,
+            backoff: (Duration::from_millis(100), Duration::from_secs(5)),
+            seed: 0,
+        }
+    }
+}
+
+/// Identifies a store call of this writer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Call(pub u64);
+
+/// What is to be done. Every store call must be answered by [`Writer::stored`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read a value.
+    Read {
+        /// The call.
+        call: Call,
+        /// The value's name.
+        name: Name,
+    },
+    /// Write a value if its revision is still the expected one.
+    Swap {
+        /// The call.
+        call: Call,
+        /// The value's name.
+        name: Name,
+        /// Expected revision; zero if the value must be absent.
+        expected: u64,
+        /// The new value.
+        value: Vec<u8>,
+    },
+    /// Remove a value.
+    Remove {
+        /// The call.
+        call: Call,
+        /// The value's name.
+        name: Name,
+    },
+    /// Answer to [`Writer::claim`].
+    Decide {
+        /// The claim.
+        key: Key,
+        /// The attempt.
+        token: Token,
+        /// The answer.
+        decision: Decision,
+    },
+    /// A record or release is in the store, or is no longer needed.
+    Settled {
+        /// The claim.
+        key: Key,
+        /// The attempt.
+        token: Token,
+    },
+}
+
+/// Answer of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The value was read.
+    Found {
+        /// Its revision.
+        revision: u64,
+        /// The value.
+        value: Vec<u8>,
+    },
+    /// There is no such value.
+    Absent,
+    /// The value was written.
+    Swapped {
+        /// Its new revision.
+        revision: u64,
+    },
+    /// The revision was not the expected one.
+    Conflict,
+    /// The value was removed.
+    Removed,
+    /// There was no answer; a write may have taken effect.
+    Failed,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Values read.
+    pub reads: u64,
+    /// Values written.
+    pub writes: u64,
+    /// Values removed.
+    pub removes: u64,
+    /// Bytes written.
+    pub bytes: u64,
+    /// Writes refused because another writer had changed the value.
+    pub conflicts: u64,
+    /// Store calls without an answer.
+    pub failures: u64,
+    /// Claims granted.
+    pub granted: u64,
+    /// Claims given up at their deadline.
+    pub unavailable: u64,
+    /// Records and releases given up.
+    pub unsettled: u64,
+}
+
+/// The entries of a head on their way to a segment.
+#[derive(Debug)]
+struct Spill {
+    reference: SegmentRef,
+    value: Vec<u8>,
+    /// The segment whose entries it takes over.
+    replaces: Option<SegmentId>,
+    /// Revision of the head that it was made from.
+    revision: u64,
+    stored: bool,
+}
+
+#[derive(Debug)]
+enum Outstanding {
+    Read { issued: Instant },
+    Segment,
+    Head { plan: Plan, issued: Instant },
+}
+
+#[derive(Debug, Default)]
+struct Bucket {
+    base: Option<Base>,
+    ops: IndexMap<u64, Op>,
+    outstanding: Option<(Call, Outstanding)>,
+    spill: Option<Spill>,
+    failures: u32,
+    retry_at: Option<Instant>,
+    /// Whether it waits for the write limit.
+    queued: bool,
+    /// When it is next searched for expired segments; `None` while this writer does not own it.
+    retain_at: Option<Instant>,
+}
+
+/// State of the claim writer of one router.
+///
+/// ```
+/// use {
+///     siskin_claim::{key::Hasher, writer::{Action, Answer, Options, Writer}},
+///     siskin_types::{id::{Customer, Node, Request}, time::Instant},
+///     siskin_wire::claim::{Decision, Token},
+/// };
+/// let hasher = Hasher::new(&[7; 32]);
+/// let key = hasher.key(Customer(1), b"order-17");
+/// let body = hasher.body("POST", "/orders", b"{}");
+/// let token = Token(Request { node: Node(1), incarnation: 1, sequence: 1 });
+/// let (now, deadline) = (Instant::from_micros(1), Instant::from_micros(5_000_000));
+/// let mut writer = Writer::new(Options::default());
+/// let actions = writer.claim(now, key, body, token, deadline);
+/// let [Action::Read { call, .. }] = actions[..] else { panic!("{actions:?}") };
+/// let actions = writer.stored(now, call, Answer::Absent);
+/// let [Action::Swap { call, expected: 0, .. }] = actions[..] else { panic!("{actions:?}") };
+/// let actions = writer.stored(now, call, Answer::Swapped { revision: 1 });
+/// assert_eq!(actions, [Action::Decide { key, token, decision: Decision::Granted }]);
+/// ```
+#[derive(Debug)]
+pub struct Writer {
+    options: Options,
+    random: SmallRng,
+    buckets: Vec<Bucket>,
+    cache: Cache,
+    rate: Rate,
+    /// Buckets that wait for the write limit, in order.
+    ready: VecDeque<u8>,
+    segment_reads: IndexMap<Call, (u8, SegmentId)>,
+    removals: VecDeque<Name>,
+    timers: BTreeSet<(Instant, u8, u64)>,
+    waiting: usize,
+    next_call: u64,
+    next_op: u64,
+    next_segment: u32,
+    counts: Counts,
+}
+
+impl Writer {
+    /// Makes a writer without any claims.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(options.seed),
+            buckets: (0..options.buckets).map(|_| Bucket::default()).collect(),
+            cache: Cache::new(options.cache_bytes),
+            rate: Rate::new(options.writes_per_s, options.write_burst),
+            ready: VecDeque::new(),
+            segment_reads: IndexMap::new(),
+            removals: VecDeque::new(),
+            timers: BTreeSet::new(),
+            waiting: 0,
+            next_call: 0,
+            next_op: 0,
+            next_segment: 0,
+            counts: Counts::default(),
+            options,
+        }
+    }
+
+    /// Claims a key for an attempt. Repeating it is harmless.
+    pub fn claim(
+        &mut self,
+        now: Instant,
+        key: Key,
+        body: BodyHash,
+        token: Token,
+        deadline: Instant,
+    ) -> Vec<Action> {
+        if now >= deadline || self.waiting >= self.options.max_waiting {
+            self.counts.unavailable += 1;
+            return vec![Action::Decide { key, token, decision: Decision::Unavailable }];
+        }
+        let waiting = self.buckets[usize::from(self.bucket(&key))].ops.values();
+        let repeated =
+            |op: &Op| op.token == token && op.key == key && matches!(op.kind, Kind::Claim(_));
+        if waiting.into_iter().any(repeated) {
+            return Vec::new();
+        }
+        self.push(now, Kind::Claim(body), key, token, deadline)
+    }
+
+    /// Records the result of a call whose claim the attempt holds. A body that is too long is left out.
+    pub fn record(&mut self, now: Instant, key: Key, token: Token, record: Record) -> Vec<Action> {
+        let body = record.body.filter(|body| body.len() <= BODY_LIMIT_BYTES);
+        let deadline = now + self.options.settle_for;
+        self.push(now, Kind::Record(Record { body, ..record }), key, token, deadline)
+    }
+
+    /// Releases the claim of a call that did not run, whether or not the claim was granted.
+    pub fn release(&mut self, now: Instant, key: Key, token: Token) -> Vec<Action> {
+        let deadline = now + self.options.settle_for;
+        let bucket = self.bucket(&key);
+        let claims: Vec<_> = self.buckets[usize::from(bucket)]
+            .ops
+            .values()
+            .filter(|op| op.token == token && matches!(op.kind, Kind::Claim(_)))
+            .map(|op| op.id)
+            .collect();
+        for id in claims {
+            self.take(bucket, id);
+        }
+        self.push(now, Kind::Release, key, token, deadline)
+    }
+
+    /// Names the buckets that this writer was given by the placement of roles. It reads their heads, so that
+    /// the first claim does not wait, and removes their expired segments.
+    pub fn owned(&mut self, now: Instant, buckets: &[u8]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for index in 0..self.options.buckets {
+            let bucket = &mut self.buckets[usize::from(index)];
+            if !buckets.contains(&index) {
+                bucket.retain_at = None;
+            } else if bucket.retain_at.is_none() {
+                bucket.retain_at = Some(now);
+                self.advance(now, index, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// The store answered a call.
+    pub fn stored(&mut self, now: Instant, call: Call, answer: Answer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if answer == Answer::Failed {
+            self.counts.failures += 1;
+        }
+        if let Some((bucket, id)) = self.segment_reads.swap_remove(&call) {
+            self.segment_read(now, bucket, id, answer);
+            self.advance(now, bucket, &mut actions);
+            return actions;
+        }
+        let found = self.buckets.iter().position(
+            |bucket| matches!(bucket.outstanding, Some((outstanding, _)) if outstanding == call),
+        );
+        let Some(index) = found.and_then(|index| u8::try_from(index).ok()) else {
+            return actions;
+        };
+        let Some((_, outstanding)) = self.buckets[usize::from(index)].outstanding.take() else {
+            return actions;
+        };
+        match outstanding {
+            Outstanding::Read { issued } => self.head_read(now, index, issued, answer),
+            Outstanding::Segment => self.segment_written(now, index, &answer),
+            Outstanding::Head { plan, issued } => {
+                self.head_written(now, index, plan, issued, &answer, &mut actions);
+            }
+        }
+        self.advance(now, index, &mut actions);
+        actions
+    }
+
+    /// Handles deadlines, delays, the write limit and retention.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        for index in 0..self.options.buckets {
+            let bucket = &mut self.buckets[usize::from(index)];
+            let retry = bucket.retry_at.is_some_and(|at| now >= at);
+            let retain = bucket.retain_at.is_some_and(|at| now >= at);
+            if retry {
+                bucket.retry_at = None;
+            }
+            if retry || retain {
+                self.advance(now, index, &mut actions);
+            }
+        }
+        self.write_ready(now, &mut actions);
+        actions
+    }
+
+    /// When [`Writer::tick`] is next needed.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<Instant> {
+        let deadline = self.timers.first().map(|(at, _, _)| *at);
+        let retries = self.buckets.iter().filter_map(|bucket| bucket.retry_at);
+        let retains = self.buckets.iter().filter_map(|bucket| bucket.retain_at);
+        let idle = self.ready.is_empty() && self.removals.is_empty();
+        let write = (!idle).then(|| self.rate.next());
+        retries.chain(retains).chain(deadline).chain(write).min()
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Claims, records and releases that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    fn bucket(&self, key: &Key) -> u8 {
+        key::bucket(key, self.options.buckets)
+    }
+
+    fn now_s(&self, now: Instant) -> u32 {
+        let unix_ms = self.options.unix_at_zero_ms + now.as_micros() / 1_000;
+        u32::try_from(unix_ms / 1_000).unwrap_or(u32::MAX)
+    }
+
+    fn new_call(&mut self) -> Call {
+        self.next_call += 1;
+        Call(self.next_call)
+    }
+
+    fn push(
+        &mut self,
+        now: Instant,
+        kind: Kind,
+        key: Key,
+        token: Token,
+        deadline: Instant,
+    ) -> Vec<Action> {
+        let index = self.bucket(&key);
+        self.add(now, index, kind, key, token, deadline);
+        let mut actions = Vec::new();
+        self.advance(now, index, &mut actions);
+        actions
+    }
+
+    fn add(
+        &mut self,
+        now: Instant,
+        index: u8,
+        kind: Kind,
+        key: Key,
+        token: Token,
+        deadline: Instant,
+    ) {
+        self.next_op += 1;
+        let id = self.next_op;
+        let op = Op { id, kind, key, token, arrived: now, deadline, sent: false };
+        self.buckets[usize::from(index)].ops.insert(id, op);
+        self.timers.insert((deadline, index, id));
+        self.waiting += 1;
+    }
+
+    fn take(&mut self, index: u8, id: u64) -> Option<Op> {
+        let op = self.buckets[usize::from(index)].ops.shift_remove(&id)?;
+        self.timers.remove(&(op.deadline, index, id));
+        self.waiting -= 1;
+        Some(op)
+    }
+
+    /// Gives up what has passed its deadline.
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some(&(at, index, id)) = self.timers.first()
+            && now >= at
+        {
+            let Some(op) = self.take(index, id) else {
+                self.timers.pop_first();
+                continue;
+            };
+            match op.kind {
+                Kind::Claim(_) => self.give_up(now, index, &op, actions),
+                Kind::Record(_) | Kind::Release => {
+                    self.counts.unsettled += 1;
+                    log::warn!(bucket = index; "claim record given up; repeats of its key stay unknown");
+                }
+            }
+        }
+    }
+
+    /// Ends a claim whose caller no longer waits. If it may be in the store it is released there.
+    fn give_up(&mut self, now: Instant, index: u8, op: &Op, actions: &mut Vec<Action>) {
+        self.counts.unavailable += 1;
+        let decision = Decision::Unavailable;
+        actions.push(Action::Decide { key: op.key, token: op.token, decision });
+        if op.sent {
+            let deadline = now + self.options.settle_for;
+            self.add(now, index, Kind::Release, op.key, op.token, deadline);
+        }
+    }
+
+    /// Starts whatever the bucket needs next.
+    fn advance(&mut self, now: Instant, index: u8, actions: &mut Vec<Action>) {
+        let bucket = &self.buckets[usize::from(index)];
+        if bucket.outstanding.is_some() || bucket.retry_at.is_some() {
+            return;
+        }
+        let retain = bucket.retain_at.is_some_and(|at| now >= at);
+        if bucket.ops.is_empty() && !retain {
+            return;
+        }
+        if bucket.base.is_none() {
+            self.read_head(now, index, actions);
+            return;
+        }
+        self.resolve_spill(index);
+        if retain {
+            let next = now + self.options.retention_interval;
+            self.buckets[usize::from(index)].retain_at = Some(next);
+        }
+        let plan = self.plan(now, index);
+        self.read_segments(index, &plan.unread, actions);
+        if plan.changed || plan.full || (retain && self.expired(now, index)) {
+            self.write(now, index, plan, false, actions);
+        } else {
+            let refresh = !plan.unconfirmed.is_empty();
+            self.settle(now, index, plan.verdicts, actions);
+            if refresh {
+                self.read_head(now, index, actions);
+            }
+        }
+    }
+
+    fn expired(&self, now: Instant, index: u8) -> bool {
+        let base = self.buckets[usize::from(index)].base.as_ref();
+        base.is_some_and(|base| bucket::expired(&base.head, self.now_s(now), &self.options))
+    }
+
+    fn plan(&mut self, now: Instant, index: u8) -> Plan {
+        let now_s = self.now_s(now);
+        let bucket = &self.buckets[usize::from(index)];
+        let Some(base) = &bucket.base else { return Plan::default() };
+        let spilled = bucket.spill.as_ref().filter(|spill| spill.stored).map(|spill| {
+            let mut segments = base.head.segments.clone();
+            segments.retain(|segment| Some(segment.id) != spill.replaces);
+            segments.push(spill.reference);
+            Head { segments, entries: Vec::new() }
+        });
+        let head = spilled.as_ref().unwrap_or(&base.head);
+        let ops = bucket.ops.values();
+        bucket::plan(head, base.confirmed, ops, &mut self.cache, now_s, &self.options)
+    }
+
+    fn read_head(&mut self, now: Instant, index: u8, actions: &mut Vec<Action>) {
+        let call = self.new_call();
+        self.counts.reads += 1;
+        let outstanding = Outstanding::Read { issued: now };
+        self.buckets[usize::from(index)].outstanding = Some((call, outstanding));
+        actions.push(Action::Read { call, name: Name::Head(index) });
+    }
+
+    fn read_segments(&mut self, index: u8, unread: &[SegmentId], actions: &mut Vec<Action>) {
+        for id in unread {
+            if self.segment_reads.values().any(|(_, reading)| reading == id) {
+                continue;
+            }
+            let call = self.new_call();
+            self.counts.reads += 1;
+            self.segment_reads.insert(call, (index, *id));
+            actions.push(Action::Read { call, name: Name::Segment(index, *id) });
+        }
+    }
+
+    /// Writes the head, or first the segment that makes room in it, within the write limit.
+    fn write(
+        &mut self,
+        now: Instant,
+        index: u8,
+        plan: Plan,
+        first_in_line: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if !(first_in_line || self.ready.is_empty()) || !self.rate.take(now) {
+            let bucket = &mut self.buckets[usize::from(index)];
+            if !bucket.queued {
+                bucket.queued = true;
+                self.ready.push_back(index);
+            }
+            return;
+        }
+        let call = self.new_call();
+        self.counts.writes += 1;
+        let action = if plan.full && !self.spilled(index) {
+            self.write_segment(now, index, call)
+        } else {
+            self.write_head(now, index, call, plan)
+        };
+        if let Action::Swap { value, .. } = &action {
+            self.counts.bytes += value.len() as u64;
+        }
+        actions.push(action);
+    }
+
+    fn spilled(&self, index: u8) -> bool {
+        self.buckets[usize::from(index)].spill.as_ref().is_some_and(|spill| spill.stored)
+    }
+
+    fn write_segment(&mut self, _now: Instant, index: u8, call: Call) -> Action {
+        if self.buckets[usize::from(index)].spill.is_none() {
+            let spill = self.new_spill(index);
+            self.buckets[usize::from(index)].spill = Some(spill);
+        }
+        let bucket = &mut self.buckets[usize::from(index)];
+        bucket.outstanding = Some((call, Outstanding::Segment));
+        let spill = bucket.spill.as_ref().expect("a spill was made above");
+        let name = Name::Segment(index, spill.reference.id);
+        Action::Swap { call, name, expected: 0, value: spill.value.clone() }
+    }
+
+    /// Moves the entries of the head into a new segment, together with those of the last segment if they
+    /// are at hand and there is room. Larger segments keep the list of segments in the head short.
+    fn new_spill(&mut self, index: u8) -> Spill {
+        let base = self.buckets[usize::from(index)].base.as_ref().expect("the head was read");
+        let span = |entries: &[Entry]| {
+            let times = entries.iter().map(|entry| entry.at_s);
+            (times.clone().min().unwrap_or(0), times.max().unwrap_or(0))
+        };
+        let (mut oldest_s, newest_s) = span(&base.head.entries);
+        let head_bytes: usize = base.head.entries.iter().map(Entry::bytes).sum();
+        let joined = base.head.segments.last().filter(|last| {
+            let bytes = last.bytes as usize + head_bytes;
+            let span_s = u64::from(newest_s.saturating_sub(last.oldest_s));
+            bytes <= self.options.segment_bytes && span_s <= self.options.segment_span.as_secs()
+        });
+        let joined = joined.and_then(|last| Some((last, self.cache.content(&last.id)?)));
+        let mut entries = Vec::new();
+        if let Some((last, content)) = joined {
+            oldest_s = oldest_s.min(last.oldest_s);
+            entries.extend_from_slice(&content.entries);
+        }
+        let replaces = joined.map(|(last, _)| last.id);
+        let newest_s = joined.map_or(newest_s, |(last, _)| newest_s.max(last.newest_s));
+        entries.extend_from_slice(&base.head.entries);
+        let segment = Segment::new(entries);
+        let value = format::encode(&segment);
+        let revision = base.revision;
+        self.next_segment += 1;
+        let id = SegmentId {
+            node: self.options.node,
+            incarnation: self.options.incarnation,
+            sequence: self.next_segment,
+        };
+        let bytes = u32::try_from(value.len()).unwrap_or(u32::MAX);
+        self.cache.insert(id, segment, value.len());
+        let reference = SegmentRef { id, oldest_s, newest_s, bytes };
+        Spill { reference, value, replaces, revision, stored: false }
+    }
+
+    fn write_head(&mut self, now: Instant, index: u8, call: Call, plan: Plan) -> Action {
+        let bucket = &mut self.buckets[usize::from(index)];
+        for (id, _) in &plan.verdicts {
+            if let Some(op) = bucket.ops.get_mut(id) {
+                op.sent = true;
+            }
+        }
+        let expected = bucket.base.as_ref().map_or(0, |base| base.revision);
+        let value = format::encode(&plan.next);
+        bucket.outstanding = Some((call, Outstanding::Head { plan, issued: now }));
+        Action::Swap { call, name: Name::Head(index), expected, value }
+    }
+
+    fn head_read(&mut self, now: Instant, index: u8, issued: Instant, answer: Answer) {
+        let base = match answer {
+            Answer::Found { revision, value } => match format::decode(&value) {
+                Ok(head) => Some(Base { revision, head, confirmed: issued }),
+                Err(error) => {
+                    log::error!(bucket = index, error:% = error; "cannot read head of claims");
+                    None
+                }
+            },
+            Answer::Absent => Some(Base { revision: 0, head: Head::default(), confirmed: issued }),
+            _ => None,
+        };
+        match base {
+            Some(base) => self.set_base(index, base),
+            None => self.back_off(now, index),
+        }
+    }
+
+    fn set_base(&mut self, index: u8, base: Base) {
+        let bucket = &mut self.buckets[usize::from(index)];
+        if let Some(old) = &bucket.base {
+            for segment in &old.head.segments {
+                if !base.head.segments.iter().any(|kept| kept.id == segment.id) {
+                    self.cache.remove(&segment.id);
+                }
+            }
+        }
+        bucket.failures = 0;
+        bucket.base = Some(base);
+    }
+
+    fn segment_read(&mut self, now: Instant, index: u8, id: SegmentId, answer: Answer) {
+        match answer {
+            Answer::Found { value, .. } => match format::decode::<Segment>(&value) {
+                Ok(segment) => self.cache.insert(id, segment, value.len()),
+                Err(error) => {
+                    log::error!(bucket = index, error:% = error; "cannot read segment of claims");
+                    self.back_off(now, index);
+                }
+            },
+            // Another writer removed or replaced it; the current head tells.
+            Answer::Absent => self.buckets[usize::from(index)].base = None,
+            _ => self.back_off(now, index),
+        }
+    }
+
+    fn segment_written(&mut self, now: Instant, index: u8, answer: &Answer) {
+        match answer {
+            // A conflict means that an earlier try took effect: nobody else uses this name.
+            Answer::Swapped { .. } | Answer::Conflict => {
+                let bucket = &mut self.buckets[usize::from(index)];
+                bucket.failures = 0;
+                if let Some(spill) = &mut bucket.spill {
+                    spill.stored = true;
+                }
+            }
+            _ => self.back_off(now, index),
+        }
+    }
+
+    fn head_written(
+        &mut self,
+        now: Instant,
+        index: u8,
+        plan: Plan,
+        issued: Instant,
+        answer: &Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        match answer {
+            Answer::Swapped { revision } => {
+                let base = Base { revision: *revision, head: plan.next, confirmed: issued };
+                self.set_base(index, base);
+                let removed = plan.dropped.into_iter().map(|id| Name::Segment(index, id));
+                self.removals.extend(removed);
+                self.resolve_spill(index);
+                let verdicts = plan.verdicts.into_iter().chain(plan.unconfirmed).collect();
+                self.settle(now, index, verdicts, actions);
+            }
+            Answer::Conflict => {
+                self.counts.conflicts += 1;
+                self.buckets[usize::from(index)].base = None;
+            }
+            // Whether the write took effect is settled by reading the head back.
+            _ => {
+                self.buckets[usize::from(index)].base = None;
+                self.back_off(now, index);
+            }
+        }
+    }
+
+    /// Ends a spill whose segment is in the head, or drops one whose head was changed by another writer.
+    fn resolve_spill(&mut self, index: u8) {
+        let bucket = &mut self.buckets[usize::from(index)];
+        let (Some(spill), Some(base)) = (&bucket.spill, &bucket.base) else { return };
+        let id = spill.reference.id;
+        let done = base.head.segments.iter().any(|segment| segment.id == id);
+        if !done && base.revision == spill.revision {
+            return;
+        }
+        let obsolete = if done { spill.replaces } else { Some(id) };
+        bucket.spill = None;
+        if let Some(obsolete) = obsolete {
+            self.cache.remove(&obsolete);
+            self.removals.push_back(Name::Segment(index, obsolete));
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: Instant,
+        index: u8,
+        verdicts: Vec<(u64, Verdict)>,
+        actions: &mut Vec<Action>,
+    ) {
+        for (id, verdict) in verdicts {
+            // A claim that was given up in the meantime has been replaced by a release.
+            let Some(op) = self.take(index, id) else { continue };
+            let (key, token) = (op.key, op.token);
+            match verdict {
+                Verdict::Settled => actions.push(Action::Settled { key, token }),
+                // The process was paused for so long that the caller has been answered.
+                Verdict::Decide(Decision::Granted) if now >= op.deadline => {
+                    self.give_up(now, index, &Op { sent: true, ..op }, actions);
+                }
+                Verdict::Decide(decision) => {
+                    self.counts.granted += u64::from(decision == Decision::Granted);
+                    actions.push(Action::Decide { key, token, decision });
+                }
+            }
+        }
+    }
+
+    fn back_off(&mut self, now: Instant, index: u8) {
+        let (first, longest) = self.options.backoff;
+        let bucket = &mut self.buckets[usize::from(index)];
+        let doubled = first.saturating_mul(1u32.checked_shl(bucket.failures).unwrap_or(u32::MAX));
+        let jitter = self.random.random_range(0.5..=1.0);
+        bucket.failures += 1;
+        bucket.retry_at = Some(now + doubled.min(longest).mul_f64(jitter));
+    }
+
+    /// Lets waiting buckets write, in order, and then removes values.
+    fn write_ready(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut unwanted: IndexSet<u8> = IndexSet::new();
+        while let Some(&index) = self.ready.front() {
+            if now < self.rate.next() || !unwanted.insert(index) {
+                return;
+            }
+            self.ready.pop_front();
+            let bucket = &mut self.buckets[usize::from(index)];
+            bucket.queued = false;
+            if bucket.outstanding.is_some() || bucket.retry_at.is_some() || bucket.base.is_none() {
+                self.advance(now, index, actions);
+                continue;
+            }
+            self.resolve_spill(index);
+            let plan = self.plan(now, index);
+            if plan.changed || plan.full || !plan.dropped.is_empty() {
+                self.write(now, index, plan, true, actions);
+            } else {
+                self.advance(now, index, actions);
+            }
+        }
+        while !self.removals.is_empty() && self.rate.take(now) {
+            let Some(name) = self.removals.pop_front() else { return };
+            let call = self.new_call();
+            self.counts.removes += 1;
+            actions.push(Action::Remove { call, name });
+        }
+    }
+}
