--- a/siskin-claim/src/bucket.rs
+++ b/siskin-claim/src/bucket.rs
@@ -28,6 +28,9 @@
     pub(crate) deadline: Instant,
     /// Whether a write that contains it was sent, so that it may be in the store.
     pub(crate) sent: bool,
+    /// Whether another writer may grant the same attempt's claim, so that only the router that made the
+    /// attempt may release it.
+    pub(crate) shared: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -56,6 +59,8 @@
     pub(crate) unconfirmed: Vec<(u64, Verdict)>,
     /// Segments to be read first.
     pub(crate) unread: Vec<SegmentId>,
+    /// Whether something expired is not in `next`.
+    pub(crate) expired: bool,
     /// Expired segments that are not in `next`.
     pub(crate) dropped: Vec<SegmentId>,
     /// The entries do not fit; those of the current head have to move to a segment.
@@ -122,13 +127,6 @@
     plan
 }
 
-/// Whether anything in the head is past its retention.
-pub(crate) fn expired(head: &Head, now_s: u32, options: &Options) -> bool {
-    let limit_s = oldest_kept(now_s, options);
-    head.segments.iter().any(|segment| segment.newest_s < limit_s)
-        || head.entries.iter().any(|entry| entry.at_s < limit_s)
-}
-
 fn oldest_kept(now_s: u32, options: &Options) -> u32 {
     let retention_s = u32::try_from(options.retention.as_secs()).unwrap_or(u32::MAX);
     now_s.saturating_sub(retention_s)
@@ -145,7 +143,9 @@
         }
         keep
     });
+    let entries = plan.next.entries.len();
     plan.next.entries.retain(|entry| entry.at_s >= limit_s);
+    plan.expired = !plan.dropped.is_empty() || plan.next.entries.len() < entries;
 }
 
 /// The newest entry of a key, or the segment that has to be read to find it.
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -84,6 +84,9 @@
     }
 }
 
+/// Writes after which a waiting removal goes first, so that retention makes progress under full load.
+const WRITES_PER_REMOVAL: u32 = 8;
+
 /// Identifies a store call of this writer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Call(pub u64);
@@ -204,6 +207,8 @@
 #[derive(Debug, Default)]
 struct Bucket {
     base: Option<Base>,
+    /// The head may have changed; it has to be read before it is used.
+    stale: bool,
     ops: IndexMap<u64, Op>,
     outstanding: Option<(Call, Outstanding)>,
     spill: Option<Spill>,
@@ -247,6 +252,9 @@
     ready: VecDeque<u8>,
     segment_reads: IndexMap<Call, (u8, SegmentId)>,
     removals: VecDeque<Name>,
+    removing: IndexMap<Call, Name>,
+    /// Writes since the last removal.
+    writes_since_removal: u32,
     timers: BTreeSet<(Instant, u8, u64)>,
     waiting: usize,
     next_call: u64,
@@ -267,6 +275,8 @@
             ready: VecDeque::new(),
             segment_reads: IndexMap::new(),
             removals: VecDeque::new(),
+            removing: IndexMap::new(),
+            writes_since_removal: 0,
             timers: BTreeSet::new(),
             waiting: 0,
             next_call: 0,
@@ -285,18 +295,47 @@
         body: BodyHash,
         token: Token,
         deadline: Instant,
+    ) -> Vec<Action> {
+        self.add_claim(now, key, body, token, deadline, false)
+    }
+
+    /// Claims a key for an attempt that may ask other writers too. Such a claim is not released when it is
+    /// given up: another writer may have granted it, and only the attempt knows.
+    pub fn claim_shared(
+        &mut self,
+        now: Instant,
+        key: Key,
+        body: BodyHash,
+        token: Token,
+        deadline: Instant,
+    ) -> Vec<Action> {
+        self.add_claim(now, key, body, token, deadline, true)
+    }
+
+    fn add_claim(
+        &mut self,
+        now: Instant,
+        key: Key,
+        body: BodyHash,
+        token: Token,
+        deadline: Instant,
+        shared: bool,
     ) -> Vec<Action> {
         if now >= deadline || self.waiting >= self.options.max_waiting {
             self.counts.unavailable += 1;
             return vec![Action::Decide { key, token, decision: Decision::Unavailable }];
         }
-        let waiting = self.buckets[usize::from(self.bucket(&key))].ops.values();
-        let repeated =
-            |op: &Op| op.token == token && op.key == key && matches!(op.kind, Kind::Claim(_));
-        if waiting.into_iter().any(repeated) {
+        let index = self.bucket(&key);
+        if self.waiting_claim(index, &key, token).is_some() {
             return Vec::new();
         }
-        self.push(now, Kind::Claim(body), key, token, deadline)
+        let id = self.add(now, index, Kind::Claim(body), key, token, deadline);
+        if let Some(op) = self.buckets[usize::from(index)].ops.get_mut(&id) {
+            op.shared = shared;
+        }
+        let mut actions = Vec::new();
+        self.advance(now, index, &mut actions);
+        actions
     }
 
     /// Records the result of a call whose claim the attempt holds. A body that is too long is left out.
@@ -309,19 +348,18 @@
     /// Releases the claim of a call that did not run, whether or not the claim was granted.
     pub fn release(&mut self, now: Instant, key: Key, token: Token) -> Vec<Action> {
         let deadline = now + self.options.settle_for;
-        let bucket = self.bucket(&key);
-        let claims: Vec<_> = self.buckets[usize::from(bucket)]
-            .ops
-            .values()
-            .filter(|op| op.token == token && matches!(op.kind, Kind::Claim(_)))
-            .map(|op| op.id)
-            .collect();
-        for id in claims {
-            self.take(bucket, id);
-        }
+        self.withdraw(&key, token);
         self.push(now, Kind::Release, key, token, deadline)
     }
 
+    /// Forgets a claim that still waits, without releasing it in the store.
+    pub fn withdraw(&mut self, key: &Key, token: Token) {
+        let index = self.bucket(key);
+        if let Some(id) = self.waiting_claim(index, key, token) {
+            self.take(index, id);
+        }
+    }
+
     /// Names the buckets that this writer was given by the placement of roles. It reads their heads, so that
     /// the first claim does not wait, and removes their expired segments.
     pub fn owned(&mut self, now: Instant, buckets: &[u8]) -> Vec<Action> {
@@ -344,6 +382,12 @@
         if answer == Answer::Failed {
             self.counts.failures += 1;
         }
+        if let Some(name) = self.removing.swap_remove(&call) {
+            if answer == Answer::Failed {
+                self.removals.push_back(name);
+            }
+            return actions;
+        }
         if let Some((bucket, id)) = self.segment_reads.swap_remove(&call) {
             self.segment_read(now, bucket, id, answer);
             self.advance(now, bucket, &mut actions);
@@ -440,6 +484,13 @@
         actions
     }
 
+    fn waiting_claim(&self, index: u8, key: &Key, token: Token) -> Option<u64> {
+        let mut ops = self.buckets[usize::from(index)].ops.values();
+        let claim =
+            |op: &&Op| op.token == token && op.key == *key && matches!(op.kind, Kind::Claim(_));
+        ops.find(claim).map(|op| op.id)
+    }
+
     fn add(
         &mut self,
         now: Instant,
@@ -448,13 +499,14 @@
         key: Key,
         token: Token,
         deadline: Instant,
-    ) {
+    ) -> u64 {
         self.next_op += 1;
         let id = self.next_op;
-        let op = Op { id, kind, key, token, arrived: now, deadline, sent: false };
+        let op = Op { id, kind, key, token, arrived: now, deadline, sent: false, shared: false };
         self.buckets[usize::from(index)].ops.insert(id, op);
         self.timers.insert((deadline, index, id));
         self.waiting += 1;
+        id
     }
 
     fn take(&mut self, index: u8, id: u64) -> Option<Op> {
@@ -488,7 +540,7 @@
         self.counts.unavailable += 1;
         let decision = Decision::Unavailable;
         actions.push(Action::Decide { key: op.key, token: op.token, decision });
-        if op.sent {
+        if op.sent && !op.shared {
             let deadline = now + self.options.settle_for;
             self.add(now, index, Kind::Release, op.key, op.token, deadline);
         }
@@ -497,14 +549,14 @@
     /// Starts whatever the bucket needs next.
     fn advance(&mut self, now: Instant, index: u8, actions: &mut Vec<Action>) {
         let bucket = &self.buckets[usize::from(index)];
-        if bucket.outstanding.is_some() || bucket.retry_at.is_some() {
+        if bucket.outstanding.is_some() || bucket.retry_at.is_some() || bucket.queued {
             return;
         }
         let retain = bucket.retain_at.is_some_and(|at| now >= at);
         if bucket.ops.is_empty() && !retain {
             return;
         }
-        if bucket.base.is_none() {
+        if bucket.base.is_none() || bucket.stale {
             self.read_head(now, index, actions);
             return;
         }
@@ -515,7 +567,7 @@
         }
         let plan = self.plan(now, index);
         self.read_segments(index, &plan.unread, actions);
-        if plan.changed || plan.full || (retain && self.expired(now, index)) {
+        if plan.changed || plan.full || (retain && plan.expired) {
             self.write(now, index, plan, false, actions);
         } else {
             let refresh = !plan.unconfirmed.is_empty();
@@ -526,11 +578,6 @@
         }
     }
 
-    fn expired(&self, now: Instant, index: u8) -> bool {
-        let base = self.buckets[usize::from(index)].base.as_ref();
-        base.is_some_and(|base| bucket::expired(&base.head, self.now_s(now), &self.options))
-    }
-
     fn plan(&mut self, now: Instant, index: u8) -> Plan {
         let now_s = self.now_s(now);
         let bucket = &self.buckets[usize::from(index)];
@@ -585,8 +632,9 @@
         }
         let call = self.new_call();
         self.counts.writes += 1;
-        let action = if plan.full && !self.spilled(index) {
-            self.write_segment(now, index, call)
+        self.writes_since_removal += 1;
+        let action = if plan.full && self.spillable(index) {
+            self.write_segment(index, call)
         } else {
             self.write_head(now, index, call, plan)
         };
@@ -596,11 +644,16 @@
         actions.push(action);
     }
 
-    fn spilled(&self, index: u8) -> bool {
-        self.buckets[usize::from(index)].spill.as_ref().is_some_and(|spill| spill.stored)
+    /// Whether moving entries of the head to a segment makes room. A group that does not fit into an empty
+    /// head is written in parts.
+    fn spillable(&self, index: u8) -> bool {
+        let bucket = &self.buckets[usize::from(index)];
+        let stored = bucket.spill.as_ref().is_some_and(|spill| spill.stored);
+        let empty = bucket.base.as_ref().is_none_or(|base| base.head.entries.is_empty());
+        !stored && !empty
     }
 
-    fn write_segment(&mut self, _now: Instant, index: u8, call: Call) -> Action {
+    fn write_segment(&mut self, index: u8, call: Call) -> Action {
         if self.buckets[usize::from(index)].spill.is_none() {
             let spill = self.new_spill(index);
             self.buckets[usize::from(index)].spill = Some(spill);
@@ -692,6 +745,7 @@
             }
         }
         bucket.failures = 0;
+        bucket.stale = false;
         bucket.base = Some(base);
     }
 
@@ -705,7 +759,10 @@
                 }
             },
             // Another writer removed or replaced it; the current head tells.
-            Answer::Absent => self.buckets[usize::from(index)].base = None,
+            Answer::Absent => {
+                self.buckets[usize::from(index)].stale = true;
+                self.back_off(now, index);
+            }
             _ => self.back_off(now, index),
         }
     }
@@ -745,11 +802,11 @@
             }
             Answer::Conflict => {
                 self.counts.conflicts += 1;
-                self.buckets[usize::from(index)].base = None;
+                self.buckets[usize::from(index)].stale = true;
             }
             // Whether the write took effect is settled by reading the head back.
             _ => {
-                self.buckets[usize::from(index)].base = None;
+                self.buckets[usize::from(index)].stale = true;
                 self.back_off(now, index);
             }
         }
@@ -806,33 +863,52 @@
         bucket.retry_at = Some(now + doubled.min(longest).mul_f64(jitter));
     }
 
-    /// Lets waiting buckets write, in order, and then removes values.
+    /// Lets waiting buckets write, in order, and removes values that are no longer needed.
     fn write_ready(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut unwanted: IndexSet<u8> = IndexSet::new();
-        while let Some(&index) = self.ready.front() {
-            if now < self.rate.next() || !unwanted.insert(index) {
-                return;
-            }
-            self.ready.pop_front();
-            let bucket = &mut self.buckets[usize::from(index)];
-            bucket.queued = false;
-            if bucket.outstanding.is_some() || bucket.retry_at.is_some() || bucket.base.is_none() {
-                self.advance(now, index, actions);
-                continue;
-            }
-            self.resolve_spill(index);
-            let plan = self.plan(now, index);
-            if plan.changed || plan.full || !plan.dropped.is_empty() {
-                self.write(now, index, plan, true, actions);
-            } else {
-                self.advance(now, index, actions);
+        let mut seen: IndexSet<u8> = IndexSet::new();
+        while now >= self.rate.next() {
+            let due = self.writes_since_removal >= WRITES_PER_REMOVAL;
+            let next = self.ready.front().copied().filter(|index| !seen.contains(index));
+            match next {
+                Some(index) if self.removals.is_empty() || !due => {
+                    seen.insert(index);
+                    self.ready.pop_front();
+                    self.write_next(now, index, actions);
+                }
+                _ if self.removals.is_empty() => return,
+                _ => self.remove(now, actions),
             }
         }
-        while !self.removals.is_empty() && self.rate.take(now) {
-            let Some(name) = self.removals.pop_front() else { return };
-            let call = self.new_call();
-            self.counts.removes += 1;
-            actions.push(Action::Remove { call, name });
+    }
+
+    /// Writes the bucket that waited longest for the write limit.
+    fn write_next(&mut self, now: Instant, index: u8, actions: &mut Vec<Action>) {
+        let bucket = &mut self.buckets[usize::from(index)];
+        bucket.queued = false;
+        let busy = bucket.outstanding.is_some() || bucket.retry_at.is_some();
+        if busy || bucket.stale || bucket.base.is_none() {
+            self.advance(now, index, actions);
+            return;
+        }
+        self.resolve_spill(index);
+        let plan = self.plan(now, index);
+        self.read_segments(index, &plan.unread, actions);
+        if plan.changed || plan.full || plan.expired {
+            self.write(now, index, plan, true, actions);
+        } else {
+            self.advance(now, index, actions);
         }
     }
+
+    fn remove(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.rate.take(now) {
+            return;
+        }
+        let Some(name) = self.removals.pop_front() else { return };
+        self.writes_since_removal = 0;
+        let call = self.new_call();
+        self.counts.removes += 1;
+        self.removing.insert(call, name);
+        actions.push(Action::Remove { call, name });
+    }
 }
--- a/siskin-outcome/src/lib.rs
+++ b/siskin-outcome/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod life;
 pub mod outcome;
+pub mod poison;
 pub mod retry;
