Test what callers are told against what endpoints ran

Cause: nothing checked outcomes through real sockets. The first runs found four faults: an answer that was still held back counted as delivered, so a repeatable call that broke off was not run again; a request that all endpoints had failed once waited for its deadline; a chat for a caller that wants one answer could not be run again; and port 0 could pick a UDP port whose TCP port was taken. Change: siskin-site, a site on loopback shared by the quickstart, tests and measurements; answers are reported as delivered only when the caller has them; exclusions are dropped when they cover every endpoint; suspects of crashes are shared between routers before the caller is answered.

--- a/siskin-quickstart/src/check.rs
+++ b/siskin-quickstart/src/check.rs
@@ -1,21 +1,19 @@
 //! Sends one call of each kind through the site and checks each outcome.
 
 use {
-    crate::{
-        client::{self, Answer, Call},
-        site::{CUSTOMER_KEY, Site},
-    },
+    crate::CUSTOMER_KEY,
     serde_json::Value,
+    siskin_site::{
+        Site,
+        client::{self, Answer, CHAT_PATH, Call},
+    },
 };
 
-const CHAT_PATH: &str = "/v1/chat/completions";
-
 /// One call and what has to come back.
 struct Case {
     name: &'static str,
     path: &'static str,
     key: &'static str,
-    headers: &'static [(&'static str, &'static str)],
     body: &'static str,
     right: fn(&Answer) -> bool,
 }
@@ -25,7 +23,6 @@
         name: "model call",
         path: CHAT_PATH,
         key: CUSTOMER_KEY,
-        headers: &[],
         body: r#"{"model": "small", "max_tokens": 8, "messages": [{"role": "user", "content": "gala-plan"}]}"#,
         right: |answer| {
             answer.status == 200 && answer.outcome() == "completed" && is_own_chat(answer)
@@ -35,11 +32,10 @@
         name: "streamed model call",
         path: CHAT_PATH,
         key: CUSTOMER_KEY,
-        headers: &[],
         body: r#"{"model": "small", "stream": true, "max_tokens": 8,
                  "messages": [{"role": "user", "content": "wedding-plan"}]}"#,
         right: |answer| {
-            let own = answer.header("x-request-id");
+            let own = answer.request();
             answer.status == 200
                 && answer.body.contains(own)
                 && answer.body.trim_end().ends_with("data: [DONE]")
@@ -49,7 +45,6 @@
         name: "application call",
         path: "/apps/bookings/crews/7",
         key: CUSTOMER_KEY,
-        headers: &[],
         body: "confirm crew 7",
         right: |answer| {
             answer.status == 200
@@ -61,7 +56,6 @@
         name: "unknown key",
         path: CHAT_PATH,
         key: "wrong",
-        headers: &[],
         body: "{}",
         right: |answer| answer.status == 401 && answer.outcome() == "not_run",
     },
@@ -69,7 +63,6 @@
         name: "unknown model",
         path: CHAT_PATH,
         key: CUSTOMER_KEY,
-        headers: &[],
         body: r#"{"model": "none", "messages": [{"role": "user", "content": "x"}]}"#,
         right: |answer| answer.status == 404 && answer.outcome() == "not_run",
     },
@@ -77,7 +70,6 @@
         name: "malformed call",
         path: CHAT_PATH,
         key: CUSTOMER_KEY,
-        headers: &[],
         body: "{",
         right: |answer| answer.status == 400 && answer.outcome() == "not_run",
     },
@@ -87,21 +79,15 @@
 fn is_own_chat(answer: &Answer) -> bool {
     let Ok(body) = serde_json::from_str::<Value>(&answer.body) else { return false };
     let text = body["choices"][0]["message"]["content"].as_str().unwrap_or_default();
-    !text.is_empty() && text.contains(answer.header("x-request-id"))
+    !text.is_empty() && text.contains(answer.request())
 }
 
 /// Runs all cases at each router; true if every outcome was right.
 pub(crate) async fn run(site: &Site) -> anyhow::Result<bool> {
     let mut right = true;
-    for router in &site.routers {
+    for router in site.running() {
         for case in &CASES {
-            let call = Call {
-                router: router.callers(),
-                path: case.path,
-                key: case.key,
-                headers: case.headers,
-                body: case.body,
-            };
+            let call = Call::post(router.callers(), case.path, case.key, case.body);
             let answer = client::send(&call).await?;
             let passed = (case.right)(&answer);
             right &= passed;
--- a/siskin-quickstart/src/main.rs
+++ b/siskin-quickstart/src/main.rs
@@ -1,13 +1,11 @@
 //! The whole system in one process on loopback, for a small site and for newcomers.
 
 mod check;
-mod client;
-mod site;
 
 use {
     anyhow::Context,
     siskin_settings::{Program, Setting, Values, exit_usage, load_or_exit, logging},
-    site::{CUSTOMER_KEY, Site},
+    siskin_site::{OPERATOR_TOKEN, Options, Site, client::CHAT_PATH},
     std::process::ExitCode,
     tokio::signal::unix::{SignalKind, signal},
 };
@@ -41,7 +39,7 @@
     let values = load_or_exit(PROGRAM, &TABLE);
     let (check, routers) = settings(&values).unwrap_or_else(|error| exit_usage(PROGRAM, &error));
     logging::start(values.required("log").unwrap_or_else(|error| exit_usage(PROGRAM, &error)));
-    let site = Site::start(routers).await?;
+    let site = Site::start(Options { routers, ..Options::default() }).await?;
     site.ready().await?;
     let code = if check {
         if check::run(&site).await? { ExitCode::SUCCESS } else { ExitCode::FAILURE }
@@ -58,8 +56,11 @@
     Ok((values.switch("check")?, values.number("routers", 2..=8)?))
 }
 
+/// API key of the customer in the examples.
+pub(crate) const CUSTOMER_KEY: &str = "agency-key";
+
 fn print_addresses(site: &Site) {
-    for router in &site.routers {
+    for router in site.running() {
         println!(
             "router    http://{}  (operators http://{})",
             router.callers(),
@@ -69,22 +70,29 @@
     for engine in &site.engines {
         println!("engine    http://{}", engine.address());
     }
-    println!("bookings  http://{}", site.bookings.address());
-    let router = site.routers[0].callers();
+    for endpoint in site.applications.iter().flatten() {
+        println!("endpoint  http://{}", endpoint.address());
+    }
+    println!("store     http://{}", site.store.address());
+    let router = site.router(0).callers();
+    let chat = format!("http://{router}{CHAT_PATH} -H 'Authorization: Bearer {CUSTOMER_KEY}'");
     println!("\nTry:");
     println!(
-        "curl -i http://{router}/v1/chat/completions -H 'Authorization: Bearer {CUSTOMER_KEY}' \
-         -d '{{\"model\": \"small\", \"messages\": [{{\"role\": \"user\", \"content\": \"Plan a gala.\"}}]}}'"
+        "curl -i {chat} -d '{{\"model\": \"small\", \
+         \"messages\": [{{\"role\": \"user\", \"content\": \"Plan a gala.\"}}]}}'"
     );
     println!(
-        "curl -iN http://{router}/v1/chat/completions -H 'Authorization: Bearer {CUSTOMER_KEY}' \
-         -d '{{\"model\": \"small\", \"stream\": true, \"max_tokens\": 20, \
+        "curl -iN {chat} -d '{{\"model\": \"small\", \"stream\": true, \"max_tokens\": 20, \
          \"messages\": [{{\"role\": \"user\", \"content\": \"Plan a gala.\"}}]}}'"
     );
     println!(
         "curl -i http://{router}/apps/bookings/crews/7 -H 'Authorization: Bearer {CUSTOMER_KEY}' \
          -H 'Idempotency-Key: crew-7' -d 'confirm'"
     );
+    println!(
+        "SISKIN_OPERATOR_TOKEN={OPERATOR_TOKEN} cargo run --bin siskinctl -- --address {} status",
+        site.router(0).operators()
+    );
     println!("\nPress Ctrl-C to stop.");
 }
 
--- a/siskin-route/src/health.rs
+++ b/siskin-route/src/health.rs
@@ -140,6 +140,12 @@
         (now - at <= self.options.report_lifetime).then_some(report)
     }
 
+    /// The instance in the last report, however old.
+    #[must_use]
+    pub fn instance(&self, endpoint: Endpoint) -> Option<u64> {
+        Some(self.states.get(&endpoint)?.report?.1.instance)
+    }
+
     /// Whether the endpoint's last report, however old, says that it is leaving.
     #[must_use]
     pub fn leaving(&self, endpoint: Endpoint) -> bool {
--- a/siskin-router/src/caller/service.rs
+++ b/siskin-router/src/caller/service.rs
@@ -151,6 +151,7 @@
         model,
         deadline: deadline(shared, view, headers, None)?,
         estimate,
+        fingerprint: shared.fingerprints.fingerprint(customer, body),
         kind: Kind::Chat { chat, chain, limit },
     })
 }
@@ -173,6 +174,8 @@
     let mut headers = passed_headers(&head.headers);
     // The key is between the caller and the router.
     headers.remove(AUTHORIZATION);
+    let content = [head.method.as_str().as_bytes(), target.as_bytes(), &body].join(&b'\n');
+    let fingerprint = shared.fingerprints.fingerprint(customer, &content);
     let max_duration = route.max_duration_ms.map(Duration::from_millis);
     Ok(Call {
         request: shared.next_request(),
@@ -181,6 +184,7 @@
         model: route_number(name),
         deadline: deadline(shared, view, &head.headers, max_duration)?,
         estimate: APPLICATION_ESTIMATE,
+        fingerprint,
         kind: Kind::Application(Application {
             method: head.method.clone(),
             target,
--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -7,7 +7,6 @@
         view::View,
     },
     indexmap::IndexMap,
-    siskin_outcome::retry,
     std::sync::Arc,
 };
 
@@ -25,17 +24,14 @@
     let view = Arc::new(view);
     shared.metrics.config_version.set(i64::try_from(view.version).unwrap_or(i64::MAX));
     shared.set_view(Arc::clone(&view));
-    let retries = retry::Options {
-        percent: view.document.fleet.retry_budget_percent,
-        ..retry::Options::default()
-    };
     let mut pools = IndexMap::new();
     let mut started = Vec::new();
     for (name, config) in view.document.pools.iter() {
         let known = shared.pool(config.id).filter(|pool| pool.matches(name, config));
         let pool = known.unwrap_or_else(|| {
             let node = shared.settings.node;
-            let pool = Arc::new(Pool::new(name, config, node, shared.incarnation, retries));
+            let pool =
+                Arc::new(Pool::new(name, config, node, shared.incarnation, &view.document.fleet));
             started.push(Arc::clone(&pool));
             pool
         });
@@ -43,6 +39,7 @@
     }
     shared.set_pools(pools);
     for pool in started {
+        shared.spawn(Arc::clone(pool.suspects()).run(Arc::clone(shared)));
         shared.spawn(Arc::clone(&pool).run(Arc::clone(shared)));
     }
     let customers = view.customers();
--- a/siskin-router/src/control.rs
+++ b/siskin-router/src/control.rs
@@ -37,6 +37,9 @@
 /// TCP connections from other routers that are served at the same time.
 const CONNECTIONS_MAX: usize = 128;
 
+/// Ports that are tried if any port will do.
+const ANY_PORT_ATTEMPTS: u32 = 16;
+
 /// A message from another router.
 #[derive(Debug)]
 pub(crate) struct Received {
@@ -64,8 +67,7 @@
         incarnation: u64,
         metrics: Metrics,
     ) -> io::Result<(Self, TcpListener)> {
-        let socket = UdpSocket::bind(settings.control).await?;
-        let listener = TcpListener::bind(socket.local_addr()?).await?;
+        let (socket, listener) = bind_both(settings.control).await?;
         let key = Key::derive(settings.fleet_key.reveal().as_bytes());
         let next = settings.fleet_key_next.as_ref().map(|key| Key::derive(key.reveal().as_bytes()));
         let control = Self {
@@ -196,6 +198,21 @@
     }
 }
 
+/// Binds UDP and TCP to the same port. If any port will do, a port that is free for UDP may be taken for TCP, so
+/// others are tried.
+async fn bind_both(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut attempts = if address.port() == 0 { ANY_PORT_ATTEMPTS } else { 1 };
+    loop {
+        attempts -= 1;
+        let socket = UdpSocket::bind(address).await?;
+        match TcpListener::bind(socket.local_addr()?).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(error) if attempts == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
 async fn send_stream(to: SocketAddr, frame: &[u8]) -> io::Result<()> {
     let mut stream = TcpStream::connect(to).await?;
     let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
--- a/siskin-router/src/exchange/deliver.rs
+++ b/siskin-router/src/exchange/deliver.rs
@@ -67,19 +67,15 @@
     first_id: Option<u64>,
     last_id: Option<String>,
     usage: Option<Usage>,
-    pending: Option<Pending>,
+    /// Parts that the caller does not have yet.
     buffer: BytesMut,
+    /// Whether parts are sent on as they arrive.
+    streaming: bool,
     first_byte: Option<Duration>,
     /// Wait to advise the caller, if the reason has a better figure than its default.
     pub(super) retry_after: Option<Duration>,
 }
 
-#[derive(Debug)]
-enum Pending {
-    Event(StreamEvent, Chunk),
-    Bytes(Bytes),
-}
-
 impl Delivery {
     pub(super) fn new(call: &Call) -> Self {
         let mode = match &call.kind {
@@ -98,8 +94,8 @@
             first_id: None,
             last_id: None,
             usage: None,
-            pending: None,
             buffer: BytesMut::new(),
+            streaming: false,
             first_byte: None,
             retry_after: None,
         }
@@ -158,61 +154,60 @@
         }
     }
 
-    pub(super) fn add_event(&mut self, event: StreamEvent, chunk: Chunk) {
-        self.usage = chunk.usage().or(self.usage);
-        self.pending = Some(Pending::Event(event, chunk));
-    }
-
-    pub(super) fn add_bytes(&mut self, bytes: Bytes) {
-        self.pending = Some(Pending::Bytes(bytes));
+    /// Forgets what an earlier run answered, none of which the caller has.
+    pub(super) fn restart(&mut self) {
+        if let Mode::Collected(collector) = &mut self.mode {
+            *collector = Collector::default();
+        }
+        self.received = 0;
+        self.first_id = None;
+        self.last_id = None;
+        self.usage = None;
+        self.buffer.clear();
     }
-}
 
-impl Exchange {
-    /// Hands the last part to the caller.
-    pub(super) async fn deliver(&mut self) -> Vec<Action> {
-        let Some(pending) = self.delivery.pending.take() else { return Vec::new() };
-        let bytes = match pending {
-            Pending::Event(event, chunk) => {
-                self.delivery.received += 1;
-                if !event.id.is_empty() {
-                    self.delivery.last_id = Some(event.id);
+    /// Adds an event of a stream.
+    pub(super) fn add_event(&mut self, event: StreamEvent, chunk: Chunk) {
+        self.received += 1;
+        self.usage = chunk.usage().or(self.usage);
+        if !event.id.is_empty() {
+            self.last_id = Some(event.id);
+        }
+        match &mut self.mode {
+            Mode::Events { include_usage } => {
+                self.streaming = true;
+                if *include_usage || chunk.has_choices() {
+                    self.buffer.extend_from_slice(b"data: ");
+                    self.buffer.extend_from_slice(event.data.as_bytes());
+                    self.buffer.extend_from_slice(b"\n\n");
                 }
-                self.event_bytes(&event.data, chunk)
             }
-            Pending::Bytes(bytes) => {
-                self.delivery.received += bytes.len() as u64;
-                self.body_bytes(bytes)
-            }
-        };
-        match bytes {
-            Some(bytes) => self.send_part(bytes).await,
-            None => Vec::new(),
+            Mode::Collected(collector) => collector.add(chunk),
+            Mode::Bytes => {}
         }
     }
 
-    /// What the caller gets for an event; nothing if the answer is collected.
-    fn event_bytes(&mut self, data: &str, chunk: Chunk) -> Option<Bytes> {
-        match &mut self.delivery.mode {
-            Mode::Events { include_usage } => {
-                let wanted = *include_usage || chunk.has_choices();
-                wanted.then(|| Bytes::from(format!("data: {data}\n\n")))
-            }
-            Mode::Collected(collector) => {
-                collector.add(chunk);
-                None
-            }
-            Mode::Bytes => None,
-        }
+    /// Adds bytes of any other answer. A large one is not held back until it is whole.
+    pub(super) fn add_bytes(&mut self, bytes: &[u8]) {
+        self.received += bytes.len() as u64;
+        self.buffer.extend_from_slice(bytes);
+        self.streaming |= self.buffer.len() > BUFFER_BYTES;
+    }
+
+    /// Whether the answer is held back until it is whole, so that it can be run again unseen by the caller.
+    pub(super) const fn holds(&self) -> bool {
+        !self.streaming
     }
+}
 
-    /// What the caller gets for bytes of a body; nothing while the answer is small enough to be read whole.
-    fn body_bytes(&mut self, bytes: Bytes) -> Option<Bytes> {
-        if self.responder.started() {
-            return Some(bytes);
+impl Exchange {
+    /// Sends what has arrived to the caller.
+    pub(super) async fn deliver(&mut self) -> Vec<Action> {
+        if self.delivery.holds() || self.delivery.buffer.is_empty() {
+            return Vec::new();
         }
-        self.delivery.buffer.extend_from_slice(&bytes);
-        (self.delivery.buffer.len() > BUFFER_BYTES).then(|| self.delivery.buffer.split().freeze())
+        let bytes = self.delivery.buffer.split().freeze();
+        self.send_part(bytes).await
     }
 
     /// Sends a part, waiting for a slow caller until the deadline.
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -24,9 +24,10 @@
     siskin_outcome::{
         life::{self, Action, Attempt, Life},
         outcome::{Outcome, Reason},
+        poison::{Fingerprint, InFlight, Verdict},
     },
     siskin_route::prefix::Chain,
-    siskin_sched::ticket::Ticket,
+    siskin_sched::{pool as scheduled, ticket::Ticket},
     siskin_types::{
         cost::Units,
         id::{Customer, Endpoint, Model, Request},
@@ -55,6 +56,8 @@
     pub deadline: Instant,
     /// Expected cost.
     pub estimate: Units,
+    /// Keyed hash of customer and content.
+    pub fingerprint: Fingerprint,
     /// What is asked for.
     pub kind: Kind,
 }
@@ -122,6 +125,8 @@
     delivery: deliver::Delivery,
     /// Endpoint whose slot the request holds.
     slot: Option<Endpoint>,
+    /// Whether the request is a suspect and runs alone.
+    alone: bool,
     /// When the slot was taken.
     slot_since: time::Instant,
     /// Service of the current dispatch.
@@ -152,6 +157,7 @@
         responder,
         delivery,
         slot: None,
+        alone: false,
         slot_since: time::Instant::now(),
         used: Units(0),
         reported: Units(0),
@@ -263,13 +269,20 @@
     /// Queues the request for a slot.
     fn submit(&mut self, attempt: Attempt, exclude: Vec<Endpoint>) -> Vec<Action> {
         let now = self.now();
+        let verdict = self.call.pool.suspects().admit(now, self.call.fingerprint);
+        if let Verdict::Refuse { retry_after } = verdict {
+            self.delivery.retry_after = Some(retry_after);
+            return self.life.refused(now, Reason::SuspectRefused);
+        }
+        self.alone = verdict == Verdict::RunAlone;
         let prefer = match &self.call.kind {
             Kind::Chat { chain, .. } => lock(&self.shared.prefixes).prefer(chain),
             Kind::Application(_) => Vec::new(),
         };
         let ticket = Ticket {
             prefer,
-            exclude,
+            exclude: self.possible_exclusions(exclude),
+            alone: self.alone,
             ..Ticket::new(
                 self.call.request,
                 self.call.customer,
@@ -291,6 +304,17 @@
         }
     }
 
+    /// The endpoints to avoid; none if no other endpoint serves the request, which would then wait for nothing.
+    fn possible_exclusions(&self, exclude: Vec<Endpoint>) -> Vec<Endpoint> {
+        let view = self.shared.view();
+        let serves = |endpoint: &scheduled::Endpoint| {
+            !endpoint.leaving && endpoint.models.contains(&self.call.model)
+        };
+        let endpoints = self.shared.scheduled_endpoints(&view, &self.call.pool);
+        let other = endpoints.iter().any(|one| serves(one) && !exclude.contains(&one.id));
+        if other { exclude } else { Vec::new() }
+    }
+
     fn assigned(&mut self, now: Instant, attempt: Attempt, assignment: Assignment) -> Vec<Action> {
         match assignment {
             Assignment::Endpoint(endpoint) => {
@@ -300,6 +324,10 @@
                 self.reported = Units(0);
                 let actions = self.life.dispatched(now, attempt, endpoint);
                 if actions.is_empty() {
+                    self.shared.learn_instance(&self.call.pool, endpoint);
+                    let in_flight =
+                        InFlight { fingerprint: self.call.fingerprint, alone: self.alone };
+                    self.call.pool.suspects().started(endpoint, self.call.request, in_flight);
                     self.connect(attempt, endpoint);
                 }
                 actions
@@ -333,7 +361,7 @@
     async fn quiet(&mut self) -> Vec<Action> {
         let Some((attempt, endpoint)) = self.stage.attempt() else { return Vec::new() };
         self.shared.metrics.silent_connections.inc();
-        let probe = self.shared.probe(endpoint).await;
+        let probe = self.shared.probe(&self.call.pool, endpoint).await;
         self.probed = true;
         log::info!(
             request:% = self.call.request, endpoint:% = endpoint, answered = probe.is_some();
@@ -353,7 +381,7 @@
     /// Tells the health view that the endpoint of this request did not answer.
     fn endpoint_failed(&self) {
         if let Some(endpoint) = self.slot {
-            self.shared.endpoint_failed(endpoint);
+            self.shared.endpoint_failed(&self.call.pool, endpoint);
         }
     }
 
@@ -367,7 +395,8 @@
 
     /// Gives the slot back and settles the charge of this dispatch.
     fn release(&mut self) {
-        if self.slot.take().is_some() {
+        if let Some(endpoint) = self.slot.take() {
+            self.call.pool.suspects().ended(endpoint, self.call.request);
             self.call.pool.finish(&self.shared, self.now(), self.call.request, self.used);
         }
     }
@@ -392,6 +421,10 @@
             self.stop_run();
         }
         self.learn();
+        if matches!(outcome, Outcome::Completed | Outcome::Failed) {
+            let suspects = self.call.pool.suspects();
+            suspects.completed(&self.shared, self.now(), self.call.fingerprint);
+        }
         self.release();
         self.shared.metrics.crossed_answers.inc_by(self.life.ignored().crossed);
         let summary = self.conclude(outcome).await;
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -104,12 +104,10 @@
         match part {
             Some(Ok(Part::Event(event))) => self.event(now, attempt, event).await,
             Some(Ok(Part::Bytes(bytes))) => {
-                let offset = self.delivery.received();
-                let length = bytes.len() as u64;
                 let used = self.elapsed_cost();
                 self.charge(used);
-                self.delivery.add_bytes(bytes);
-                self.life.chunk(now, attempt, offset, length, used, &mut self.call.pool.budget())
+                self.delivery.add_bytes(&bytes);
+                self.hand_over(now, attempt, used)
             }
             Some(Err(error)) => {
                 log::info!(request:% = self.call.request; "answer broke off: {error}");
@@ -124,8 +122,7 @@
                 let used = self.elapsed_cost();
                 self.charge(used);
                 self.keep_connection();
-                let end = self.delivery.received();
-                self.life.completed(now, attempt, end, outcome, used, &mut self.call.pool.budget())
+                self.complete(now, attempt, outcome, used)
             }
         }
     }
@@ -135,7 +132,7 @@
     async fn connection_lost(&mut self, attempt: Attempt) -> Vec<Action> {
         self.stage = Stage::Idle;
         if let Some(endpoint) = self.slot {
-            self.shared.connection_lost(endpoint).await;
+            self.shared.connection_lost(&self.call.pool, endpoint).await;
         }
         let now = self.now();
         self.life.broken(now, attempt, &mut self.call.pool.budget())
@@ -147,16 +144,7 @@
             let used = final_cost(self.delivery.usage(), prompt, self.delivery.received());
             self.charge(used);
             self.keep_connection();
-            let end = self.delivery.received();
-            let outcome = Outcome::Completed;
-            return self.life.completed(
-                now,
-                attempt,
-                end,
-                outcome,
-                used,
-                &mut self.call.pool.budget(),
-            );
+            return self.complete(now, attempt, Outcome::Completed, used);
         }
         let chunk = match Chunk::parse(&event.data) {
             Ok(chunk) => chunk,
@@ -168,10 +156,46 @@
         let offset = self.delivery.offset(&event.id);
         let used = running_cost(prompt, offset + 1);
         self.charge(used);
-        self.delivery.add_event(event, chunk);
+        if offset < self.delivery.received() {
+            return Vec::new();
+        }
+        if offset == self.delivery.received() {
+            self.delivery.add_event(event, chunk);
+            return self.hand_over(now, attempt, used);
+        }
+        // A gap: the life of the request decides how it goes on.
         self.life.chunk(now, attempt, offset, 1, used, &mut self.call.pool.budget())
     }
 
+    /// Reports what has arrived as delivered, unless it is held back until the answer is whole.
+    fn hand_over(&mut self, now: Instant, attempt: Attempt, used: Units) -> Vec<Action> {
+        if self.delivery.holds() {
+            return Vec::new();
+        }
+        let offset = self.life.delivered();
+        let length = self.delivery.received() - offset;
+        self.life.chunk(now, attempt, offset, length, used, &mut self.call.pool.budget())
+    }
+
+    /// The answer is whole.
+    fn complete(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        outcome: Outcome,
+        used: Units,
+    ) -> Vec<Action> {
+        let end = self.delivery.received();
+        let offset = self.life.delivered();
+        let mut actions = Vec::new();
+        let mut budget = self.call.pool.budget();
+        if end > offset {
+            actions.extend(self.life.chunk(now, attempt, offset, end - offset, used, &mut budget));
+        }
+        actions.extend(self.life.completed(now, attempt, end, outcome, used, &mut budget));
+        actions
+    }
+
     /// Keeps the connection if its answer was read to the end.
     fn keep_connection(&mut self) {
         let stage = std::mem::replace(&mut self.stage, Stage::Idle);
--- a/siskin-router/src/exchange/send.rs
+++ b/siskin-router/src/exchange/send.rs
@@ -28,6 +28,7 @@
     /// Starts to connect for a new run.
     pub(super) fn connect(&mut self, attempt: Attempt, endpoint: Endpoint) {
         self.resuming = false;
+        self.delivery.restart();
         self.open(attempt, endpoint, false);
     }
 
--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod router;
 pub mod settings;
 mod shared;
+mod suspect;
 pub mod upstream;
 pub mod view;
--- a/siskin-router/src/pool.rs
+++ b/siskin-router/src/pool.rs
@@ -4,7 +4,7 @@
 //! messages to other routers are sent after the lock is released.
 
 use {
-    crate::shared::Shared,
+    crate::{shared::Shared, suspect::Suspects},
     indexmap::IndexMap,
     siskin_config::document::{self, Unit},
     siskin_outcome::{
@@ -50,6 +50,7 @@
     name: String,
     options: pool::Options,
     budget: Mutex<Budget>,
+    suspects: Arc<Suspects>,
     state: Mutex<State>,
     wake: Notify,
 }
@@ -69,14 +70,15 @@
 
 impl Pool {
     /// Makes a pool as the configuration has it.
-    #[must_use]
-    pub fn new(
+    pub(crate) fn new(
         name: &str,
         config: &document::Pool,
         node: Node,
         incarnation: u64,
-        retries: retry::Options,
+        fleet: &document::Fleet,
     ) -> Self {
+        let retries =
+            retry::Options { percent: fleet.retry_budget_percent, ..retry::Options::default() };
         let options = pool::Options {
             measure: measure(config.unit),
             max_request: config.max_request,
@@ -99,6 +101,7 @@
             name: name.to_owned(),
             options,
             budget: Mutex::new(Budget::new(retries)),
+            suspects: Arc::new(Suspects::new(config.id, node, fleet.poison_expiry())),
             state: Mutex::new(state),
             wake: Notify::new(),
         }
@@ -137,6 +140,11 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests suspected of crashing this pool's endpoints.
+    pub(crate) fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
     /// Queues a request. The receiver gets its assignment.
     ///
     /// # Errors
@@ -207,6 +215,7 @@
         visible: &[Node],
         known: usize,
     ) {
+        self.suspects.members(shared, now, owner, visible);
         let mut state = self.lock();
         state.visible = visible.to_vec();
         state.known = known;
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -8,6 +8,7 @@
         operator,
         settings::Settings,
         shared::{Shared, lock},
+        suspect,
     },
     anyhow::Context,
     siskin_member::{Action, Member, Options},
@@ -195,7 +196,12 @@
                     pool.granted(&shared, now, opened.node, &grant);
                 }
             }
-            Message::Config(_) | Message::Claim(_) | Message::Poison(_) => {}
+            Message::Poison(message) => {
+                if let Some(pool) = shared.pool(suspect::pool(&message)) {
+                    pool.suspects().receive(&shared, now, opened.node, &message);
+                }
+            }
+            Message::Config(_) | Message::Claim(_) => {}
         }
     }
 }
--- a/siskin-router/src/settings.rs
+++ b/siskin-router/src/settings.rs
@@ -74,6 +74,9 @@
     pub fleet_key: Secret,
     /// Second key accepted while the key is changed.
     pub fleet_key_next: Option<Secret>,
+    /// Secret under which idempotency keys and request contents are hashed. It must stay the same for as long as
+    /// claims are kept.
+    pub hash_key: Secret,
     /// Token of the operators' interface.
     pub operator_token: Secret,
     /// Log filter.
@@ -84,7 +87,7 @@
 const SECRET_BYTES_MIN: usize = 16;
 
 /// The table of settings of `siskin-router`.
-pub const TABLE: [Setting; 16] = [
+pub const TABLE: [Setting; 17] = [
     Setting::new("node", "SISKIN_NODE", None, "NUMBER", "number of this VM, unique in the fleet"),
     Setting::new(
         "data-centre",
@@ -175,6 +178,10 @@
         "key that authenticates routers to each other, 16 bytes or more",
     ),
     Setting::secret("SISKIN_FLEET_KEY_NEXT", "second key accepted while the fleet key is changed"),
+    Setting::secret(
+        "SISKIN_HASH_KEY",
+        "key for hashes of idempotency keys and contents, 16 bytes or more; must not change while claims are kept",
+    ),
     Setting::secret(
         "SISKIN_OPERATOR_TOKEN",
         "bearer token of the operators' interface, 16 bytes or more",
@@ -216,6 +223,7 @@
                 .secret("SISKIN_FLEET_KEY_NEXT")
                 .map(|_| secret(values, "SISKIN_FLEET_KEY_NEXT"))
                 .transpose()?,
+            hash_key: secret(values, "SISKIN_HASH_KEY")?,
             operator_token: secret(values, "SISKIN_OPERATOR_TOKEN")?,
             log: values.required("log")?.to_owned(),
         })
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -20,7 +20,10 @@
     indexmap::IndexMap,
     serde::Deserialize,
     siskin_member::Member,
-    siskin_outcome::outcome::{Outcome, Reason},
+    siskin_outcome::{
+        outcome::{Outcome, Reason},
+        poison::Hasher,
+    },
     siskin_route::{
         estimate::Estimator,
         health::{self, Change, Tracker},
@@ -54,6 +57,7 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) upstream: upstream::Pool,
+    pub(crate) fingerprints: Hasher,
     pub(crate) control: Arc<Control>,
     pub(crate) member: Mutex<Member>,
     pub(crate) estimator: Mutex<Estimator>,
@@ -101,9 +105,10 @@
         member: Member,
     ) -> Self {
         Self {
-            settings,
             incarnation,
+            fingerprints: Hasher::new(&hash_secret(&settings)),
             clock: Clock::start(),
+            settings,
             metrics,
             upstream: upstream::Pool::new(upstream::Options::default()),
             control,
@@ -235,11 +240,16 @@
     /// Sends messages to other routers.
     pub(crate) fn send_all(&self, messages: Vec<(Node, Message)>) {
         for (node, message) in messages {
-            let address = lock(&self.member).address(node);
-            match address {
-                Some(address) => self.control.send(Some(node), address, &message),
-                None => log::debug!(node:% = node; "message was dropped: the router is not known"),
-            }
+            self.send(node, &message);
+        }
+    }
+
+    /// Sends a message to another router.
+    pub(crate) fn send(&self, node: Node, message: &Message) {
+        let address = lock(&self.member).address(node);
+        match address {
+            Some(address) => self.control.send(Some(node), address, message),
+            None => log::debug!(node:% = node; "message was dropped: the router is not known"),
         }
     }
 
@@ -257,26 +267,28 @@
     }
 
     /// Notes that an endpoint could not be reached, and takes it out of use until it answers a probe.
-    pub(crate) fn endpoint_failed(self: &Arc<Self>, endpoint: Endpoint) {
+    pub(crate) fn endpoint_failed(self: &Arc<Self>, pool: &Pool, endpoint: Endpoint) {
         let change = lock(&self.health).failed(self.clock.now(), endpoint);
         if let Change::Down { until } = change {
             log::warn!(endpoint:% = endpoint; "endpoint does not answer and is taken out of use");
             self.purge_idle(endpoint);
             self.refresh_endpoints();
             let shared = Arc::clone(self);
-            self.spawn(shared.recover(endpoint, until));
+            if let Some(pool) = self.pool(pool.id()) {
+                self.spawn(shared.recover(pool, endpoint, until));
+            }
         }
     }
 
     /// Probes an endpoint that is down until it answers.
-    async fn recover(self: Arc<Self>, endpoint: Endpoint, until: Instant) {
+    async fn recover(self: Arc<Self>, pool: Arc<Pool>, endpoint: Endpoint, until: Instant) {
         let mut until = until;
         loop {
             time::sleep_until(self.clock.deadline(until)).await;
             if self.view().address(endpoint).is_none() {
                 return;
             }
-            if self.probe(endpoint).await.is_some() {
+            if self.probe(&pool, endpoint).await.is_some() {
                 log::info!(endpoint:% = endpoint; "endpoint answers again");
                 self.refresh_endpoints();
                 return;
@@ -288,10 +300,27 @@
         }
     }
 
-    /// A connection broke: finds out whether its endpoint died.
-    pub(crate) async fn connection_lost(self: &Arc<Self>, endpoint: Endpoint) {
-        if self.probe(endpoint).await.is_none() {
-            self.endpoint_failed(endpoint);
+    /// A connection broke: finds out whether its endpoint died. If it did, the requests in flight there become
+    /// suspects before this returns.
+    pub(crate) async fn connection_lost(self: &Arc<Self>, pool: &Pool, endpoint: Endpoint) {
+        let instance = lock(&self.health).instance(endpoint);
+        if self.probe(pool, endpoint).await.is_none() {
+            self.endpoint_failed(pool, endpoint);
+            // Without a known instance, the time tells crashes apart.
+            let instance = instance.unwrap_or_else(|| self.clock.now().as_micros());
+            self.metrics.endpoint_crashes.inc();
+            pool.suspects().crashed(self, endpoint, instance).await;
+        }
+    }
+
+    /// Learns the instance of an endpoint that this router has not asked yet, so that a restart is noticed.
+    pub(crate) fn learn_instance(self: &Arc<Self>, pool: &Arc<Pool>, endpoint: Endpoint) {
+        if lock(&self.health).instance(endpoint).is_none() {
+            let shared = Arc::clone(self);
+            let pool = Arc::clone(pool);
+            self.spawn(async move {
+                shared.probe(&pool, endpoint).await;
+            });
         }
     }
 
@@ -303,16 +332,18 @@
     }
 
     /// Asks an endpoint for its load on a fresh connection, so that a dead path of another connection does not matter.
-    pub(crate) async fn probe(&self, endpoint: Endpoint) -> Option<health::Report> {
+    pub(crate) async fn probe(&self, pool: &Pool, endpoint: Endpoint) -> Option<health::Report> {
         let view = self.view();
         let address = view.address(endpoint)?;
         let timeout = view.document.fleet.probe_timeout();
         let report = time::timeout(timeout, self.ask_load(address)).await.ok().flatten()?;
+        let before = lock(&self.health).instance(endpoint);
         let change = lock(&self.health).reported(self.clock.now(), endpoint, report);
-        if change == Change::Restarted {
+        if let (Change::Restarted, Some(before)) = (change, before) {
             log::info!(endpoint:% = endpoint, instance = report.instance; "endpoint has restarted");
             self.metrics.endpoint_crashes.inc();
             lock(&self.prefixes).forget(endpoint);
+            pool.suspects().crashed(self, endpoint, before).await;
         }
         Some(report)
     }
@@ -361,7 +392,7 @@
 
     /// Asks an endpoint for its load and passes it to the pool that this router owns.
     pub(crate) async fn poll_load(&self, pool: &Pool, endpoint: Endpoint) {
-        let report = self.probe(endpoint).await;
+        let report = self.probe(pool, endpoint).await;
         let load = match report {
             Some(report) => {
                 Load { running: report.running + report.waiting, leaving: report.leaving }
@@ -395,6 +426,14 @@
     }
 }
 
+/// Context that separates the hash key from other uses of the same secret.
+const HASH_CONTEXT: &str = "siskinroute 2026 hashes of idempotency keys and contents";
+
+/// The key for hashes of idempotency keys and contents.
+pub(crate) fn hash_secret(settings: &Settings) -> [u8; 32] {
+    blake3::derive_key(HASH_CONTEXT, settings.hash_key.reveal().as_bytes())
+}
+
 /// Counts a request as in flight.
 #[derive(Debug)]
 pub(crate) struct Running {
--- /dev/null
+++ b/siskin-router/src/suspect.rs
@@ -0,0 +1,178 @@
+//! Requests suspected of crashing the endpoints of one pool.
+
+use {
+    crate::shared::{Shared, lock},
+    indexmap::IndexMap,
+    siskin_outcome::poison::{
+        Action, Crash, Detector, Fingerprint, InFlight, Message, Options, Suspect, Verdict,
+    },
+    siskin_types::{
+        id::{Endpoint, Node, Pool, Request},
+        time::Instant,
+    },
+    siskin_wire::Message as Envelope,
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        sync::{Notify, watch},
+        time,
+    },
+};
+
+/// Confirmed crashes that are remembered for exchanges that wait for them.
+const CONFIRMED_MAX: usize = 256;
+
+/// Longest wait for the confirmation of a crash; the detector gives up earlier.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time between two calls of the detector's timer.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+
+/// The suspects of one pool as this router knows them.
+#[derive(Debug)]
+pub(crate) struct Suspects {
+    detector: Mutex<Detector>,
+    in_flight: Mutex<IndexMap<Endpoint, IndexMap<Request, InFlight>>>,
+    confirmed: watch::Sender<VecDeque<Crash>>,
+    wake: Notify,
+}
+
+impl Suspects {
+    pub(crate) fn new(pool: Pool, node: Node, hold: Duration) -> Self {
+        let options = Options { hold, ..Options::new(pool, node) };
+        Self {
+            detector: Mutex::new(Detector::new(options)),
+            in_flight: Mutex::default(),
+            confirmed: watch::Sender::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Whether a request may run.
+    pub(crate) fn admit(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
+        let verdict = lock(&self.detector).admit(now, fingerprint);
+        self.wake.notify_one();
+        verdict
+    }
+
+    /// Notes that a request was given to an endpoint.
+    pub(crate) fn started(&self, endpoint: Endpoint, request: Request, in_flight: InFlight) {
+        lock(&self.in_flight).entry(endpoint).or_default().insert(request, in_flight);
+    }
+
+    /// Notes that an endpoint no longer runs a request.
+    pub(crate) fn ended(&self, endpoint: Endpoint, request: Request) {
+        if let Some(requests) = lock(&self.in_flight).get_mut(&endpoint) {
+            requests.swap_remove(&request);
+        }
+    }
+
+    /// Clears a request that an endpoint has answered.
+    pub(crate) fn completed(&self, shared: &Shared, now: Instant, fingerprint: Fingerprint) {
+        let actions = lock(&self.detector).completed(now, fingerprint);
+        self.perform(shared, actions);
+    }
+
+    /// An instance of an endpoint died: what was in flight there is suspected from now on. Returns once all routers
+    /// of the pool have been told, so that the callers may be answered.
+    pub(crate) async fn crashed(&self, shared: &Shared, endpoint: Endpoint, instance: u64) {
+        let in_flight: Vec<InFlight> = lock(&self.in_flight)
+            .get(&endpoint)
+            .into_iter()
+            .flat_map(|map| map.values().copied())
+            .collect();
+        if in_flight.is_empty() {
+            return;
+        }
+        log::warn!(
+            endpoint:% = endpoint, instance, suspects = in_flight.len();
+            "endpoint died; the requests in flight there are suspected"
+        );
+        let now = shared.clock.now();
+        let actions = lock(&self.detector).crashed(now, endpoint, instance, &in_flight);
+        self.perform(shared, actions);
+        let crash = Crash { endpoint, instance };
+        let mut confirmed = self.confirmed.subscribe();
+        let told = confirmed.wait_for(|crashes| crashes.contains(&crash));
+        if time::timeout(CONFIRM_TIMEOUT, told).await.is_err() {
+            log::warn!(endpoint:% = endpoint; "other routers could not be told of the crash in time");
+        }
+    }
+
+    /// Takes the members that this router sees and the owner of the pool.
+    pub(crate) fn members(&self, shared: &Shared, now: Instant, owner: Node, visible: &[Node]) {
+        let actions = {
+            let mut detector = lock(&self.detector);
+            let mut actions = detector.members(now, visible);
+            actions.extend(detector.owner_changed(now, Some(owner)));
+            actions
+        };
+        self.perform(shared, actions);
+    }
+
+    /// Takes a message of another router.
+    pub(crate) fn receive(&self, shared: &Shared, now: Instant, from: Node, message: &Message) {
+        let actions = lock(&self.detector).receive(now, from, message);
+        self.perform(shared, actions);
+    }
+
+    /// The suspects, for operators.
+    pub(crate) fn list(&self, now: Instant) -> Vec<Suspect> {
+        lock(&self.detector).list(now)
+    }
+
+    /// Lifts the suspicion of a request.
+    pub(crate) fn lift(&self, shared: &Shared, now: Instant, fingerprint: Fingerprint) {
+        let actions = lock(&self.detector).lift(now, fingerprint);
+        self.perform(shared, actions);
+    }
+
+    /// Serves the detector's timers until the router ends.
+    pub(crate) async fn run(self: Arc<Self>, shared: Arc<Shared>) {
+        loop {
+            let now = shared.clock.now();
+            let idle = now + IDLE_TICK;
+            let next = lock(&self.detector).next_tick().unwrap_or(idle).min(idle);
+            tokio::select! {
+                () = time::sleep_until(shared.clock.deadline(next)) => {}
+                () = self.wake.notified() => continue,
+            }
+            let actions = lock(&self.detector).tick(shared.clock.now());
+            for action in actions {
+                self.carry_out(&shared, action);
+            }
+        }
+    }
+
+    fn perform(&self, shared: &Shared, actions: Vec<Action>) {
+        for action in actions {
+            self.carry_out(shared, action);
+        }
+        self.wake.notify_one();
+    }
+
+    fn carry_out(&self, shared: &Shared, action: Action) {
+        match action {
+            Action::Send { to, message } => shared.send(to, &Envelope::Poison(message)),
+            Action::Confirmed(crash) => self.confirmed.send_modify(|crashes| {
+                crashes.push_back(crash);
+                if crashes.len() > CONFIRMED_MAX {
+                    crashes.pop_front();
+                }
+            }),
+        }
+    }
+}
+
+/// The pool that a message is about.
+pub(crate) const fn pool(message: &Message) -> Pool {
+    match message {
+        Message::Tell { pool, .. }
+        | Message::Ack { pool, .. }
+        | Message::Ask { pool }
+        | Message::Answer { pool, .. } => *pool,
+    }
+}
--- /dev/null
+++ b/siskin-site/src/lib.rs
@@ -0,0 +1,10 @@
+//! A site of routers and stand-ins on loopback, for the quickstart, tests and measurements.
+
+pub mod client;
+pub mod options;
+mod site;
+
+pub use {
+    options::{Application, Customer, Options},
+    site::{OPERATOR_TOKEN, Site, settings},
+};
--- /dev/null
+++ b/siskin-site/tests/outcomes.rs
@@ -0,0 +1,171 @@
+//! Each way a request can end: the caller is told the truth, and gets the whole of its own answer or none.
+
+use {
+    crate::support::{chat_text, command_all, command_one, options, runs, start},
+    googletest::prelude::*,
+    siskin_site::{
+        Customer, Site,
+        client::{Answer, Call, send},
+    },
+    siskin_standin::{
+        engine,
+        fault::{Command, Fault},
+    },
+    std::ops::RangeInclusive,
+};
+
+const TOKENS: u32 = 20;
+
+/// What is called.
+#[derive(Clone, Copy, Debug)]
+enum Target {
+    Stream,
+    Chat,
+    /// An application route whose calls may not be repeated.
+    Bookings,
+    /// An application route whose calls may be repeated.
+    Search,
+}
+
+/// Which endpoints have a fault.
+#[derive(Clone, Copy, Debug)]
+enum Reach {
+    /// The first attempt that reaches each endpoint.
+    Once,
+    /// The first attempt that reaches one of the endpoints.
+    One,
+    /// Every request at every endpoint.
+    Always,
+}
+
+struct Case {
+    name: &'static str,
+    target: Target,
+    fault: Option<(Reach, Fault)>,
+    want: &'static str,
+    reason: &'static str,
+    runs: RangeInclusive<u64>,
+}
+
+impl Case {
+    const fn completed(name: &'static str, target: Target, runs: RangeInclusive<u64>) -> Self {
+        Self { name, target, fault: None, want: "completed", reason: "", runs }
+    }
+
+    fn fault(self, reach: Reach, fault: Fault) -> Self {
+        Self { fault: Some((reach, fault)), ..self }
+    }
+
+    fn ends(self, want: &'static str, reason: &'static str) -> Self {
+        Self { want, reason, ..self }
+    }
+}
+
+fn cases() -> Vec<Case> {
+    use {Fault::*, Reach::*, Target::*};
+    vec![
+        Case::completed("stream", Stream, 1..=1),
+        Case::completed("chat", Chat, 1..=1),
+        Case::completed("application", Bookings, 1..=1),
+        Case::completed("stream cut in the middle is resumed", Stream, 1..=1)
+            .fault(Once, Cut { after_events: 3 }),
+        Case::completed("chat cut in the middle is resumed", Chat, 1..=1)
+            .fault(Once, Cut { after_events: 3 }),
+        Case::completed("silent stream is resumed", Stream, 1..=1)
+            .fault(Once, Silence { after_events: 3 }),
+        Case::completed("stream that is silent from the start", Stream, 1..=2)
+            .fault(Once, Silence { after_events: 0 }),
+        Case::completed("doubled events are delivered once", Stream, 1..=1).fault(Once, Doubled),
+        Case::completed("crossed chat is not delivered", Chat, 1..=3).fault(Once, Crossed),
+        Case::completed("crossed stream is not delivered", Stream, 1..=3).fault(Once, Crossed),
+        Case::completed("chat refused once", Chat, 1..=1).fault(Once, Refuse),
+        Case::completed("late answer", Bookings, 1..=1).fault(Once, Late { delay_ms: 300 }),
+        Case::completed("chat refused everywhere", Chat, 0..=0)
+            .fault(Always, Refuse)
+            .ends("not_run", "endpoint_refused"),
+        Case::completed("repeatable call cut in the middle", Search, 3..=3)
+            .fault(Once, Cut { after_events: 0 }),
+        Case::completed("crossed answer of a call", Bookings, 1..=1)
+            .fault(Once, Crossed)
+            .ends("unknown", "crossed"),
+        Case::completed("call cut in the middle", Bookings, 1..=1)
+            .fault(Once, Cut { after_events: 0 })
+            .ends("unknown", "broken"),
+        Case::completed("silent call", Bookings, 1..=1)
+            .fault(Once, Silence { after_events: 0 })
+            .ends("unknown", "silent"),
+        Case::completed("endpoint dies while it runs a call", Bookings, 1..=1)
+            .fault(Once, CrashOn { text: "call 17".to_owned(), restart_ms: 100 })
+            .ends("unknown", "broken"),
+        Case::completed("endpoint dies while it runs a repeatable call", Search, 1..=2)
+            .fault(One, CrashOn { text: "call 18".to_owned(), restart_ms: 100 }),
+    ]
+}
+
+fn call(site: &Site, index: usize, target: Target) -> Call {
+    let router = site.router(index % 2).callers();
+    let key = Customer::new("agency").key();
+    let content = format!("call {index}");
+    match target {
+        Target::Stream | Target::Chat => {
+            let stream = matches!(target, Target::Stream);
+            Call::chat(router, &key, &content, u64::from(TOKENS), stream)
+        }
+        Target::Bookings => Call::post(router, "/apps/bookings/crews", &key, &content),
+        Target::Search => Call::post(router, "/apps/search/venues", &key, &content),
+    }
+    .header("x-siskin-timeout-ms", "3000")
+}
+
+/// Whether the answer is the whole answer to this call and to no other.
+fn is_own(answer: &Answer, target: Target, content: &str) -> bool {
+    match target {
+        Target::Stream | Target::Chat => {
+            chat_text(answer) == engine::text(answer.request(), content, TOKENS)
+        }
+        Target::Bookings | Target::Search => {
+            answer.body.contains(content) && answer.body.contains(answer.request())
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_told_what_happened() {
+    let site = start(options()).await;
+    for (index, case) in cases().into_iter().enumerate() {
+        if let Some((reach, fault)) = &case.fault {
+            match reach {
+                Reach::Once => command_all(&site, &Command::once(fault.clone())),
+                Reach::One => command_one(&site, &Command::once(fault.clone())),
+                Reach::Always => command_all(&site, &Command::always(fault.clone())),
+            }
+        }
+        let answer = send(&call(&site, index, case.target)).await.expect(case.name);
+        command_all(&site, &Command::always(Fault::Clear));
+        let content = format!("call {index}");
+        let completed = case.want == "completed";
+        if matches!(case.target, Target::Stream) && completed {
+            expect_true!(answer.body.trim_end().ends_with("data: [DONE]"), "{}", case.name);
+        } else {
+            expect_that!(answer.outcome(), eq(case.want), "{}: {answer:?}", case.name);
+            expect_that!(answer.reason(), eq(case.reason), "{}", case.name);
+        }
+        let own = is_own(&answer, case.target, &content);
+        expect_that!(own, eq(completed), "{}: {answer:?}", case.name);
+        let count = runs(&site, answer.request());
+        expect_true!(case.runs.contains(&count), "{}: {count} runs", case.name);
+    }
+    site.stop().await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_reached_no_endpoint_is_not_run() {
+    let site = start(options()).await;
+    site.applications[0].iter().for_each(siskin_standin::application::Server::stop);
+    let answer = send(&call(&site, 0, Target::Bookings)).await.unwrap();
+    expect_that!(answer.outcome(), eq("not_run"), "{answer:?}");
+    expect_that!(runs(&site, answer.request()), eq(0));
+    site.stop().await;
+}
--- /dev/null
+++ b/siskin-site/tests/poison.rs
@@ -0,0 +1,61 @@
+//! A request that crashes each endpoint that runs it, sent again and again through any router, takes down a bounded
+//! number of endpoints and leaves innocent requests alone.
+
+use {
+    crate::support::{options, start},
+    googletest::prelude::*,
+    siskin_site::{
+        Customer, Site,
+        client::{Call, send},
+    },
+    siskin_standin::{
+        engine,
+        fault::{Command, Fault},
+    },
+    std::{collections::HashSet, time::Duration},
+};
+
+/// Endpoints that one crashing request may take down; see the section on outcomes in the design.
+const CRASHES_MAX: usize = 3;
+
+/// How often the caller sends it again.
+const RESENDS: usize = 12;
+
+const CRASHING: &str = "crash-me";
+
+/// Instances of engines that died.
+fn crashes(site: &Site) -> usize {
+    let runs = site.engines.iter().flat_map(engine::Server::log);
+    let crashed = runs.filter(|run| run.end == siskin_standin::run::End::Crashed);
+    crashed.map(|run| run.instance).collect::<HashSet<_>>().len()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_takes_down_a_bounded_number_of_engines() {
+    let mut setup = options();
+    setup.engines = vec![setup.engines[0].clone(); 6];
+    setup.routers = 3;
+    let site = start(setup).await;
+    for engine in &site.engines {
+        let fault = Fault::CrashOn { text: CRASHING.to_owned(), restart_ms: 50 };
+        engine.command(Command::always(fault));
+    }
+    let key = Customer::new("agency").key();
+    let mut last = None;
+    for resend in 0..RESENDS {
+        let router = site.router(resend % 3).callers();
+        let innocent = Call::chat(router, &Customer::new("planner").key(), "innocent", 40, false);
+        let innocent = tokio::spawn(async move { send(&innocent).await });
+        let answer = send(&Call::chat(router, &key, CRASHING, 40, false)).await.expect("an answer");
+        let innocent = innocent.await.unwrap().expect("an answer");
+        expect_that!(innocent.outcome(), eq("completed"), "resend {resend}: {innocent:?}");
+        last = Some(answer);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    expect_that!(crashes(&site), le(CRASHES_MAX));
+    let last = last.unwrap();
+    expect_that!(last.reason(), eq("suspect_refused"), "{last:?}");
+    expect_that!(last.header("retry-after"), not(eq("")), "{last:?}");
+    site.stop().await;
+}
--- /dev/null
+++ b/siskin-site/tests/stop.rs
@@ -0,0 +1,59 @@
+//! A router that is stopped finishes what is in flight; a caller that goes away frees its engine.
+
+use {
+    crate::support::{chat_text, options, start},
+    googletest::prelude::*,
+    siskin_site::{
+        Customer,
+        client::{Call, Client, send},
+    },
+    siskin_standin::engine,
+    std::time::Duration,
+    tokio::time,
+};
+
+const TOKENS: u32 = 200;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_router_finishes_streams() {
+    let mut site = start(options()).await;
+    let router = site.router(0).callers();
+    let call =
+        Call::chat(router, &Customer::new("agency").key(), "long plan", u64::from(TOKENS), true);
+    let stream = tokio::spawn(async move { send(&call).await });
+    time::sleep(Duration::from_millis(100)).await;
+    let stopped = site.routers[0].take().expect("the router runs");
+    stopped.stop().await;
+    let answer = stream.await.unwrap().expect("the stream is answered");
+    expect_that!(chat_text(&answer), eq(&engine::text(answer.request(), "long plan", TOKENS)));
+    expect_true!(answer.body.trim_end().ends_with("data: [DONE]"));
+    site.stop().await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_its_engine() {
+    let site = start(options()).await;
+    let router = site.router(0).callers();
+    let call = Call::chat(router, &Customer::new("agency").key(), "abandoned", 100_000, true);
+    let response = Client::new().begin(&call).await.expect("the stream begins");
+    drop(response);
+    let idle = async {
+        while site.engines.iter().any(|engine| engine.load().running > 0) {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let freed = time::timeout(Duration::from_secs(5), idle).await;
+    expect_true!(freed.is_ok(), "the engine still runs the abandoned request");
+    site.stop().await;
+}
+
+/// A port that is free for UDP may be taken for TCP. Starting many routers at once used to fail on that.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn many_routers_find_free_ports() {
+    let site = start(siskin_site::Options { routers: 12, ..options() }).await;
+    expect_that!(site.running().count(), eq(12));
+    site.stop().await;
+}
