Add remote claims and tests of the claim writer

Cause: routers other than a bucket's writer need a way to claim, and the writer had no tests. Change: remote::Service sends claims to the bucket's writer and falls back to its own; tables of answers by state, of single store faults, and randomised runs of four routers with pairs of faults.

--- a/siskin-claim/src/lib.rs
+++ b/siskin-claim/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod format;
 pub mod key;
 mod rate;
+pub mod remote;
 pub mod writer;
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -14,6 +14,7 @@
     siskin_wire::claim::{BodyHash, Decision, Key, Record, Token},
     std::{
         collections::{BTreeSet, VecDeque},
+        mem::{self, discriminant},
         time::Duration,
     },
 };
@@ -218,6 +219,8 @@
     queued: bool,
     /// When it is next searched for expired segments; `None` while this writer does not own it.
     retain_at: Option<Instant>,
+    /// Whether that search is due.
+    retain: bool,
 }
 
 /// State of the claim writer of one router.
@@ -253,6 +256,8 @@
     segment_reads: IndexMap<Call, (u8, SegmentId)>,
     removals: VecDeque<Name>,
     removing: IndexMap<Call, Name>,
+    /// Removals wait until then, because one failed.
+    remove_after: Option<Instant>,
     /// Writes since the last removal.
     writes_since_removal: u32,
     timers: BTreeSet<(Instant, u8, u64)>,
@@ -276,6 +281,7 @@
             segment_reads: IndexMap::new(),
             removals: VecDeque::new(),
             removing: IndexMap::new(),
+            remove_after: None,
             writes_since_removal: 0,
             timers: BTreeSet::new(),
             waiting: 0,
@@ -326,10 +332,11 @@
             return vec![Action::Decide { key, token, decision: Decision::Unavailable }];
         }
         let index = self.bucket(&key);
-        if self.waiting_claim(index, &key, token).is_some() {
+        let kind = Kind::Claim(body);
+        if self.waiting_op(index, &kind, &key, token).is_some() {
             return Vec::new();
         }
-        let id = self.add(now, index, Kind::Claim(body), key, token, deadline);
+        let id = self.add(now, index, kind, key, token, deadline);
         if let Some(op) = self.buckets[usize::from(index)].ops.get_mut(&id) {
             op.shared = shared;
         }
@@ -355,7 +362,8 @@
     /// Forgets a claim that still waits, without releasing it in the store.
     pub fn withdraw(&mut self, key: &Key, token: Token) {
         let index = self.bucket(key);
-        if let Some(id) = self.waiting_claim(index, key, token) {
+        let claim = Kind::Claim(BodyHash([0; 16]));
+        if let Some(id) = self.waiting_op(index, &claim, key, token) {
             self.take(index, id);
         }
     }
@@ -369,7 +377,8 @@
             if !buckets.contains(&index) {
                 bucket.retain_at = None;
             } else if bucket.retain_at.is_none() {
-                bucket.retain_at = Some(now);
+                bucket.retain_at = Some(now + self.options.retention_interval);
+                bucket.retain = true;
                 self.advance(now, index, &mut actions);
             }
         }
@@ -385,6 +394,7 @@
         if let Some(name) = self.removing.swap_remove(&call) {
             if answer == Answer::Failed {
                 self.removals.push_back(name);
+                self.remove_after = Some(now + self.options.backoff.1);
             }
             return actions;
         }
@@ -419,15 +429,19 @@
         self.expire(now, &mut actions);
         for index in 0..self.options.buckets {
             let bucket = &mut self.buckets[usize::from(index)];
-            let retry = bucket.retry_at.is_some_and(|at| now >= at);
+            let retry = bucket.retry_at.take_if(|at| now >= *at).is_some();
             let retain = bucket.retain_at.is_some_and(|at| now >= at);
-            if retry {
-                bucket.retry_at = None;
+            if retain {
+                bucket.retain_at = Some(now + self.options.retention_interval);
+                bucket.retain = true;
             }
             if retry || retain {
                 self.advance(now, index, &mut actions);
             }
         }
+        if self.remove_after.is_some_and(|at| now >= at) {
+            self.remove_after = None;
+        }
         self.write_ready(now, &mut actions);
         actions
     }
@@ -438,9 +452,11 @@
         let deadline = self.timers.first().map(|(at, _, _)| *at);
         let retries = self.buckets.iter().filter_map(|bucket| bucket.retry_at);
         let retains = self.buckets.iter().filter_map(|bucket| bucket.retain_at);
-        let idle = self.ready.is_empty() && self.removals.is_empty();
-        let write = (!idle).then(|| self.rate.next());
-        retries.chain(retains).chain(deadline).chain(write).min()
+        let remove = (!self.removals.is_empty()).then_some(self.remove_after);
+        let remove = remove.map(|after| after.unwrap_or_else(|| self.rate.next()));
+        let write = (!self.ready.is_empty()).then(|| self.rate.next());
+        let limited = remove.into_iter().chain(write);
+        retries.chain(retains).chain(deadline).chain(limited).min()
     }
 
     /// Counts since the start.
@@ -478,17 +494,23 @@
         deadline: Instant,
     ) -> Vec<Action> {
         let index = self.bucket(&key);
+        // A message that is repeated while the first one waits adds nothing.
+        if self.waiting_op(index, &kind, &key, token).is_some() {
+            return Vec::new();
+        }
         self.add(now, index, kind, key, token, deadline);
         let mut actions = Vec::new();
         self.advance(now, index, &mut actions);
         actions
     }
 
-    fn waiting_claim(&self, index: u8, key: &Key, token: Token) -> Option<u64> {
+    /// A waiting operation of the same kind for the same attempt.
+    fn waiting_op(&self, index: u8, kind: &Kind, key: &Key, token: Token) -> Option<u64> {
         let mut ops = self.buckets[usize::from(index)].ops.values();
-        let claim =
-            |op: &&Op| op.token == token && op.key == *key && matches!(op.kind, Kind::Claim(_));
-        ops.find(claim).map(|op| op.id)
+        let same = |op: &&Op| {
+            op.token == token && op.key == *key && discriminant(&op.kind) == discriminant(kind)
+        };
+        ops.find(same).map(|op| op.id)
     }
 
     fn add(
@@ -552,8 +574,7 @@
         if bucket.outstanding.is_some() || bucket.retry_at.is_some() || bucket.queued {
             return;
         }
-        let retain = bucket.retain_at.is_some_and(|at| now >= at);
-        if bucket.ops.is_empty() && !retain {
+        if bucket.ops.is_empty() && !bucket.retain {
             return;
         }
         if bucket.base.is_none() || bucket.stale {
@@ -561,10 +582,7 @@
             return;
         }
         self.resolve_spill(index);
-        if retain {
-            let next = now + self.options.retention_interval;
-            self.buckets[usize::from(index)].retain_at = Some(next);
-        }
+        let retain = mem::take(&mut self.buckets[usize::from(index)].retain);
         let plan = self.plan(now, index);
         self.read_segments(index, &plan.unread, actions);
         if plan.changed || plan.full || (retain && plan.expired) {
@@ -867,16 +885,17 @@
     fn write_ready(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut seen: IndexSet<u8> = IndexSet::new();
         while now >= self.rate.next() {
-            let due = self.writes_since_removal >= WRITES_PER_REMOVAL;
+            let removal = !self.removals.is_empty() && self.remove_after.is_none();
+            let due = removal && self.writes_since_removal >= WRITES_PER_REMOVAL;
             let next = self.ready.front().copied().filter(|index| !seen.contains(index));
             match next {
-                Some(index) if self.removals.is_empty() || !due => {
+                Some(index) if !due => {
                     seen.insert(index);
                     self.ready.pop_front();
                     self.write_next(now, index, actions);
                 }
-                _ if self.removals.is_empty() => return,
-                _ => self.remove(now, actions),
+                _ if removal => self.remove(now, actions),
+                _ => return,
             }
         }
     }
--- /dev/null
+++ b/siskin-claim/tests/main/main.rs
@@ -0,0 +1,6 @@
+//! Tests of claims.
+
+mod fleet;
+mod outage;
+mod rules;
+mod store;
--- /dev/null
+++ b/siskin-claim/tests/main/store.rs
@@ -0,0 +1,45 @@
+//! In-memory store with compare-and-swap.
+
+use {
+    siskin_claim::{
+        format::Name,
+        writer::{Action, Answer, Call},
+    },
+    std::collections::HashMap,
+};
+
+#[derive(Default)]
+pub(crate) struct Store {
+    values: HashMap<Name, (u64, Vec<u8>)>,
+    revision: u64,
+}
+
+impl Store {
+    pub(crate) fn apply(&mut self, action: &Action) -> (Call, Answer) {
+        match action {
+            Action::Read { call, name } => {
+                let found = self.values.get(name).cloned();
+                let found = found.map(|(revision, value)| Answer::Found { revision, value });
+                (*call, found.unwrap_or(Answer::Absent))
+            }
+            Action::Swap { call, name, expected, value } => {
+                let current = self.values.get(name).map_or(0, |(revision, _)| *revision);
+                if current != *expected {
+                    return (*call, Answer::Conflict);
+                }
+                self.revision += 1;
+                self.values.insert(*name, (self.revision, value.clone()));
+                (*call, Answer::Swapped { revision: self.revision })
+            }
+            Action::Remove { call, name } => {
+                self.values.remove(name);
+                (*call, Answer::Removed)
+            }
+            other => panic!("{other:?} is no store call"),
+        }
+    }
+
+    pub(crate) fn segments(&self) -> usize {
+        self.values.keys().filter(|name| matches!(name, Name::Segment(..))).count()
+    }
+}
