Run calls with an idempotency key at most once

Cause: a call that was sent again, or through two routers, could run twice. Change: claims are written to the store before the first byte goes to an endpoint, through the writer of their bucket; results are recorded and replayed; a call that did not run releases its claim.

--- a/siskin-router/src/caller/mod.rs
+++ b/siskin-router/src/caller/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod chat;
+mod claimed;
 pub mod respond;
 pub(crate) mod server;
 mod service;
--- a/siskin-router/src/caller/service.rs
+++ b/siskin-router/src/caller/service.rs
@@ -4,9 +4,10 @@
     super::{
         answer::{self, Body},
         chat::Chat,
-        respond,
+        claimed, respond,
     },
     crate::{
+        claims::Claim,
         exchange::{self, Application, Call, Kind, passed_headers},
         shared::{Shared, lock},
         view::{View, route_number},
@@ -36,6 +37,12 @@
 /// Header by which a caller shortens its deadline.
 const TIMEOUT_MS: &str = "x-siskin-timeout-ms";
 
+/// Header that names a call, so that it runs at most once however often it is sent.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Longest idempotency key.
+const IDEMPOTENCY_KEY_BYTES: usize = 255;
+
 /// Longest time in which a caller has to send its request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -82,7 +89,7 @@
         let limit = view.document.fleet.max_body_bytes;
         let body = read_body(shared, incoming, limit).await?;
         let call = chat_call(shared, &view, customer, &head.headers, &body)?;
-        return Ok(run(shared, call).await);
+        return Ok(run(shared, call, None).await);
     }
     if let Some(rest) = path.strip_prefix(APPLICATIONS_PATH) {
         let name = rest.split('/').next().unwrap_or_default().to_owned();
@@ -93,20 +100,24 @@
         let limit = route.max_body_bytes.unwrap_or(view.document.fleet.max_body_bytes);
         let body = read_body(shared, incoming, limit).await?;
         let call = application_call(shared, &view, customer, &head, (&name, route), body)?;
-        return Ok(run(shared, call).await);
+        let claim = claim(shared, &head.headers, &call)?;
+        return Ok(run(shared, call, claim).await);
     }
     let message = format!("there is nothing at '{path}'; use {CHAT_PATH} or {APPLICATIONS_PATH}");
     Err(refuse(shared, StatusCode::NOT_FOUND, "unknown_path", &message))
 }
 
 /// Runs a call in a task of its own, so that it ends properly even if the caller's connection goes away.
-async fn run(shared: &Arc<Shared>, call: Call) -> Response<Body> {
+async fn run(shared: &Arc<Shared>, call: Call, claim: Option<Claim>) -> Response<Body> {
     let (responder, head) = respond::channel();
     let request = call.request;
     let running = shared.begin_request();
-    let task = exchange::run(Arc::clone(shared), call, responder);
+    let task_shared = Arc::clone(shared);
     shared.spawn(async move {
-        task.await;
+        match claim {
+            Some(claim) => claimed::run(task_shared, call, claim, responder).await,
+            None => drop(exchange::run(task_shared, call, responder).await),
+        }
         drop(running);
     });
     match head.await {
@@ -116,6 +127,27 @@
     }
 }
 
+/// The claim of a call that may not be repeated and carries an idempotency key.
+fn claim(shared: &Shared, headers: &HeaderMap, call: &Call) -> Result<Option<Claim>, Refused> {
+    let (Some(key), Kind::Application(application)) = (headers.get(IDEMPOTENCY_KEY), &call.kind)
+    else {
+        return Ok(None);
+    };
+    if application.idempotent {
+        return Ok(None);
+    }
+    let key = key.as_bytes();
+    if key.is_empty() || key.len() > IDEMPOTENCY_KEY_BYTES {
+        let message =
+            format!("header {IDEMPOTENCY_KEY} must have 1 to {IDEMPOTENCY_KEY_BYTES} bytes");
+        return Err(refuse(shared, StatusCode::BAD_REQUEST, "malformed", &message));
+    }
+    // The target does not name the route; its number does.
+    let path = format!("{}{}", call.model, application.target);
+    let content = (application.method.as_str(), path.as_str(), application.body.as_ref());
+    Ok(Some(shared.claims.name(call.request, call.customer, key, content)))
+}
+
 fn chat_call(
     shared: &Shared,
     view: &View,
--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -53,7 +53,7 @@
 
 impl Shared {
     /// Places the owners of all pools among the members that this router sees.
-    pub(crate) fn members_changed(&self) {
+    pub(crate) fn members_changed(self: &Arc<Self>) {
         let now = self.clock.now();
         let (visible, known) = {
             let member = lock(&self.member);
@@ -73,6 +73,7 @@
             owned_pools += i64::from(owner == self.settings.node);
             pool.members(self, now, owner, &visible, known);
         }
+        self.claims.members_changed(self);
         self.metrics.owned_pools.set(owned_pools);
     }
 }
--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -1,6 +1,7 @@
 //! Router process: callers' requests, queues, dispatch and control roles.
 
 pub mod caller;
+mod claims;
 pub mod clock;
 mod configure;
 mod control;
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        caller, configure,
+        caller,
+        claims::Claims,
+        configure,
         control::{Control, Received},
         metrics::Metrics,
         operator,
@@ -81,6 +83,7 @@
         shared.spawn(receive(Arc::clone(&shared), received));
         shared.spawn(membership(Arc::clone(&shared)));
         shared.spawn(loads(Arc::clone(&shared)));
+        shared.spawn(Claims::run(Arc::clone(&shared)));
         shared.spawn(configure::run(Arc::clone(&shared)));
         shared.spawn(operator::run(Arc::clone(&shared), operator_listener));
         log::info!(
@@ -201,7 +204,8 @@
                     pool.suspects().receive(&shared, now, opened.node, &message);
                 }
             }
-            Message::Config(_) | Message::Claim(_) => {}
+            Message::Claim(message) => shared.claims.receive(&shared, opened.node, &message),
+            Message::Config(_) => {}
         }
     }
 }
--- a/siskin-router/src/settings.rs
+++ b/siskin-router/src/settings.rs
@@ -77,6 +77,8 @@
     /// Secret under which idempotency keys and request contents are hashed. It must stay the same for as long as
     /// claims are kept.
     pub hash_key: Secret,
+    /// How long claims on idempotency keys are kept.
+    pub claim_retention: Duration,
     /// Token of the operators' interface.
     pub operator_token: Secret,
     /// Log filter.
@@ -87,7 +89,7 @@
 const SECRET_BYTES_MIN: usize = 16;
 
 /// The table of settings of `siskin-router`.
-pub const TABLE: [Setting; 17] = [
+pub const TABLE: [Setting; 18] = [
     Setting::new("node", "SISKIN_NODE", None, "NUMBER", "number of this VM, unique in the fleet"),
     Setting::new(
         "data-centre",
@@ -152,6 +154,13 @@
         "MS",
         "longest time to finish requests in flight at a stop, 0 to 600000",
     ),
+    Setting::new(
+        "claim-retention-ms",
+        "SISKIN_CLAIM_RETENTION_MS",
+        Some("86400000"),
+        "MS",
+        "how long claims on idempotency keys are kept, 60000 to 604800000",
+    ),
     Setting::new(
         "scheduling",
         "SISKIN_SCHEDULING",
@@ -224,6 +233,7 @@
                 .map(|_| secret(values, "SISKIN_FLEET_KEY_NEXT"))
                 .transpose()?,
             hash_key: secret(values, "SISKIN_HASH_KEY")?,
+            claim_retention: values.millis("claim-retention-ms", 60_000..=604_800_000)?,
             operator_token: secret(values, "SISKIN_OPERATOR_TOKEN")?,
             log: values.required("log")?.to_owned(),
         })
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        claims::Claims,
         clock::Clock,
         control::Control,
         exchange::{Call, Kind},
@@ -58,6 +59,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) upstream: upstream::Pool,
     pub(crate) fingerprints: Hasher,
+    pub(crate) claims: Claims,
     pub(crate) control: Arc<Control>,
     pub(crate) member: Mutex<Member>,
     pub(crate) estimator: Mutex<Estimator>,
@@ -104,10 +106,12 @@
         control: Arc<Control>,
         member: Member,
     ) -> Self {
+        let clock = Clock::start();
         Self {
+            claims: Claims::new(&settings, incarnation, clock.now()),
             incarnation,
             fingerprints: Hasher::new(&hash_secret(&settings)),
-            clock: Clock::start(),
+            clock,
             settings,
             metrics,
             upstream: upstream::Pool::new(upstream::Options::default()),
--- a/siskin-site/tests/main.rs
+++ b/siskin-site/tests/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests through real sockets: what callers are told against what the endpoints really ran.
 
+mod claims;
 mod outcomes;
 mod poison;
 mod stop;
