Read and delete spans of keys in the store client

Cause: the configuration reads its log from a version on and deletes old entries as a span. Change: Store::span and Store::clear, for the client and its fake. Measured: both pass the same expectations. Conclusion: the follower's calls can be carried out as they are.

--- a/siskin-store/src/entry.rs
+++ b/siskin-store/src/entry.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// Keys from `start` up to `end`, without `end`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span<'a> {
+    /// First key.
+    pub start: &'a str,
+    /// Key after the last.
+    pub end: &'a str,
+    /// Largest number of keys; 0: no limit.
+    pub limit: u32,
+}
+
 /// Answer to reading a range.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
--- a/siskin-store/src/http/message.rs
+++ b/siskin-store/src/http/message.rs
@@ -177,6 +177,15 @@
     })
 }
 
+/// `RangeRequest` or `DeleteRangeRequest` for a span.
+pub(super) fn span(span: crate::Span<'_>) -> Value {
+    json!({
+        "key": encode(span.start.as_bytes()),
+        "range_end": encode(span.end.as_bytes()),
+        "limit": span.limit.to_string(),
+    })
+}
+
 /// `TxnRequest` that writes `operation` if `key` was last changed at `expected`.
 pub(super) fn conditional(key: &str, expected: Revision, operation: &Value) -> Value {
     let encoded = encode(key.as_bytes());
--- a/siskin-store/src/http/mod.rs
+++ b/siskin-store/src/http/mod.rs
@@ -8,7 +8,8 @@
 
 use {
     crate::{
-        Change, Error, Found, Lease, LeaseId, Page, Range, Revision, Scope, Store, Watched, Write,
+        Change, Error, Found, Lease, LeaseId, Page, Range, Revision, Scope, Span, Store, Watched,
+        Write,
         count::{Counts, Kind},
     },
     message::{Streamed, Txn},
@@ -87,6 +88,14 @@
         self.transport.counts()
     }
 
+    async fn page(&self, body: &Value) -> Result<Page, Error> {
+        let range: message::Range =
+            self.transport.retried(Kind::Range, "/v3/kv/range", body).await?;
+        let head = Revision(range.header.revision.0);
+        let entries = range.kvs.into_iter().map(message::KeyValue::entry).collect();
+        Ok(Page { entries, more: range.more, head })
+    }
+
     async fn write(
         &self,
         kind: Kind,
@@ -117,12 +126,18 @@
     }
 
     async fn range(&self, range: Range<'_>) -> Result<Page, Error> {
-        let body = message::range(range);
-        let range: message::Range =
-            self.transport.retried(Kind::Range, "/v3/kv/range", &body).await?;
-        let head = Revision(range.header.revision.0);
-        let entries = range.kvs.into_iter().map(message::KeyValue::entry).collect();
-        Ok(Page { entries, more: range.more, head })
+        self.page(&message::range(range)).await
+    }
+
+    async fn span(&self, span: Span<'_>) -> Result<Page, Error> {
+        self.page(&message::span(span)).await
+    }
+
+    async fn clear(&self, span: Span<'_>) -> Result<(), Error> {
+        let body = message::span(span);
+        let deleted: Value = self.transport.once(Kind::Delete, "/v3/kv/deleterange", &body).await?;
+        drop(deleted);
+        Ok(())
     }
 
     async fn create(
--- a/siskin-store/src/lib.rs
+++ b/siskin-store/src/lib.rs
@@ -32,7 +32,7 @@
 mod entry;
 
 pub use entry::{
-    Change, Entry, Found, Lease, LeaseId, Page, Range, Revision, Scope, Watched, Write,
+    Change, Entry, Found, Lease, LeaseId, Page, Range, Revision, Scope, Span, Watched, Write,
 };
 
 use std::{future::Future, time::Duration};
@@ -50,6 +50,12 @@
     /// Reads the keys of a range in order.
     fn range(&self, range: Range<'_>) -> impl Future<Output = Result<Page, Error>> + Send;
 
+    /// Reads the keys of a span in order.
+    fn span(&self, span: Span<'_>) -> impl Future<Output = Result<Page, Error>> + Send;
+
+    /// Deletes the keys of a span, whatever their revisions; the limit does not matter.
+    fn clear(&self, span: Span<'_>) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Creates a key if it is absent.
     fn create(
         &self,
--- a/siskin-store/src/memory.rs
+++ b/siskin-store/src/memory.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        Change, Entry, Error, Found, Lease, LeaseId, Page, Range, Revision, Scope, Watched, Write,
+        Change, Entry, Error, Found, Lease, LeaseId, Page, Range, Revision, Scope, Span, Watched,
+        Write,
         count::{Counters, Counts, Kind},
     },
     bytes::Bytes,
@@ -202,6 +203,18 @@
         self.call(Kind::Range, |table| Ok(table.page(range))).await
     }
 
+    async fn span(&self, span: Span<'_>) -> Result<Page, Error> {
+        self.call(Kind::Range, |table| Ok(table.span(span))).await
+    }
+
+    async fn clear(&self, span: Span<'_>) -> Result<(), Error> {
+        let clear = |table: &mut Table| {
+            table.clear(span);
+            Ok(())
+        };
+        self.call(Kind::Delete, clear).await
+    }
+
     async fn create(
         &self,
         key: &str,
@@ -255,6 +268,26 @@
 }
 
 impl Table {
+    fn span(&self, span: Span<'_>) -> Page {
+        let limit = if span.limit == 0 { usize::MAX } else { span.limit as usize };
+        let mut found =
+            self.keys.range::<str, _>((Bound::Included(span.start), Bound::Excluded(span.end)));
+        let entries = found.by_ref().take(limit).map(|(_, entry)| entry.clone()).collect();
+        Page { entries, more: found.next().is_some(), head: self.head }
+    }
+
+    fn clear(&mut self, span: Span<'_>) {
+        let found =
+            self.keys.range::<str, _>((Bound::Included(span.start), Bound::Excluded(span.end)));
+        let keys: Vec<String> = found.map(|(key, _)| key.clone()).collect();
+        if !keys.is_empty() {
+            self.head = self.head.next();
+        }
+        for key in &keys {
+            self.remove(key);
+        }
+    }
+
     fn page(&self, range: Range<'_>) -> Page {
         let start = match range.after {
             Some(after) if after >= range.prefix => Bound::Excluded(after),
--- a/siskin-store/tests/store/behaviour.rs
+++ b/siskin-store/tests/store/behaviour.rs
@@ -5,7 +5,7 @@
     googletest::prelude::*,
     siskin_standin::kv,
     siskin_store::{
-        Entry, Error, LeaseId, Range, Revision, Scope, Store, VALUE_LIMIT_BYTES, Write,
+        Entry, Error, LeaseId, Range, Revision, Scope, Span, Store, VALUE_LIMIT_BYTES, Write,
         http::{self, Client},
         memory,
     },
@@ -45,10 +45,26 @@
 async fn check(name: &str, store: &impl Store) -> Result<()> {
     writes(name, store).await?;
     ranges(name, store).await?;
+    spans(name, store).await?;
     watches(name, store).await?;
     leases(name, store).await
 }
 
+async fn spans(name: &str, store: &impl Store) -> Result<()> {
+    for key in ["s/1", "s/2", "s/3", "s/4"] {
+        applied(&store.create(key, b"x", None).await?)?;
+    }
+    let span = Span { start: "s/2", end: "s/4", limit: 1 };
+    let page = store.span(span).await?;
+    let keys: Vec<_> = page.entries.iter().map(|entry| entry.key.as_str()).collect();
+    expect_that!((keys, page.more), eq(&(vec!["s/2"], true)), "{name}");
+    store.clear(span).await?;
+    let left = store.span(Span { start: "s/", end: "s0", limit: 0 }).await?;
+    let keys: Vec<_> = left.entries.iter().map(|entry| entry.key.as_str()).collect();
+    expect_that!((keys, left.more), eq(&(vec!["s/1", "s/4"], false)), "{name}");
+    Ok(())
+}
+
 pub(crate) fn applied(write: &Write) -> Result<Revision> {
     match write {
         Write::Applied { revision } => Ok(*revision),
