Use keys of its own in the test of spans

Cause: the test of spans created keys that the test of ranges had created before. Change: it uses another prefix. Conclusion: the failure was the test's own.

--- a/siskin-store/tests/store/behaviour.rs
+++ b/siskin-store/tests/store/behaviour.rs
@@ -51,17 +51,17 @@
 }
 
 async fn spans(name: &str, store: &impl Store) -> Result<()> {
-    for key in ["s/1", "s/2", "s/3", "s/4"] {
+    for key in ["span/1", "span/2", "span/3", "span/4"] {
         applied(&store.create(key, b"x", None).await?)?;
     }
-    let span = Span { start: "s/2", end: "s/4", limit: 1 };
+    let span = Span { start: "span/2", end: "span/4", limit: 1 };
     let page = store.span(span).await?;
     let keys: Vec<_> = page.entries.iter().map(|entry| entry.key.as_str()).collect();
-    expect_that!((keys, page.more), eq(&(vec!["s/2"], true)), "{name}");
+    expect_that!((keys, page.more), eq(&(vec!["span/2"], true)), "{name}");
     store.clear(span).await?;
-    let left = store.span(Span { start: "s/", end: "s0", limit: 0 }).await?;
+    let left = store.span(Span { start: "span/", end: "span0", limit: 0 }).await?;
     let keys: Vec<_> = left.entries.iter().map(|entry| entry.key.as_str()).collect();
-    expect_that!((keys, left.more), eq(&(vec!["s/1", "s/4"], false)), "{name}");
+    expect_that!((keys, left.more), eq(&(vec!["span/1", "span/4"], false)), "{name}");
     Ok(())
 }
 
