--- a/siskin-outcome/src/outcome.rs
+++ b/siskin-outcome/src/outcome.rs
@@ -36,6 +36,8 @@
     InFlightCap,
     /// No endpoint that may be used serves the model or route.
     NoEndpoint,
+    /// The router has not loaded the configuration yet.
+    NotReady,
     /// The router sees neither the store nor half of the members.
     Isolated,
     /// The router is stopping.
@@ -92,11 +94,12 @@
 
 impl Reason {
     /// All reasons, for registering one counter each.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::QueueFull,
         Self::RateLimit,
         Self::InFlightCap,
         Self::NoEndpoint,
+        Self::NotReady,
         Self::Isolated,
         Self::Stopping,
         Self::QueueDeadline,
@@ -123,6 +126,7 @@
             Self::RateLimit => "rate_limit",
             Self::InFlightCap => "in_flight_cap",
             Self::NoEndpoint => "no_endpoint",
+            Self::NotReady => "not_ready",
             Self::Isolated => "isolated",
             Self::Stopping => "stopping",
             Self::QueueDeadline => "queue_deadline",
@@ -164,6 +168,7 @@
         match self {
             Self::QueueFull | Self::RateLimit | Self::InFlightCap | Self::SuspectRefused => 429,
             Self::NoEndpoint
+            | Self::NotReady
             | Self::Isolated
             | Self::Stopping
             | Self::ClaimStoreUnavailable
@@ -189,6 +194,7 @@
             | Self::EndpointRefused
             | Self::ConnectFailed
             | Self::QueueDeadline
+            | Self::NotReady
             | Self::Stopping
             | Self::ClaimInProgress => Some(SHORT_WAIT),
             Self::NoEndpoint | Self::Isolated | Self::ClaimStoreUnavailable => Some(LONG_WAIT),
--- a/siskin-router/src/caller/service.rs
+++ b/siskin-router/src/caller/service.rs
@@ -77,27 +77,27 @@
 ) -> Result<Response<Body>, Refused> {
     let view = shared.view();
     let (head, incoming) = request.into_parts();
-    let customer = authenticate(shared, &view, &head.headers)?;
     if let Some(reason) = shared.refuses_work() {
         return Err(not_run(shared, reason).into());
     }
+    let customer = authenticate(shared, &view, &head.headers)?;
     let path = head.uri.path();
     if path == CHAT_PATH {
         if head.method != Method::POST {
             return Err(refuse(shared, StatusCode::METHOD_NOT_ALLOWED, "method", "use POST"));
         }
-        let limit = view.document.fleet.max_body_bytes;
+        let limit = view.document().fleet.max_body_bytes;
         let body = read_body(shared, incoming, limit).await?;
         let call = chat_call(shared, &view, customer, &head.headers, &body)?;
         return Ok(run(shared, call, None).await);
     }
     if let Some(rest) = path.strip_prefix(APPLICATIONS_PATH) {
         let name = rest.split('/').next().unwrap_or_default().to_owned();
-        let Some(route) = view.document.routes.get(&name) else {
+        let Some(route) = view.document().routes.get(&name) else {
             let message = format!("there is no application '{name}'; check the path");
             return Err(refuse(shared, StatusCode::NOT_FOUND, "unknown_route", &message));
         };
-        let limit = route.max_body_bytes.unwrap_or(view.document.fleet.max_body_bytes);
+        let limit = route.max_body_bytes.unwrap_or(view.document().fleet.max_body_bytes);
         let body = read_body(shared, incoming, limit).await?;
         let call = application_call(shared, &view, customer, &head, (&name, route), body)?;
         let claim = claim(shared, &head.headers, &call)?;
@@ -158,7 +158,7 @@
     let chat = Chat::parse(body).map_err(|error| {
         refuse(shared, StatusCode::BAD_REQUEST, "malformed", &error.to_string())
     })?;
-    let pool = view.index.pool_of_model(&chat.model).and_then(|id| shared.pool(id));
+    let pool = view.index().pool_of_model(&chat.model).and_then(|id| shared.pool(id));
     let (Some(model), Some(pool)) = (view.model(&chat.model), pool) else {
         let message = format!("there is no model '{}'; check its name", chat.model);
         return Err(refuse(shared, StatusCode::NOT_FOUND, "unknown_model", &message));
@@ -196,7 +196,7 @@
     (name, route): (&str, &Route),
     body: Bytes,
 ) -> Result<Call, Refused> {
-    let Some(pool) = view.index.pool_of_route(name).and_then(|id| shared.pool(id)) else {
+    let Some(pool) = view.index().pool_of_route(name).and_then(|id| shared.pool(id)) else {
         let message = format!("application '{name}' has no pool; ask the operators");
         return Err(refuse(shared, StatusCode::NOT_FOUND, "unknown_route", &message));
     };
@@ -234,7 +234,7 @@
     headers: &HeaderMap,
     max_duration: Option<Duration>,
 ) -> Result<Instant, Refused> {
-    let longest = view.document.fleet.request_timeout();
+    let longest = view.document().fleet.request_timeout();
     let longest = max_duration.map_or(longest, |duration| duration.min(longest));
     let wanted = match headers.get(TIMEOUT_MS) {
         None => longest,
@@ -256,7 +256,7 @@
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "))
-        .and_then(|key| view.index.customer_of_key(key.trim().as_bytes()))
+        .and_then(|key| view.index().customer_of_key(key.trim().as_bytes()))
         .ok_or_else(|| {
             let message = "send 'Authorization: Bearer <key>' with a key of a customer";
             refuse(shared, StatusCode::UNAUTHORIZED, "unauthenticated", message)
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -207,7 +207,7 @@
         if self.probed || !self.stage.waits_for_endpoint() {
             return None;
         }
-        let timeout = self.shared.view().document.fleet.progress_timeout();
+        let timeout = self.shared.view().document().fleet.progress_timeout();
         let patience = match &self.call.kind {
             Kind::Chat { .. } if self.life.delivered() == 0 => timeout * FIRST_EVENT_FACTOR,
             Kind::Application(_) if self.life.delivered() == 0 => {
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -130,7 +130,7 @@
     /// Version of the configuration in force.
     #[must_use]
     pub fn config_version(&self) -> u64 {
-        self.shared.view().version
+        self.shared.view().version()
     }
 
     /// Routers that this one sees, itself included.
@@ -205,7 +205,7 @@
                 }
             }
             Message::Claim(message) => shared.claims.receive(&shared, opened.node, &message),
-            Message::Config(_) => {}
+            Message::Config(message) => configure::receive(&shared, opened.node, &message),
         }
     }
 }
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -7,6 +7,7 @@
     crate::{
         claims::Claims,
         clock::Clock,
+        configure::Config,
         control::Control,
         exchange::{Call, Kind},
         metrics::Metrics,
@@ -20,6 +21,7 @@
     hyper::{Method, Request as HttpRequest, StatusCode, header::HOST},
     indexmap::IndexMap,
     serde::Deserialize,
+    siskin_config::follower::{Follower, Options},
     siskin_member::Member,
     siskin_outcome::{
         outcome::{Outcome, Reason},
@@ -60,6 +62,7 @@
     pub(crate) upstream: upstream::Pool,
     pub(crate) fingerprints: Hasher,
     pub(crate) claims: Claims,
+    pub(crate) config: Config,
     pub(crate) control: Arc<Control>,
     pub(crate) member: Mutex<Member>,
     pub(crate) estimator: Mutex<Estimator>,
@@ -109,6 +112,7 @@
         let clock = Clock::start();
         Self {
             claims: Claims::new(&settings, incarnation, clock.now()),
+            config: Config::new(config_store(&settings, incarnation), incarnation),
             incarnation,
             fingerprints: Hasher::new(&hash_secret(&settings)),
             clock,
@@ -120,7 +124,9 @@
             estimator: Mutex::new(Estimator::new(ESTIMATES, DEFAULT_OUTPUT)),
             prefixes: Mutex::new(Table::new(PREFIX_BLOCKS)),
             health: Mutex::new(Tracker::new(health::Options::default())),
-            view: RwLock::default(),
+            view: RwLock::new(Arc::new(View::new(Arc::clone(
+                Follower::new(Options { seed: 0 }).state(),
+            )))),
             pools: RwLock::default(),
             stopping: AtomicBool::new(false),
             requests: AtomicU64::new(0),
@@ -143,8 +149,14 @@
         Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    pub(crate) fn set_view(&self, view: Arc<View>) {
-        *self.view.write().unwrap_or_else(PoisonError::into_inner) = view;
+    /// Brings a view into force unless a newer one is; tells whether it did.
+    pub(crate) fn set_view(&self, view: Arc<View>) -> bool {
+        let mut current = self.view.write().unwrap_or_else(PoisonError::into_inner);
+        if view.version() <= current.version() {
+            return false;
+        }
+        *current = view;
+        true
     }
 
     /// All pools.
@@ -166,7 +178,7 @@
         if self.stopping.load(Ordering::Relaxed) {
             return Some(Reason::Stopping);
         }
-        (self.view().version == 0).then_some(Reason::Isolated)
+        self.config.refuses_work()
     }
 
     /// Takes no new requests from now on.
@@ -339,7 +351,7 @@
     pub(crate) async fn probe(&self, pool: &Pool, endpoint: Endpoint) -> Option<health::Report> {
         let view = self.view();
         let address = view.address(endpoint)?;
-        let timeout = view.document.fleet.probe_timeout();
+        let timeout = view.document().fleet.probe_timeout();
         let report = time::timeout(timeout, self.ask_load(address)).await.ok().flatten()?;
         let before = lock(&self.health).instance(endpoint);
         let change = lock(&self.health).reported(self.clock.now(), endpoint, report);
@@ -430,6 +442,15 @@
     }
 }
 
+/// The client for the configuration, with the budget of the design.
+fn config_store(settings: &Settings, seed: u64) -> siskin_store::http::Client {
+    siskin_store::http::Client::new(siskin_store::http::Options {
+        addresses: settings.store.clone(),
+        seed,
+        ..siskin_store::http::Options::default()
+    })
+}
+
 /// Context that separates the hash key from other uses of the same secret.
 const HASH_CONTEXT: &str = "siskinroute 2026 hashes of idempotency keys and contents";
 
--- a/siskin-router/src/suspect.rs
+++ b/siskin-router/src/suspect.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether the suspects that other routers know are known here too.
+    pub(crate) fn synced(&self) -> bool {
+        lock(&self.detector).synced()
+    }
+
     /// Whether a request may run.
     pub(crate) fn admit(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
         let verdict = lock(&self.detector).admit(now, fingerprint);
--- a/siskin-router/src/view.rs
+++ b/siskin-router/src/view.rs
@@ -3,11 +3,12 @@
 use {
     siskin_config::{
         document::{Document, Endpoint, Service},
+        follower::State,
         index::Index,
     },
     siskin_sched::pool::{self, Rate},
     siskin_types::id::{self, Model},
-    std::{collections::HashMap, net::SocketAddr},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
 /// Burst of a rate limit, as seconds of its rate.
@@ -17,34 +18,37 @@
 const ROUTE_BIT: u32 = 1 << 31;
 
 /// A version of the configuration.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct View {
-    /// Its number.
-    pub version: u64,
-    /// The document.
-    pub document: Document,
-    /// Look-up tables.
-    pub index: Index,
+    state: Arc<State>,
     addresses: HashMap<id::Endpoint, SocketAddr>,
 }
 
 impl View {
-    /// Makes the view of a document.
+    /// Makes the view of a version.
     #[must_use]
-    pub fn new(version: u64, document: Document) -> Self {
-        let index = Index::new(&document);
-        Self::with_index(version, document, index)
+    pub fn new(state: Arc<State>) -> Self {
+        let endpoints = state.document.endpoints.iter();
+        let addresses = endpoints.map(|(_, endpoint)| (endpoint.id, endpoint.address)).collect();
+        Self { state, addresses }
     }
 
-    /// Makes the view of a document whose index is known.
+    /// Its number.
     #[must_use]
-    pub fn with_index(version: u64, document: Document, index: Index) -> Self {
-        let addresses = document
-            .endpoints
-            .iter()
-            .map(|(_, endpoint)| (endpoint.id, endpoint.address))
-            .collect();
-        Self { version, document, index, addresses }
+    pub fn version(&self) -> u64 {
+        self.state.version
+    }
+
+    /// The document.
+    #[must_use]
+    pub fn document(&self) -> &Document {
+        &self.state.document
+    }
+
+    /// Look-ups in the document.
+    #[must_use]
+    pub fn index(&self) -> &Index {
+        &self.state.index
     }
 
     /// Where an endpoint listens.
@@ -55,7 +59,7 @@
 
     /// The endpoints of a pool.
     pub fn endpoints<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Endpoint> {
-        let endpoints = self.document.endpoints.iter().map(|(_, endpoint)| endpoint.as_ref());
+        let endpoints = self.document().endpoints.iter().map(|(_, endpoint)| endpoint.as_ref());
         endpoints.filter(move |endpoint| endpoint.pool == pool)
     }
 
@@ -75,7 +79,7 @@
     /// What the scheduler knows of the customers.
     #[must_use]
     pub fn customers(&self) -> Vec<pool::Customer> {
-        self.document
+        self.document()
             .customers
             .iter()
             .map(|(_, customer)| pool::Customer {
@@ -94,7 +98,7 @@
     /// The number of a model.
     #[must_use]
     pub fn model(&self, name: &str) -> Option<Model> {
-        self.document.models.get(name).map(|model| model.id)
+        self.document().models.get(name).map(|model| model.id)
     }
 }
 
--- a/siskin-site/src/client.rs
+++ b/siskin-site/src/client.rs
@@ -165,7 +165,7 @@
                 None => break true,
                 Some(Err(_)) => break false,
                 Some(Ok(frame)) => {
-                    body.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
+                    body.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
                 }
             }
         };
--- a/siskin-site/tests/claims.rs
+++ b/siskin-site/tests/site/claims.rs
@@ -15,6 +15,9 @@
     tokio::time,
 };
 
+/// Longest wait for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 fn booking(site: &Site, router: usize, key: &str, body: &str) -> Call {
     let router = site.router(router).callers();
     Call::post(router, "/apps/bookings/crews", &Customer::new("agency").key(), body)
@@ -28,13 +31,16 @@
 
 /// Sends a call until its claim is no longer in progress.
 async fn settled(site: &Site, router: usize, key: &str, body: &str) -> Answer {
-    loop {
-        let answer = book(site, router, key, body).await;
-        if answer.reason() != "claim_in_progress" {
-            return answer;
+    let settled = async {
+        loop {
+            let answer = book(site, router, key, body).await;
+            if answer.reason() != "claim_in_progress" {
+                return answer;
+            }
+            time::sleep(Duration::from_millis(50)).await;
         }
-        time::sleep(Duration::from_millis(50)).await;
-    }
+    };
+    time::timeout(PATIENCE, settled).await.expect("the claim is settled")
 }
 
 #[gtest]
@@ -123,9 +129,12 @@
     command_all(&site, &Command::always(Fault::Late { delay_ms: 500 }));
     let call = booking(&site, 0, "killed", "confirm");
     let lost = tokio::spawn(async move { send(&call).await });
-    while runs(&site, "killed") == 0 {
-        time::sleep(Duration::from_millis(5)).await;
-    }
+    let started = async {
+        while runs(&site, "killed") == 0 {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(PATIENCE, started).await.expect("the call reaches an endpoint");
     site.kill_router(0);
     let _ = lost.await.unwrap();
     let again = book(&site, 1, "killed", "confirm").await;
