--- a/siskin-sched/src/owner.rs
+++ b/siskin-sched/src/owner.rs
@@ -68,23 +68,38 @@
 }
 
 impl Site {
-    fn usable(&self, now: Instant, visible: usize, known: usize) -> u32 {
+    fn usable(&self, now: Instant, view: View) -> u32 {
         if self.leaving || self.config.leaving {
             return 0;
         }
         let limit = self.config.limit;
-        if visible >= known {
-            return limit;
-        }
-        let share = u64::from(limit) * visible as u64 / known as u64;
         let foreign = match self.foreign {
             Some((at, foreign)) if now - at <= LOAD_VALID => foreign,
             _ => limit,
         };
-        u32::try_from(share).unwrap_or(limit).max(limit.saturating_sub(foreign))
+        let rest = limit.saturating_sub(foreign);
+        match view {
+            View::Whole => limit,
+            View::Unreported => rest,
+            View::Part { visible, known } => {
+                let share = u64::from(limit) * visible as u64 / known as u64;
+                u32::try_from(share).unwrap_or(limit).max(rest)
+            }
+        }
     }
 }
 
+/// How much of the fleet the owner speaks for.
+#[derive(Clone, Copy, Debug)]
+enum View {
+    /// Every known router.
+    Whole,
+    /// Every known router, but some that may hold slots of an earlier term have not reported.
+    Unreported,
+    /// The routers of one side of a partition.
+    Part { visible: usize, known: usize },
+}
+
 /// A grant that can be given now.
 #[derive(Clone, Copy, Debug)]
 struct Pick {
@@ -221,6 +236,19 @@
         }
     }
 
+    fn view(&self, now: Instant) -> View {
+        let (visible, known) = (self.visible.len(), self.known);
+        if visible < known {
+            return View::Part { visible, known };
+        }
+        // Slots granted in an earlier term have lapsed after this time.
+        let young = self.started.is_none_or(|at| now - at < self.options.owner_lapse());
+        if young && self.visible.iter().any(|node| !self.peers.contains_key(node)) {
+            return View::Unreported;
+        }
+        View::Whole
+    }
+
     /// Asks the router for a full report in a new account.
     fn reject(&self, to: id::Node, report: &Report) -> Vec<Action> {
         let message = Grant {
@@ -375,9 +403,9 @@
 
     /// Tells routers about endpoints whose slots they may no longer keep, or may keep again.
     fn review(&mut self, now: Instant) {
-        let (visible, known) = (self.visible.len(), self.known);
+        let view = self.view(now);
         for (endpoint, site) in &mut self.sites {
-            let usable = site.usable(now, visible, known);
+            let usable = site.usable(now, view);
             let keep = usable > 0 && site.held <= usable;
             if keep == site.keep {
                 continue;
@@ -394,10 +422,10 @@
 
     /// Grants free slots to the customers with the lowest virtual time.
     fn allocate(&mut self, now: Instant) {
-        let (visible, known) = (self.visible.len(), self.known);
+        let view = self.view(now);
         let mut free: BTreeMap<id::Endpoint, u32> = BTreeMap::new();
         for (endpoint, site) in &self.sites {
-            let count = site.usable(now, visible, known).saturating_sub(site.held);
+            let count = site.usable(now, view).saturating_sub(site.held);
             if count > 0 {
                 free.insert(*endpoint, count);
             }
@@ -457,37 +485,22 @@
         self.urgent.insert(pick.node);
     }
 
-    /// Tells routers that hold slots that others wait: first those with idle slots, as many as it takes,
-    /// then all.
+    /// Tells every router that holds slots that others wait. Which of them have idle slots is known too
+    /// late to choose among them: a wrong choice would leave a slot idle beyond the limit.
     fn announce(&mut self) {
-        let models: Vec<_> = self.table.models().collect();
+        let models: Vec<_> =
+            self.table.models().filter(|model| !self.announced.contains(model)).collect();
         for model in models {
-            if self.announced.contains(&model) {
-                continue;
-            }
             let serves = |site: &&Site| site.config.models.contains(&model);
             let sites: Vec<_> =
                 self.sites.values().filter(serves).map(|site| site.config.id).collect();
-            let waiting = self.table.waiting(model);
-            let mut recalled = 0;
-            let mut untold = Vec::new();
-            for (node, peer) in self.peers.iter().filter(|(_, peer)| !peer.lapsed) {
-                let idle: u32 = sites.iter().map(|endpoint| peer.idle(*endpoint)).sum();
-                if peer.told.contains(&model) {
-                    recalled += idle;
-                } else if sites.iter().any(|endpoint| peer.held(*endpoint) > 0) {
-                    untold.push((idle, *node));
+            for (node, peer) in &self.peers {
+                let holds = sites.iter().any(|endpoint| peer.held(*endpoint) > 0);
+                if holds && !peer.told.contains(&model) && self.table.elsewhere(model, *node) {
+                    self.urgent.insert(*node);
                 }
             }
-            untold.sort_unstable();
-            while recalled < waiting {
-                let Some((idle, node)) = untold.pop() else { break };
-                recalled += idle;
-                self.urgent.insert(node);
-            }
-            if untold.is_empty() {
-                self.announced.insert(model);
-            }
+            self.announced.insert(model);
         }
     }
 
@@ -512,7 +525,11 @@
         let names = peer.mentions(MENTIONS, MENTIONS_IN_TURN);
         let clocks = names
             .into_iter()
-            .map(|customer| Clock { customer, clock: self.table.clock(customer) })
+            .map(|customer| Clock {
+                customer,
+                clock: self.table.clock(customer),
+                holders: self.table.holders(customer),
+            })
             .collect();
         let mut slots = Vec::new();
         for endpoint in peer.changed() {
@@ -534,12 +551,15 @@
         Some(Action::Send { to, message })
     }
 
-    /// Idle slots that each router may keep while nobody waits: an equal part of half the pool.
+    /// Idle slots that each router may keep while nobody waits: an equal part of half the idle slots, so
+    /// that the other half can be granted without being recalled first.
     fn reserve(&self, now: Instant) -> u32 {
-        let (visible, known) = (self.visible.len(), self.known);
-        let total: u32 = self.sites.values().map(|site| site.usable(now, visible, known)).sum();
+        let view = self.view(now);
+        let total: u32 = self.sites.values().map(|site| site.usable(now, view)).sum();
+        let ledgers = self.peers.values().flat_map(|peer| peer.ledgers.values());
+        let busy: u32 = ledgers.map(Ledger::busy).sum();
         let routers = u32::try_from(self.visible.len().max(1)).unwrap_or(u32::MAX);
-        (total / 2 / routers).max(1)
+        (total.saturating_sub(busy) / 2 / routers).max(1)
     }
 
     fn floors(&self, node: id::Node) -> Vec<Floor> {
--- a/siskin-sched/src/owner/demand.rs
+++ b/siskin-sched/src/owner/demand.rs
@@ -54,16 +54,20 @@
         self.accounts.get(&customer).map_or(Virtual::ZERO, |account| account.clock)
     }
 
+    /// Number of routers at which the customer waits.
+    pub(super) fn holders(&self, customer: id::Customer) -> u32 {
+        let demands = self.accounts.get(&customer).into_iter().flat_map(|a| a.demands.values());
+        demands
+            .map(|demand| u32::try_from(demand.holders.len()).unwrap_or(u32::MAX))
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Models that someone waits for.
     pub(super) fn models(&self) -> impl Iterator<Item = id::Model> {
         self.ready.iter().filter(|(_, ready)| !ready.is_empty()).map(|(model, _)| *model)
     }
 
-    /// Requests that wait for `model`.
-    pub(super) fn waiting(&self, model: id::Model) -> u32 {
-        self.waiting.get(&model).map_or(0, |nodes| nodes.values().sum())
-    }
-
     /// Whether requests for `model` wait at routers other than `node`.
     pub(super) fn elsewhere(&self, model: id::Model, node: id::Node) -> bool {
         let nodes = self.waiting.get(&model);
--- a/siskin-sched/src/owner/peer.rs
+++ b/siskin-sched/src/owner/peer.rs
@@ -25,11 +25,6 @@
         u32::try_from(held).unwrap_or(u32::MAX)
     }
 
-    /// Slots held but not in use when the router last reported, or granted since.
-    pub(super) fn idle(&self) -> u32 {
-        self.held().saturating_sub(self.busy)
-    }
-
     pub(super) fn busy(&self) -> u32 {
         self.busy
     }
@@ -150,11 +145,6 @@
         self.ledgers.get(&endpoint).map_or(0, Ledger::held)
     }
 
-    /// Idle slots known at `endpoint`.
-    pub(super) fn idle(&self, endpoint: id::Endpoint) -> u32 {
-        self.ledgers.get(&endpoint).map_or(0, Ledger::idle)
-    }
-
     /// The customers to mention next: those asked for, then some of those queued here in turn.
     pub(super) fn mentions(&mut self, most: usize, in_turn: usize) -> Vec<id::Customer> {
         let waits = |queue: &Queue| !queue.lines.is_empty();
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -18,6 +18,10 @@
 mod queue;
 mod slots;
 
+/// Waiting requests that the owner should know of. With fewer, slots that become free together would be
+/// granted one report after the other.
+const KNOWN_WAITING: u32 = 4;
+
 /// What the runtime has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -355,7 +359,7 @@
         for model in queue.models() {
             let waiting = queue.waiting(model);
             if let Some(ready) = self.ready.get_mut(&model).filter(|_| waiting > 0) {
-                ready.remove(&(queue.clock, customer));
+                ready.remove(&(queue.expected(), customer));
                 *self.waiting.entry(model).or_default() -= waiting;
             }
         }
@@ -363,7 +367,7 @@
         for model in queue.models() {
             let waiting = queue.waiting(model);
             if waiting > 0 {
-                self.ready.entry(model).or_default().insert((queue.clock, customer));
+                self.ready.entry(model).or_default().insert((queue.expected(), customer));
                 *self.waiting.entry(model).or_default() += waiting;
             }
         }
@@ -414,23 +418,30 @@
             self.valid_until = self.valid_until.max(sent + self.options.lapse);
         }
         self.reserve = grant.reserve;
-        self.apply_floors(&grant.floors);
+        let recalled = self.apply_floors(&grant.floors);
         self.apply_clocks(grant.answers, &grant.clocks);
         self.apply_slots(now, grant);
+        if recalled && !self.idle.is_empty() {
+            self.outbox.answer_recall();
+        }
     }
 
-    fn apply_floors(&mut self, floors: &[Floor]) {
+    /// Returns whether others wait for a model that nobody else waited for before.
+    fn apply_floors(&mut self, floors: &[Floor]) -> bool {
+        let waited = |floor: &Floor| floor.elsewhere.then_some(floor.model);
+        let before: BTreeSet<_> = self.floors.values().filter_map(waited).collect();
         for floor in self.floors.values_mut() {
             floor.elsewhere = false;
         }
         for floor in floors {
             self.floors.insert(floor.model, floor.clone());
         }
+        floors.iter().filter_map(waited).any(|model| !before.contains(&model))
     }
 
     fn apply_clocks(&mut self, answers: u64, clocks: &[Clock]) {
         for entry in clocks {
-            self.change(entry.customer, |queue| queue.told(answers, entry.clock));
+            self.change(entry.customer, |queue| queue.told(answers, entry));
         }
     }
 
@@ -475,7 +486,8 @@
         }
         self.release(now);
         for (model, waiting) in &self.waiting {
-            if *waiting > 0 && self.announced.get(model).is_none_or(|known| *known == 0) {
+            let known = self.announced.get(model).copied().unwrap_or(0);
+            if known < (*waiting).min(KNOWN_WAITING) {
                 self.outbox.hurry();
             }
         }
@@ -597,7 +609,7 @@
         for customer in customers {
             let Some(queue) = self.queues.get_mut(&customer) else { continue };
             // An idle customer that is not ahead of the others is raised to the floor anyway.
-            let blank = queue.queued == 0 && queue.charged == 0 && queue.clock <= floor;
+            let blank = queue.queued == 0 && queue.charged == 0 && queue.clock() <= floor;
             if full && blank {
                 continue;
             }
@@ -654,7 +666,7 @@
     siskin_wire::sched::Queue {
         customer: queue.config.id,
         charged: queue.charged,
-        clock: full.then_some(queue.clock),
+        clock: full.then_some(queue.clock()),
         lines,
     }
 }
--- a/siskin-sched/src/router/outbox.rs
+++ b/siskin-sched/src/router/outbox.rs
@@ -24,6 +24,7 @@
     sent: VecDeque<(u64, Instant)>,
     last: Option<Instant>,
     urgent: bool,
+    recalled: bool,
 }
 
 impl Outbox {
@@ -40,6 +41,12 @@
         self.urgent = true;
     }
 
+    /// Asks for a report at once, whatever the spacing. Only for slots returned because the owner just said
+    /// that others wait: the owner's own spacing bounds how often that happens.
+    pub(super) fn answer_recall(&mut self) {
+        self.recalled = true;
+    }
+
     pub(super) fn customers(&self) -> impl Iterator<Item = id::Customer> {
         self.customers.keys().copied()
     }
@@ -50,7 +57,7 @@
 
     /// When the next report is due; `waiting` tells whether tickets wait for slots.
     pub(super) fn due(&self, options: &pool::Options, waiting: bool) -> Instant {
-        let Some(last) = self.last else { return Instant::ZERO };
+        let Some(last) = self.last.filter(|_| !self.recalled) else { return Instant::ZERO };
         let changed = waiting || !self.customers.is_empty() || !self.endpoints.is_empty();
         last + match (self.urgent, changed) {
             (true, _) => options.report_spacing,
@@ -65,6 +72,7 @@
         self.sent.push_back((self.sequence, now));
         self.last = Some(now);
         self.urgent = false;
+        self.recalled = false;
         self.sequence
     }
 
--- a/siskin-sched/src/router/queue.rs
+++ b/siskin-sched/src/router/queue.rs
@@ -7,6 +7,7 @@
         id,
         time::Instant,
     },
+    siskin_wire::sched,
     std::{
         collections::{BTreeMap, VecDeque},
         time::Duration,
@@ -28,7 +29,12 @@
     pub(super) config: pool::Customer,
     /// Whether the configuration in force names the customer.
     pub(super) known: bool,
-    pub(super) clock: Virtual,
+    /// Virtual time as last told by the owner or raised to the floor.
+    told: Virtual,
+    /// Charges that `told` includes.
+    covered: i64,
+    /// Routers at which the customer waits, by the owner's count.
+    holders: u32,
     /// Units charged in the present account.
     pub(super) charged: i64,
     pub(super) in_flight: u32,
@@ -64,7 +70,9 @@
         Self {
             config,
             known: true,
-            clock: Virtual::ZERO,
+            told: Virtual::ZERO,
+            covered: 0,
+            holders: 1,
             charged: 0,
             in_flight: 0,
             queued: 0,
@@ -125,20 +133,44 @@
         u32::try_from(queued).unwrap_or(u32::MAX).min(self.room())
     }
 
+    /// The virtual time with this router's charges.
+    pub(super) fn clock(&self) -> Virtual {
+        self.clock_with(1)
+    }
+
+    /// The virtual time to expect if half of the other routers at which the customer waits have served it as
+    /// much as this one since the owner's last word. Counting none of them lets all routers serve the same
+    /// customer until the owner's next word; counting all of them multiplies the random differences between
+    /// requests.
+    pub(super) fn expected(&self) -> Virtual {
+        self.clock_with(1 + self.holders.saturating_sub(1) / 2)
+    }
+
+    fn clock_with(&self, times: u32) -> Virtual {
+        let since = self.charged - self.covered;
+        let units = Units(since.unsigned_abs().saturating_mul(u64::from(times)));
+        if since < 0 {
+            self.told.reduced(units, self.config.weight)
+        } else {
+            self.told.advanced(units, self.config.weight)
+        }
+    }
+
     pub(super) fn charge(&mut self, units: Units) {
         self.charged += signed(units);
-        self.clock = self.clock.advanced(units, self.config.weight);
     }
 
     /// Takes back what an estimate charged too much.
     pub(super) fn refund(&mut self, units: Units) {
         self.charged -= signed(units);
-        self.clock = self.clock.reduced(units, self.config.weight);
     }
 
     /// Raises the virtual time of a customer that was idle: idleness gives no credit.
     pub(super) fn raise(&mut self, floor: Virtual) {
-        self.clock = self.clock.max(floor);
+        if self.clock() < floor {
+            self.told = floor;
+            self.covered = self.charged;
+        }
     }
 
     /// Notes that report `sequence` carries the present charge.
@@ -150,27 +182,24 @@
         self.sent.push_back((sequence, self.charged));
     }
 
-    /// Takes the owner's virtual time, which covers the charges up to report `answered`.
-    pub(super) fn told(&mut self, answered: u64, clock: Virtual) {
+    /// Takes the owner's word, which covers the charges up to report `answered`.
+    pub(super) fn told(&mut self, answered: u64, entry: &sched::Clock) {
         while self.sent.get(1).is_some_and(|(sequence, _)| *sequence <= answered) {
             self.sent.pop_front();
         }
-        let covered = match self.sent.front() {
+        self.covered = match self.sent.front() {
             Some((sequence, charged)) if *sequence <= answered => *charged,
             _ => 0,
         };
-        let since = self.charged - covered;
-        let units = Units(since.unsigned_abs());
-        self.clock = if since < 0 {
-            clock.reduced(units, self.config.weight)
-        } else {
-            clock.advanced(units, self.config.weight)
-        };
+        self.told = entry.clock;
+        self.holders = entry.holders;
     }
 
     /// Starts a new account with nothing charged.
     pub(super) fn reopen(&mut self) {
+        self.told = self.clock();
         self.charged = 0;
+        self.covered = 0;
         self.sent.clear();
     }
 }
--- a/siskin-wire/src/sched.rs
+++ b/siskin-wire/src/sched.rs
@@ -122,6 +122,8 @@
     pub customer: Customer,
     /// Its virtual time.
     pub clock: Virtual,
+    /// Routers at which it waits.
+    pub holders: u32,
 }
 
 /// Slots granted to a router at one endpoint.
