--- a/siskin-member/src/gossip.rs
+++ b/siskin-member/src/gossip.rs
@@ -22,24 +22,25 @@
         self.sent.swap_remove(&node);
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.sent.len()
+    /// Another member has sent what is waiting here. This counts like an own sending, which halves the traffic after
+    /// a change of many members.
+    pub(crate) fn heard(&mut self, node: Node) {
+        if let Some(sent) = self.sent.get_mut(&node) {
+            *sent += 1;
+        }
     }
 
     /// Takes the members sent least often, at most `limit`, and counts them as sent.
     pub(crate) fn pick(&mut self, limit: usize, members: usize) -> Vec<Node> {
+        let most = SENDS_PER_DOUBLING * (members.max(1).ilog2() + 1);
+        self.sent.retain(|_, sent| *sent < most);
         let mut order: Vec<_> = self.sent.iter().map(|(node, sent)| (*sent, *node)).collect();
         if order.len() > limit {
             order.select_nth_unstable(limit);
             order.truncate(limit);
         }
-        let most = SENDS_PER_DOUBLING * (members.max(1).ilog2() + 1);
         for (sent, node) in &order {
-            if sent + 1 >= most {
-                self.sent.swap_remove(node);
-            } else {
-                self.sent.insert(*node, sent + 1);
-            }
+            self.sent.insert(*node, sent + 1);
         }
         order.into_iter().map(|(_, node)| node).collect()
     }
--- a/siskin-member/src/options.rs
+++ b/siskin-member/src/options.rs
@@ -63,6 +63,8 @@
     pub settle: Duration,
     /// Shortest time between two requests for a full view.
     pub pull_interval: Duration,
+    /// Shortest time between two questions to members with another view about unreachable members.
+    pub recheck_interval: Duration,
     /// A pause between two ticks that is taken for a suspension of the process: all time limits are then extended,
     /// because answers may be waiting unread.
     pub stall: Duration,
@@ -83,6 +85,7 @@
             seed_retry: Duration::from_secs(30),
             settle: Duration::from_secs(3),
             pull_interval: Duration::from_secs(2),
+            recheck_interval: Duration::from_secs(1),
             stall: Duration::from_secs(1),
             drop_grace: Duration::from_secs(30),
         }
--- a/siskin-member/src/pull.rs
+++ b/siskin-member/src/pull.rs
@@ -40,6 +40,8 @@
     pub(crate) joined: bool,
     /// Earliest time of the next request.
     pub(crate) next: Instant,
+    /// Earliest time of the next question about unreachable members.
+    pub(crate) next_recheck: Instant,
     /// When a seed address that no visible member has is tried again.
     pub(crate) next_seed: Instant,
     /// Pieces that may be sent, in millionths, at `budget_at`.
--- a/siskin-member/src/table.rs
+++ b/siskin-member/src/table.rs
@@ -221,15 +221,9 @@
                 }
                 return Merge::Nothing;
             }
-            (Status::Unreachable { for_s }, State::Unreachable { until }) => {
-                let until = (*until).min(until_after(now, for_s, timing));
-                if !newer {
-                    old.state = State::Unreachable { until };
-                    return Merge::Nothing;
-                }
-                State::Unreachable { until }
-            }
-            (Status::Unreachable { for_s }, State::Left { .. }) if newer => {
+            (Status::Unreachable { for_s }, State::Unreachable { .. } | State::Left { .. })
+                if newer =>
+            {
                 State::Unreachable { until: until_after(now, for_s, timing) }
             }
             (Status::Left { for_s }, state) if newer || !matches!(state, State::Left { .. }) => {
@@ -269,6 +263,17 @@
 }
 
 impl Record {
+    /// Whether an update tells the same.
+    pub(crate) fn says(&self, update: &Update) -> bool {
+        let same = match self.state {
+            State::Alive { .. } => update.status == Status::Alive,
+            State::Suspect(_) => update.status == Status::Suspect,
+            State::Unreachable { .. } => matches!(update.status, Status::Unreachable { .. }),
+            State::Left { .. } => matches!(update.status, Status::Left { .. }),
+        };
+        same && self.about.incarnation == update.about.incarnation
+    }
+
     pub(crate) fn status(&self, now: Instant, timing: &Timing) -> Status {
         match self.state {
             State::Alive { .. } => Status::Alive,
--- a/siskin-wire/src/member.rs
+++ b/siskin-wire/src/member.rs
@@ -64,6 +64,8 @@
     pub config_age_ms: Option<u32>,
     /// Combined hash of the members that the sender takes for alive. Different digests show that views differ.
     pub digest: u32,
+    /// Number of members that the sender knows. A much larger number than the receiver's calls for a full view.
+    pub known: u32,
     /// At most [`MAX_UPDATES`].
     pub updates: Vec<Update>,
     /// The purpose of the message.
@@ -74,7 +76,33 @@
     /// A message without updates and configuration.
     #[must_use]
     pub const fn new(from: Identity, body: Body) -> Self {
-        Self { from, config_version: 0, config_age_ms: None, digest: 0, updates: Vec::new(), body }
+        Self {
+            from,
+            config_version: 0,
+            config_age_ms: None,
+            digest: 0,
+            known: 0,
+            updates: Vec::new(),
+            body,
+        }
+    }
+}
+
+/// A member that is taken for unreachable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Missing {
+    /// The member.
+    pub node: Node,
+    /// The last bits of its incarnation; an equal incarnation would not change the belief.
+    pub incarnation: u16,
+}
+
+impl Missing {
+    /// Names a process.
+    #[must_use]
+    pub fn new(about: &Identity) -> Self {
+        let [.., high, low] = about.incarnation.to_be_bytes();
+        Self { node: about.node, incarnation: u16::from_be_bytes([high, low]) }
     }
 }
 
@@ -110,6 +138,11 @@
         /// To be repeated in the answer.
         number: u32,
     },
+    /// Asks which of the members that the sender takes for unreachable the receiver sees.
+    Recheck {
+        /// Some of these members.
+        unreachable: Vec<Missing>,
+    },
     /// A piece of the sender's view.
     State {
         /// The pull's number.
