--- a/siskin-claim/tests/main/main.rs
+++ b/siskin-claim/tests/main/main.rs
@@ -2,5 +2,6 @@
 
 mod fleet;
 mod outage;
+mod remote;
 mod rules;
 mod store;
--- /dev/null
+++ b/siskin-claim/tests/main/remote.rs
@@ -0,0 +1,90 @@
+//! Claims through the writer of another router.
+
+use {
+    crate::rules::{BODY, key, record, token},
+    siskin_claim::{
+        remote::{Action, Options, Service},
+        writer,
+    },
+    siskin_types::{id::Node, time::Instant},
+    siskin_wire::claim::{Decision, Message},
+};
+
+const OWN: Node = Node(1);
+const WRITER: Node = Node(2);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn service() -> Service {
+    let writer = writer::Options { node: OWN, ..writer::Options::default() };
+    Service::new(Options { writer, ..Options::default() })
+}
+
+fn kind(action: &Action) -> &'static str {
+    match action {
+        Action::Store(_) => "store",
+        Action::Send { message: Message::Claim { .. }, .. } => "claim",
+        Action::Send { message: Message::Release { .. }, .. } => "release",
+        Action::Send { .. } => "send",
+        Action::Decide { decision: Decision::Granted, .. } => "granted",
+        Action::Decide { decision: Decision::Unavailable, .. } => "unavailable",
+        Action::Decide { .. } => "decide",
+        Action::Settled { .. } => "settled",
+    }
+}
+
+/// Guards against a claim that is granted after its deadline, decided twice, or left in the store when
+/// its caller is told that the call did not run.
+#[test]
+fn answers() {
+    struct Case {
+        name: &'static str,
+        /// Times and decisions of the bucket's writer; without one, a tick.
+        events: &'static [(u64, Option<Decision>)],
+        want: &'static [&'static str],
+    }
+    use Decision::{Granted, InProgress, Unavailable};
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "granted", events: &[(5, Some(Granted))], want: &["claim", "granted"] },
+        Case { name: "granted twice", events: &[(5, Some(Granted)), (6, Some(Granted))], want: &["claim", "granted"] },
+        Case { name: "one result", events: &[(5, Some(InProgress)), (6, Some(Granted))], want: &["claim", "decide"] },
+        Case { name: "repeat", events: &[(200, None), (201, Some(Granted))], want: &["claim", "claim", "granted"] },
+        Case { name: "fallback", events: &[(600, None)], want: &["claim", "claim", "store"] },
+        Case { name: "fallback, then granted", events: &[(600, None), (601, Some(Granted))], want: &["claim", "claim", "store", "granted"] },
+        Case { name: "writer refuses", events: &[(5, Some(Unavailable))], want: &["claim", "store"] },
+        Case { name: "deadline", events: &[(3_000, None)], want: &["claim", "unavailable", "release"] },
+        Case { name: "granted at the deadline", events: &[(3_000, Some(Granted))], want: &["claim", "unavailable", "release"] },
+        Case { name: "granted after the result", events: &[(3_000, None), (3_001, Some(Granted))], want: &["claim", "unavailable", "release"] },
+    ];
+    for case in cases {
+        let mut service = service();
+        let mut got = service.claim(at(0), Some(WRITER), key(1), BODY, token(1), at(3_000));
+        for (millis, decision) in case.events {
+            let now = at(*millis);
+            got.extend(match decision {
+                None => service.tick(now),
+                Some(decision) => {
+                    let decision = decision.clone();
+                    service.receive(now, WRITER, &Message::Decided { token: token(1), decision })
+                }
+            });
+        }
+        let got: Vec<_> = got.iter().map(kind).collect();
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+}
+
+/// Guards against records that are given up before they are confirmed, and against repeats without end.
+#[test]
+fn records_are_repeated_until_confirmed() {
+    let mut service = service();
+    let sent = service.record(at(0), Some(WRITER), key(1), token(1), record(None));
+    assert_eq!(sent.len(), 1);
+    assert_eq!(service.tick(at(200)), sent);
+    let settled = service.receive(at(210), WRITER, &Message::Settled { token: token(1) });
+    assert_eq!(settled, [Action::Settled { key: key(1), token: token(1) }]);
+    assert_eq!(service.next_tick(), None);
+}
--- a/siskin-claim/tests/main/rules.rs
+++ b/siskin-claim/tests/main/rules.rs
@@ -163,6 +163,48 @@
     key
 }
 
+/// Guards against the claim of a given-up attempt that arrives after its release and blocks the key.
+#[test]
+fn release_first() {
+    let mut bench = Bench::new(unlimited());
+    bench.release(key(1), token(1));
+    assert_eq!(bench.claim(key(1), BODY, token(1)), [Decision::Unavailable]);
+    assert_eq!(bench.claim(key(1), BODY, token(2)), [Decision::Granted]);
+}
+
+/// Guards against answers from a head that another writer has changed since.
+#[test]
+fn changed_by_other_writer() {
+    struct Case {
+        name: &'static str,
+        record: bool,
+        attempt: u64,
+        want: Decision,
+    }
+    let done = record(Some(b"done".to_vec()));
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "recorded", record: true, attempt: 2, want: Decision::Recorded(done.clone()) },
+        Case { name: "released", record: false, attempt: 2, want: Decision::Granted },
+        Case { name: "own claim released", record: false, attempt: 1, want: Decision::Unavailable },
+    ];
+    for case in cases {
+        let mut first = Bench::new(unlimited());
+        assert_eq!(first.claim(key(1), BODY, token(1)), [Decision::Granted]);
+        let store = std::mem::take(&mut first.store);
+        let mut second = Bench { store, ..Bench::new(Options { incarnation: 2, ..unlimited() }) };
+        if case.record {
+            second.record(key(1), token(1), done.clone());
+        } else {
+            second.release(key(1), token(1));
+        }
+        first.store = second.store;
+        first.now = Instant::from_micros(1);
+        let got = first.claim(key(1), BODY, token(case.attempt));
+        assert_eq!(got, [case.want], "{}", case.name);
+    }
+}
+
 /// Guards against groups that lose or reorder claims, and against heads above their limit.
 #[test]
 fn groups() {
