Test the life of a request by table and against a true history of runs

Cause: Life had no tests; a resumed stream that an engine starts anew could be mixed with the part already delivered.

--- a/siskin-outcome/src/life.rs
+++ b/siskin-outcome/src/life.rs
@@ -319,7 +319,9 @@
         if !self.sent(attempt) {
             return self.unasked(now, attempt, budget);
         }
-        if offset > self.delivered {
+        // An engine that starts a resumed stream anew would have the caller get a mixture of two runs.
+        let resumed = matches!(self.state, State::Resumed(_));
+        if offset > self.delivered || (resumed && offset != self.delivered) {
             return self.crossed(now, attempt, budget);
         }
         self.answering = true;
@@ -380,10 +382,9 @@
                 self.exclude(endpoint);
                 self.retry(now, Reason::EndpointRefused, budget)
             }
-            State::Sent(endpoint) | State::Resumed(endpoint) => {
-                self.run_lost(now, endpoint, Reason::ResumeRefused, budget)
-            }
-            _ => Vec::new(),
+            State::Resumed(endpoint) => self.run_lost(now, endpoint, Reason::ResumeRefused, budget),
+            // It had begun to answer, so this cannot be true.
+            _ => self.crossed(now, attempt, budget),
         }
     }
 
--- /dev/null
+++ b/siskin-outcome/tests/main/main.rs
@@ -0,0 +1,15 @@
+//! Tests of outcomes, the life of a request, and poison detection.
+
+mod fleet;
+mod life;
+mod outcome;
+mod poison;
+mod poison_fleet;
+
+/// Seeds of a randomised test: the one in `SISKIN_SEED`, or a fixed list.
+fn seeds(count: u64) -> Vec<u64> {
+    match std::env::var("SISKIN_SEED") {
+        Ok(seed) => vec![seed.parse().expect("SISKIN_SEED is a number")],
+        Err(_) => (1..=count).collect(),
+    }
+}
