Test poison detection and keep a refusal for its whole time

Cause: a refusal ended early, when the first of its two crashes expired; found by the table of verdicts. A restarted router asked a new owner only at its next repeat. Change: crashes are remembered for two holds, a message is repeated after 25 ms at first (before: 100 ms), and a new owner is asked at once.

--- a/siskin-outcome/src/poison.rs
+++ b/siskin-outcome/src/poison.rs
@@ -5,7 +5,7 @@
 //!
 //! **Bound.** Copies of a crashing request that are sent one after another take down at most 2 endpoints if
 //! the news of the first crash reaches each router before it dispatches the next copy, and at most 3 if one
-//! dispatch of a suspect overtakes the news; each further one that does adds at most one. This assumes that the scheduler keeps two suspects from one endpoint.
+//! dispatch of a suspect overtakes the news of a crash; each further one that does adds at most one. This assumes that the scheduler keeps two suspects from one endpoint.
 //! [`Detector::crashed`] gives [`Action::Confirmed`] once the owner of the pool has sent the news to all
 //! routers; a router that answers the caller only then gives the caller no cause to resend earlier.
 //!
@@ -108,7 +108,9 @@
             confirm_limit: Duration::from_secs(1),
             sync_limit: Duration::from_secs(1),
             batch: Duration::from_millis(500),
-            repeat: (Duration::from_millis(100), Duration::from_secs(2)),
+            // A caller may resend within milliseconds, so a lost message is repeated soon. Routers of a pool are
+            // in one region and answer within a few milliseconds.
+            repeat: (Duration::from_millis(25), Duration::from_secs(2)),
         }
     }
 }
@@ -335,6 +337,9 @@
         }
         self.owner = owner;
         self.outbox.clear();
+        if let Sync::Asking { repeat_at, .. } = &mut self.sync {
+            *repeat_at = now;
+        }
         // The earlier owner may have told some routers and not others, so everything is told again: by the
         // new owner to all routers, and by all routers to the new owner.
         let notes = self.table.notes();
--- a/siskin-outcome/src/poison/table.rs
+++ b/siskin-outcome/src/poison/table.rs
@@ -92,7 +92,7 @@
         at: Time,
         in_flight: &[InFlight],
     ) -> Vec<Note> {
-        if now.age(at) >= self.hold || in_flight.is_empty() {
+        if now.age(at) >= self.kept() || in_flight.is_empty() {
             return Vec::new();
         }
         let incident =
@@ -142,15 +142,21 @@
 
     pub(crate) fn verdict(&self, now: Time, fingerprint: &Fingerprint) -> Verdict {
         let Some(record) = self.records.get(fingerprint) else { return Verdict::Run };
-        let strikes = self.counting(now, record);
-        if strikes.is_empty() {
+        let strikes = self.uncleared(record);
+        let recent = |at: Time| now.age(at) < self.hold;
+        if !strikes.iter().any(|(_, at)| recent(*at)) {
             return Verdict::Run;
         }
-        // The first crash does not count as a second one, even if the request ran alone because of a crash
-        // that has been forgotten.
-        let second = strikes.iter().filter(|_| strikes.len() > 1);
-        let convicting = second
-            .filter(|(strike, at)| strike.alone && self.sole(&strike.crash, *at, fingerprint))
+        // A crash counts as the second one if the request was a suspect because of another one at that time,
+        // whether or not that suspicion has ended since.
+        let earlier = |strike: &Strike, at: Time| {
+            let mut others = strikes.iter().filter(|(other, _)| other.crash != strike.crash);
+            others.any(|(_, other_at)| at.age(*other_at) < self.hold)
+        };
+        let convicting = strikes
+            .iter()
+            .filter(|(strike, at)| recent(*at) && strike.alone && earlier(strike, *at))
+            .filter(|(strike, at)| self.sole(&strike.crash, *at, fingerprint))
             .map(|(_, at)| *at)
             .max();
         let Some(at) = convicting else { return Verdict::RunAlone };
@@ -159,16 +165,13 @@
         Verdict::Refuse { retry_after: until.saturating_sub(age) }
     }
 
-    /// Crashes that count against a request.
-    fn counting(&self, now: Time, record: &Record) -> Vec<(Strike, Time)> {
+    /// Crashes since a request was last cleared.
+    fn uncleared(&self, record: &Record) -> Vec<(Strike, Time)> {
         let times = record.strikes.iter().filter_map(|strike| {
             let incident = self.incidents.get(&strike.crash)?;
             Some((*strike, incident.at))
         });
-        times
-            .filter(|(_, at)| now.age(*at) < self.hold)
-            .filter(|(_, at)| record.cleared.is_none_or(|(cleared, _)| *at > cleared))
-            .collect()
+        times.filter(|(_, at)| record.cleared.is_none_or(|(cleared, _)| *at > cleared)).collect()
     }
 
     /// Whether no other request in flight at the crash was a suspect at that time.
@@ -188,13 +191,16 @@
                 return strike.alone;
             }
             let Some(incident) = self.incidents.get(&strike.crash) else { return false };
-            incident.at <= at && cleared.is_none_or(|cleared| incident.at > cleared)
+            incident.at <= at
+                && at.age(incident.at) < self.hold
+                && cleared.is_none_or(|cleared| incident.at > cleared)
         })
     }
 
     pub(crate) fn list(&self, now: Time) -> Vec<Suspect> {
         let suspects = self.records.iter().filter_map(|(fingerprint, record)| {
-            let crashes = self.counting(now, record).len();
+            let strikes = self.uncleared(record);
+            let crashes = strikes.iter().filter(|(_, at)| now.age(*at) < self.hold).count();
             let verdict = self.verdict(now, fingerprint);
             (crashes > 0).then_some(Suspect { fingerprint: *fingerprint, crashes, verdict })
         });
@@ -224,11 +230,17 @@
         requests.collect()
     }
 
+    /// How long a crash is remembered: a refusal lasts for one hold from the second crash, and needs the first
+    /// one, which may be as much older.
+    fn kept(&self) -> Duration {
+        self.hold * 2
+    }
+
     /// Forgets what has expired.
     pub(crate) fn sweep(&mut self, now: Time) {
-        let hold = self.hold;
+        let kept = self.kept();
         let before = self.incidents.len();
-        self.incidents.retain(|_, incident| now.age(incident.at) < hold);
+        self.incidents.retain(|_, incident| now.age(incident.at) < kept);
         if self.incidents.len() < before {
             self.forget_crashes();
         }
--- a/siskin-outcome/tests/main/poison.rs
+++ b/siskin-outcome/tests/main/poison.rs
@@ -1,1 +1,221 @@
+//! Suspects at one router, and messages between routers one at a time.
 
+use {
+    siskin_outcome::poison::{
+        Action, Crash, Detector, Fact, Fingerprint, InFlight, Message, Options, Verdict,
+    },
+    siskin_types::{
+        id::{Endpoint, Node, Pool},
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+const OWNER: Node = Node(1);
+const POOL: Pool = Pool(1);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+pub(crate) fn fingerprint(number: u32) -> Fingerprint {
+    let mut bytes = [0; 16];
+    bytes[..4].copy_from_slice(&number.to_be_bytes());
+    Fingerprint(bytes)
+}
+
+/// Numbers below 100 run with others, those above alone.
+fn in_flight(numbers: &[u32]) -> Vec<InFlight> {
+    let one =
+        |number: &u32| InFlight { fingerprint: fingerprint(number % 100), alone: *number > 100 };
+    numbers.iter().map(one).collect()
+}
+
+/// A detector that is the owner of its pool and knows `others`.
+fn owner(others: &[Node]) -> Detector {
+    let mut detector = Detector::new(Options::new(POOL, OWNER));
+    let members: Vec<Node> = others.iter().copied().chain([OWNER]).collect();
+    detector.members(at(0), &members);
+    detector.owner_changed(at(0), Some(OWNER));
+    for node in others {
+        let answer = Message::Answer { pool: POOL, part: 0, parts: 1, facts: Vec::new() };
+        detector.receive(at(0), *node, &answer);
+    }
+    detector.tick(at(0));
+    assert!(detector.synced());
+    detector
+}
+
+#[derive(Clone, Copy)]
+enum On {
+    /// Endpoint and instance, and requests in flight.
+    Crash(u32, u64, &'static [u32]),
+    Complete(u32),
+    Lift(u32),
+}
+
+#[derive(Debug, PartialEq)]
+enum Want {
+    Run,
+    Alone,
+    Soon,
+    Refuse,
+}
+
+/// Guards against a crashing request that is not refused, and against innocent ones that are.
+#[test]
+fn verdicts() {
+    struct Case {
+        name: &'static str,
+        /// Times in milliseconds.
+        events: &'static [(u64, On)],
+        /// Time, request and verdict.
+        want: &'static [(u64, u32, Want)],
+    }
+    use {
+        On::{Complete, Crash, Lift},
+        Want::{Alone, Refuse, Run, Soon},
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "unknown", events: &[], want: &[(0, 1, Run)] },
+        Case { name: "first crash", events: &[(0, Crash(1, 1, &[1, 2]))], want: &[(0, 1, Alone), (0, 2, Alone), (0, 3, Run)] },
+        Case { name: "completion clears", events: &[(0, Crash(1, 1, &[1, 2])), (5, Complete(2))], want: &[(6, 1, Alone), (6, 2, Run)] },
+        Case { name: "second crash alone", events: &[(0, Crash(1, 1, &[1, 2])), (5, Crash(2, 1, &[101, 3]))], want: &[(6, 1, Soon), (600, 1, Refuse), (600, 2, Alone), (600, 3, Alone)] },
+        Case { name: "same crash twice", events: &[(0, Crash(1, 1, &[1])), (5, Crash(1, 1, &[101]))], want: &[(600, 1, Alone)] },
+        Case { name: "next instance", events: &[(0, Crash(1, 1, &[1])), (5, Crash(1, 2, &[101]))], want: &[(600, 1, Refuse)] },
+        Case { name: "two crashes in company", events: &[(0, Crash(1, 1, &[1, 2])), (5, Crash(2, 1, &[1, 2]))], want: &[(600, 1, Alone), (600, 2, Alone)] },
+        Case { name: "two endpoints fail together", events: &[(0, Crash(1, 1, &[1])), (0, Crash(2, 1, &[1]))], want: &[(600, 1, Alone)] },
+        Case { name: "alone, but another suspect overtook the news", events: &[(0, Crash(1, 1, &[1, 2])), (5, Crash(2, 1, &[102, 1]))], want: &[(600, 1, Alone), (600, 2, Alone)] },
+        Case { name: "third crash after one in company", events: &[(0, Crash(1, 1, &[1, 2])), (5, Crash(2, 1, &[1, 2])), (9, Crash(3, 1, &[101]))], want: &[(600, 1, Refuse), (600, 2, Alone)] },
+        Case { name: "two alone at one endpoint", events: &[(0, Crash(1, 1, &[1])), (1, Crash(2, 1, &[2])), (5, Crash(3, 1, &[101, 102]))], want: &[(600, 1, Alone), (600, 2, Alone)] },
+        Case { name: "next to one cleared before", events: &[(0, Crash(1, 1, &[1, 2])), (3, Complete(2)), (5, Crash(2, 1, &[101, 2]))], want: &[(600, 1, Refuse), (600, 2, Alone)] },
+        Case { name: "refusal ends", events: &[(0, Crash(1, 1, &[1])), (5, Crash(2, 1, &[101]))], want: &[(600_004, 1, Refuse), (600_006, 1, Run)] },
+        Case { name: "suspicion ends", events: &[(0, Crash(1, 1, &[1]))], want: &[(599_999, 1, Alone), (600_001, 1, Run)] },
+        Case { name: "lifted", events: &[(0, Crash(1, 1, &[1])), (5, Crash(2, 1, &[101])), (9, Lift(1))], want: &[(10, 1, Run)] },
+        Case { name: "crash after lifting", events: &[(0, Crash(1, 1, &[1])), (5, Crash(2, 1, &[101])), (9, Lift(1)), (20, Crash(3, 1, &[1]))], want: &[(900, 1, Alone)] },
+    ];
+    for case in cases {
+        let mut detector = owner(&[]);
+        for (millis, event) in case.events {
+            let now = at(*millis);
+            match event {
+                Crash(endpoint, instance, numbers) => {
+                    detector.crashed(now, Endpoint(*endpoint), *instance, &in_flight(numbers))
+                }
+                Complete(number) => detector.completed(now, fingerprint(*number)),
+                Lift(number) => detector.lift(now, fingerprint(*number)),
+            };
+        }
+        for (millis, number, want) in case.want {
+            let got = match detector.admit(at(*millis), fingerprint(*number)) {
+                Verdict::Run => Run,
+                Verdict::RunAlone => Alone,
+                Verdict::Refuse { retry_after } if retry_after <= Duration::from_millis(500) => {
+                    if *want == Refuse {
+                        Refuse
+                    } else {
+                        Soon
+                    }
+                }
+                Verdict::Refuse { .. } => Refuse,
+            };
+            assert_eq!(got, *want, "{}: request {number} at {millis} ms", case.name);
+        }
+    }
+}
+
+/// Guards against tables that grow without limit, and against eviction of the wrong suspects.
+#[test]
+fn bounded() {
+    let options = Options { max_suspects: 64, max_crashes: 8, ..Options::new(POOL, OWNER) };
+    let mut detector = Detector::new(options);
+    detector.members(at(0), &[OWNER]);
+    detector.owner_changed(at(0), Some(OWNER));
+    detector.crashed(at(1), Endpoint(1), 1, &in_flight(&[1, 2]));
+    detector.crashed(at(2), Endpoint(2), 1, &in_flight(&[101]));
+    for number in 0..50u32 {
+        let flight = InFlight { fingerprint: fingerprint(1_000 + number), alone: false };
+        detector.crashed(at(3), Endpoint(3), 1, &[flight]);
+        detector.completed(at(4), flight.fingerprint);
+    }
+    for number in 0..40u32 {
+        let flight = InFlight { fingerprint: fingerprint(2_000 + number), alone: false };
+        detector.crashed(at(5), Endpoint(4), 1, &[flight]);
+    }
+    assert!(detector.list(at(6)).len() <= 64);
+    let refused = |detector: &mut Detector| {
+        matches!(detector.admit(at(600), fingerprint(1)), Verdict::Refuse { .. })
+    };
+    assert!(refused(&mut detector), "cleared and single suspects are forgotten first");
+    for number in 0..200u32 {
+        let flight = InFlight { fingerprint: fingerprint(3_000 + number), alone: false };
+        detector.crashed(at(700), Endpoint(5 + number), 1, &[flight]);
+    }
+    assert!(detector.list(at(701)).len() <= 8, "one suspect for each crash that is remembered");
+}
+
+fn sends(actions: &[Action]) -> Vec<(Node, &'static str)> {
+    let sends = actions.iter().filter_map(|action| match action {
+        Action::Send { to, message: Message::Tell { .. } } => Some((*to, "tell")),
+        Action::Send { to, message: Message::Ack { .. } } => Some((*to, "ack")),
+        Action::Send { to, message: Message::Ask { .. } } => Some((*to, "ask")),
+        Action::Send { to, message: Message::Answer { .. } } => Some((*to, "answer")),
+        Action::Confirmed(_) => None,
+    });
+    sends.collect()
+}
+
+fn tell(serial: u64, numbers: &[u32]) -> Message {
+    let crash = Crash { endpoint: Endpoint(1), instance: 1 };
+    let facts = vec![Fact::Struck { crash, age_ms: 0, in_flight: in_flight(numbers) }];
+    Message::Tell { pool: POOL, serial, facts }
+}
+
+/// Guards against news that is acknowledged before all routers were sent it, that is told again although it
+/// is known, or that is no longer repeated although a router has not acknowledged it.
+#[test]
+fn owner_redistributes() {
+    let mut detector = owner(&[Node(2), Node(3)]);
+    let actions = detector.receive(at(0), Node(2), &tell(7, &[1]));
+    assert_eq!(sends(&actions), [(Node(3), "tell"), (Node(2), "ack")]);
+    let repeated = detector.receive(at(1), Node(2), &tell(7, &[1]));
+    assert_eq!(sends(&repeated), [(Node(2), "ack")]);
+    assert_eq!(sends(&detector.tick(at(100))), [(Node(3), "tell")]);
+    let Some(Action::Send { message: Message::Tell { serial, .. }, .. }) = actions.first() else {
+        panic!("{actions:?}");
+    };
+    detector.receive(at(101), Node(3), &Message::Ack { pool: POOL, serial: *serial });
+    assert_eq!(sends(&detector.tick(at(5_000))), []);
+    let more = detector.receive(at(5_001), Node(3), &tell(9, &[1, 2]));
+    assert_eq!(sends(&more), [(Node(2), "tell"), (Node(3), "ack")]);
+}
+
+/// Guards against callers that are answered before the owner knows of the crash, against callers that are
+/// held without end, and against news that is lost with the owner.
+#[test]
+fn router_reports_to_the_owner() {
+    let mut detector = Detector::new(Options::new(POOL, Node(2)));
+    detector.members(at(0), &[OWNER, Node(2), Node(3)]);
+    let asked = detector.owner_changed(at(0), Some(OWNER));
+    assert_eq!(sends(&asked), [(OWNER, "ask")]);
+    assert!(matches!(detector.admit(at(1), fingerprint(1)), Verdict::Refuse { .. }), "not synced");
+    let crash = Crash { endpoint: Endpoint(1), instance: 1 };
+    let actions = detector.crashed(at(2), crash.endpoint, crash.instance, &in_flight(&[1]));
+    assert_eq!(sends(&actions), [(OWNER, "tell")]);
+    assert!(!actions.contains(&Action::Confirmed(crash)));
+    let moved = detector.owner_changed(at(50), Some(Node(3)));
+    assert_eq!(sends(&moved), [(Node(3), "tell"), (Node(3), "ask")]);
+    detector.receive(at(60), OWNER, &Message::Ack { pool: POOL, serial: 1 });
+    let answer = Message::Answer { pool: POOL, part: 0, parts: 1, facts: Vec::new() };
+    detector.receive(at(60), Node(3), &answer);
+    detector.tick(at(61));
+    assert!(detector.synced());
+    assert_eq!(detector.admit(at(61), fingerprint(1)), Verdict::RunAlone);
+    let told = detector.receive(at(70), Node(3), &Message::Ack { pool: POOL, serial: 2 });
+    assert_eq!(told, [Action::Confirmed(crash)]);
+    let other = Crash { endpoint: Endpoint(2), instance: 1 };
+    detector.crashed(at(100), other.endpoint, other.instance, &in_flight(&[2]));
+    assert!(!detector.tick(at(1_099)).contains(&Action::Confirmed(other)));
+    assert!(detector.tick(at(1_100)).contains(&Action::Confirmed(other)));
+}
--- a/siskin-outcome/tests/main/poison_fleet.rs
+++ b/siskin-outcome/tests/main/poison_fleet.rs
@@ -1,1 +1,429 @@
+//! Randomised runs of several routers and endpoints with a request that crashes every endpoint it reaches,
+//! in virtual time.
 
+use {
+    crate::{poison::fingerprint, seeds},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    siskin_outcome::poison::{Action, Crash, Detector, InFlight, Message, Options, Verdict},
+    siskin_types::{
+        id::{Endpoint, Node, Pool},
+        time::Instant,
+    },
+    std::collections::{BTreeMap, HashMap, HashSet},
+};
+
+const ROUTERS: u32 = 5;
+const ENDPOINTS: usize = 6;
+const SLOTS: usize = 6;
+const CRASHING: u32 = 0;
+const INNOCENT: std::ops::Range<u32> = 1..30;
+const MS: u64 = 1_000;
+const END: u64 = 60_000 * MS;
+const LONGEST_RUN: u64 = 1_000 * MS;
+const RESTART: u64 = 3_000 * MS;
+
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    lost_messages: bool,
+    /// Routers restart, at any time.
+    restarts: bool,
+    /// A router may die together with an endpoint, before it can tell.
+    dies_with_endpoint: bool,
+}
+
+enum Event {
+    Send(u32),
+    /// A run ends at an endpoint: completes, or crashes it.
+    RunEnds {
+        run: u64,
+    },
+    /// A router notices the crash.
+    Noticed {
+        crash: Crash,
+        in_flight: Vec<InFlight>,
+        waiting: Vec<u32>,
+    },
+    Deliver {
+        from: Node,
+        message: Message,
+    },
+    Tick,
+    Restart {
+        router: u32,
+    },
+    EndpointUp(usize),
+}
+
+#[derive(Clone)]
+struct Run {
+    request: u32,
+    router: u32,
+    incarnation: u64,
+    endpoint: usize,
+    alone: bool,
+}
+
+/// A router and its incarnation; `None` for the rest of the world.
+type Receiver = Option<(u32, u64)>;
+
+struct Sim {
+    now: u64,
+    sequence: u64,
+    queue: BTreeMap<(u64, u64), (Receiver, Event)>,
+    random: SmallRng,
+    faults: Faults,
+    routers: Vec<(Detector, u64)>,
+    tick_at: Vec<u64>,
+    /// Callers that wait for the confirmation of a crash, with their router.
+    waiting: HashMap<(u32, Crash), Vec<u32>>,
+    instances: Vec<u64>,
+    up: Vec<bool>,
+    runs: BTreeMap<u64, Run>,
+    next_run: u64,
+    crashes: u32,
+    /// Dispatches of a suspect by a router that did not know of all its crashes.
+    overtakes: u32,
+    /// Crashes since each request was last completed.
+    struck: HashMap<u32, usize>,
+    /// Crashes at which each request was in flight.
+    company: HashMap<u32, u32>,
+    first_refused: HashMap<u32, u64>,
+    longest_delay: u64,
+    sent_at: HashMap<u32, u64>,
+    completed: HashSet<u32>,
+    seed: u64,
+}
+
+fn detector(node: u32) -> Detector {
+    Detector::new(Options::new(Pool(1), Node(node)))
+}
+
+impl Sim {
+    fn new(seed: u64, faults: Faults) -> Self {
+        let mut sim = Self {
+            now: 0,
+            sequence: 0,
+            queue: BTreeMap::new(),
+            random: SmallRng::seed_from_u64(seed),
+            faults,
+            routers: (0..ROUTERS).map(|node| (detector(node), 1)).collect(),
+            tick_at: vec![u64::MAX; ROUTERS as usize],
+            waiting: HashMap::new(),
+            instances: vec![1; ENDPOINTS],
+            up: vec![true; ENDPOINTS],
+            runs: BTreeMap::new(),
+            next_run: 0,
+            crashes: 0,
+            overtakes: 0,
+            struck: HashMap::new(),
+            company: HashMap::new(),
+            first_refused: HashMap::new(),
+            longest_delay: 0,
+            sent_at: HashMap::new(),
+            completed: HashSet::new(),
+            seed,
+        };
+        for router in 0..ROUTERS {
+            sim.start(router);
+        }
+        for request in INNOCENT {
+            let at = sim.random.random_range(2_000 * MS..3_000 * MS);
+            sim.push(at, None, Event::Send(request));
+        }
+        sim.push(2_500 * MS, None, Event::Send(CRASHING));
+        if faults.restarts {
+            for _ in 0..5 {
+                let at = sim.random.random_range(2_000 * MS..12_000 * MS);
+                let router = sim.random.random_range(0..ROUTERS);
+                sim.push(at, None, Event::Restart { router });
+            }
+        }
+        sim
+    }
+
+    fn push(&mut self, at: u64, to: Receiver, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), (to, event));
+    }
+
+    fn start(&mut self, router: u32) {
+        let now = Instant::from_micros(self.now);
+        let members: Vec<Node> = (0..ROUTERS).map(Node).collect();
+        let detector = &mut self.routers[router as usize].0;
+        let mut actions = detector.members(now, &members);
+        actions.extend(detector.owner_changed(now, Some(Node(0))));
+        self.act(router, actions);
+    }
+
+    fn run(&mut self) {
+        while let Some(((at, _), (to, event))) = self.queue.pop_first() {
+            if at > END {
+                break;
+            }
+            self.now = at;
+            match to {
+                Some((router, incarnation)) if self.routers[router as usize].1 != incarnation => {
+                    // The router died; its callers see their connections break and send again.
+                    if let Event::Noticed { waiting, .. } = event {
+                        self.resend(waiting);
+                    }
+                }
+                Some((router, _)) => self.at_router(router, event),
+                None => self.handle(&event),
+            }
+        }
+        self.check();
+    }
+
+    fn at_router(&mut self, router: u32, event: Event) {
+        let now = Instant::from_micros(self.now);
+        let detector = &mut self.routers[router as usize].0;
+        let actions = match event {
+            Event::Deliver { from, message } => detector.receive(now, from, &message),
+            Event::Noticed { crash, in_flight, waiting } => {
+                self.waiting.entry((router, crash)).or_default().extend(waiting);
+                detector.crashed(now, crash.endpoint, crash.instance, &in_flight)
+            }
+            _ => {
+                self.tick_at[router as usize] = u64::MAX;
+                detector.tick(now)
+            }
+        };
+        self.act(router, actions);
+    }
+
+    fn act(&mut self, router: u32, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    if self.faults.lost_messages && self.random.random_bool(0.2) {
+                        continue;
+                    }
+                    let at = self.now + self.random.random_range(MS / 2..MS);
+                    let to = (to.0, self.routers[to.0 as usize].1);
+                    self.push(at, Some(to), Event::Deliver { from: Node(router), message });
+                }
+                Action::Confirmed(crash) => {
+                    let callers = self.waiting.remove(&(router, crash)).unwrap_or_default();
+                    self.resend(callers);
+                }
+            }
+        }
+        let (detector, incarnation) = &self.routers[router as usize];
+        let Some(next) = detector.next_tick() else { return };
+        let (next, incarnation) = (next.as_micros().max(self.now + 1), *incarnation);
+        if next < self.tick_at[router as usize] {
+            self.tick_at[router as usize] = next;
+            self.push(next, Some((router, incarnation)), Event::Tick);
+        }
+    }
+
+    /// Callers get their answer and send again through any router.
+    fn resend(&mut self, callers: Vec<u32>) {
+        for request in callers {
+            let at = self.now + self.random.random_range(2..20) * MS;
+            self.push(at, None, Event::Send(request));
+        }
+    }
+
+    fn handle(&mut self, event: &Event) {
+        match event {
+            Event::Send(request) => self.send(*request),
+            Event::RunEnds { run } => self.run_ends(*run),
+            Event::Restart { router } => self.restart(*router),
+            Event::EndpointUp(endpoint) => {
+                self.up[*endpoint] = true;
+                self.instances[*endpoint] += 1;
+            }
+            Event::Deliver { .. } | Event::Tick | Event::Noticed { .. } => {
+                unreachable!("have a router")
+            }
+        }
+    }
+
+    fn send(&mut self, request: u32) {
+        self.sent_at.entry(request).or_insert(self.now);
+        let router = self.random.random_range(0..ROUTERS);
+        let now = Instant::from_micros(self.now);
+        let (detector, incarnation) = &mut self.routers[router as usize];
+        let incarnation = *incarnation;
+        let retry = self.now + 20 * MS;
+        if !detector.synced() {
+            // Not ready, so the load balancer tries another router.
+            let verdict = detector.admit(now, fingerprint(request));
+            assert!(matches!(verdict, Verdict::Refuse { .. }), "seed {}", self.seed);
+            return self.push(retry, None, Event::Send(request));
+        }
+        let alone = match detector.admit(now, fingerprint(request)) {
+            Verdict::Run => false,
+            Verdict::RunAlone => true,
+            Verdict::Refuse { retry_after } => {
+                self.first_refused.entry(request).or_insert(self.now);
+                let at = self.now + u64::try_from(retry_after.as_micros()).expect("short");
+                return self.push(at, None, Event::Send(request));
+            }
+        };
+        // The scheduler: a free slot, and for a suspect an endpoint without another one.
+        let fits = |endpoint: &usize| {
+            let here = self.runs.values().filter(|run| run.endpoint == *endpoint);
+            let (busy, suspects) = (here.clone().count(), here.filter(|run| run.alone).count());
+            self.up[*endpoint] && busy < SLOTS && (!alone || suspects == 0)
+        };
+        let free: Vec<usize> = (0..ENDPOINTS).filter(fits).collect();
+        if free.is_empty() {
+            return self.push(retry, None, Event::Send(request));
+        }
+        let endpoint = free[self.random.random_range(0..free.len())];
+        let listed = self.routers[router as usize].0.list(now);
+        let known = listed.iter().find(|suspect| suspect.fingerprint == fingerprint(request));
+        let known = known.map_or(0, |suspect| suspect.crashes);
+        let crashes = self.struck.get(&request).copied().unwrap_or(0);
+        self.overtakes += u32::from(known < crashes);
+        self.next_run += 1;
+        let run = Run { request, router, incarnation, endpoint, alone };
+        self.runs.insert(self.next_run, run);
+        let length = if request == CRASHING { 50 * MS } else { LONGEST_RUN };
+        let at = self.now + self.random.random_range(length / 5..length);
+        self.push(at, None, Event::RunEnds { run: self.next_run });
+    }
+
+    fn run_ends(&mut self, number: u64) {
+        let Some(run) = self.runs.remove(&number) else { return };
+        if run.request == CRASHING {
+            self.runs.insert(number, run.clone());
+            return self.crash(run.endpoint);
+        }
+        let (detector, incarnation) = &mut self.routers[run.router as usize];
+        if *incarnation != run.incarnation {
+            return self.resend(vec![run.request]);
+        }
+        let now = Instant::from_micros(self.now);
+        let actions = detector.completed(now, fingerprint(run.request));
+        self.completed.insert(run.request);
+        self.struck.remove(&run.request);
+        self.longest_delay = self.longest_delay.max(self.now - self.sent_at[&run.request]);
+        self.act(run.router, actions);
+    }
+
+    fn crash(&mut self, endpoint: usize) {
+        self.crashes += 1;
+        self.up[endpoint] = false;
+        self.push(self.now + RESTART, None, Event::EndpointUp(endpoint));
+        let number = u32::try_from(endpoint).expect("few endpoints");
+        let crash = Crash { endpoint: Endpoint(number), instance: self.instances[endpoint] };
+        let here = self.runs.values().filter(|run| run.endpoint == endpoint);
+        let died: Vec<Run> = here.cloned().collect();
+        self.runs.retain(|_, run| run.endpoint != endpoint);
+        for run in &died {
+            *self.struck.entry(run.request).or_default() += 1;
+            *self.company.entry(run.request).or_default() += 1;
+        }
+        for router in 0..ROUTERS {
+            let incarnation = self.routers[router as usize].1;
+            let runs: Vec<&Run> = died.iter().filter(|run| run.router == router).collect();
+            if runs.is_empty() {
+                continue;
+            }
+            let waiting = runs.iter().map(|run| run.request).collect();
+            let known = runs.iter().filter(|run| run.incarnation == incarnation);
+            let flight =
+                |run: &&Run| InFlight { fingerprint: fingerprint(run.request), alone: run.alone };
+            let in_flight = known.map(flight).collect();
+            let at = self.now + self.random.random_range(0..3 * MS);
+            self.push(
+                at,
+                Some((router, incarnation)),
+                Event::Noticed { crash, in_flight, waiting },
+            );
+        }
+        if self.faults.dies_with_endpoint && self.crashes == 1 {
+            let router =
+                died.iter().find(|run| run.request == CRASHING).expect("it crashed").router;
+            self.restart(router);
+        }
+    }
+
+    fn restart(&mut self, router: u32) {
+        self.routers[router as usize] = (detector(router), self.routers[router as usize].1 + 1);
+        self.tick_at[router as usize] = u64::MAX;
+        let mut lost: Vec<(u32, Crash)> =
+            self.waiting.keys().filter(|(of, _)| *of == router).copied().collect();
+        lost.sort_unstable();
+        for key in lost {
+            let callers = self.waiting.remove(&key).unwrap_or_default();
+            self.resend(callers);
+        }
+        self.start(router);
+    }
+
+    fn check(&self) {
+        let context = format!("seed {}", self.seed);
+        assert!(
+            self.crashes <= 2 + self.overtakes,
+            "{context}: {} crashes, {} overtakes",
+            self.crashes,
+            self.overtakes
+        );
+        for request in INNOCENT {
+            let company = self.company.get(&request).copied().unwrap_or(0);
+            let refused = self.first_refused.contains_key(&request);
+            // A router that dies together with an endpoint takes with it the report that the crashing
+            // request was there, so an innocent one can look like the only suspect at the next crash. That
+            // takes two crashes in its company and a lost report.
+            let report_lost = self.faults.dies_with_endpoint || self.faults.restarts;
+            if refused {
+                assert!(company >= 2 && report_lost, "{context}: innocent {request} refused");
+            } else {
+                let completed = self.completed.contains(&request);
+                assert!(completed, "{context}: innocent {request} was held up");
+            }
+        }
+        // Every suspect of the crashes may have to wait for the others, one at each remaining endpoint.
+        let rounds = u64::from(self.crashes) * SLOTS as u64 / (ENDPOINTS as u64 - 3) + 2;
+        let bound = rounds * LONGEST_RUN + RESTART * u64::from(self.crashes);
+        assert!(self.longest_delay <= bound, "{context}: delay of {} us", self.longest_delay);
+    }
+}
+
+/// Guards against a crashing request that takes down more endpoints than stated, and against innocent
+/// requests that are refused or held up.
+#[test]
+fn bound() {
+    struct Case {
+        name: &'static str,
+        faults: Faults,
+        /// Most crashes, and most dispatches that overtake the news.
+        crashes: u32,
+        overtakes: u32,
+    }
+    let none = Faults::default();
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "news arrives first", faults: none, crashes: 2, overtakes: 0 },
+        Case { name: "router dies with the first endpoint", faults: Faults { dies_with_endpoint: true, ..none }, crashes: 3, overtakes: u32::MAX },
+        Case { name: "routers restart", faults: Faults { restarts: true, ..none }, crashes: u32::MAX, overtakes: u32::MAX },
+        Case { name: "lost messages, restarts", faults: Faults { lost_messages: true, restarts: true, ..none }, crashes: u32::MAX, overtakes: u32::MAX },
+    ];
+    for case in cases {
+        let mut most = (0, 0);
+        for seed in seeds(100) {
+            println!("{}, seed {seed}", case.name);
+            let mut sim = Sim::new(seed, case.faults);
+            sim.run();
+            assert!(
+                sim.crashes <= case.crashes,
+                "{}, seed {seed}: {} crashes",
+                case.name,
+                sim.crashes
+            );
+            assert!(
+                sim.overtakes <= case.overtakes,
+                "{}, seed {seed}: {} overtakes",
+                case.name,
+                sim.overtakes
+            );
+            most = (most.0.max(sim.crashes), most.1.max(sim.overtakes));
+        }
+        println!("{}: at most {} crashes and {} overtakes", case.name, most.0, most.1);
+    }
+}
