Read the segments of a bucket ahead and close gaps in the tests

Cause: a writer that took over a bucket read its segments one after another for the first claim. Change: the owner of a bucket reads up to 8 segments at a time ahead of claims; tests for the faults that were missed. Conclusion: a new owner needs no reads for new keys once its segments are indexed.

--- a/siskin-claim/src/cache.rs
+++ b/siskin-claim/src/cache.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Whether the index of a segment is at hand.
+    pub(crate) fn knows(&self, id: &SegmentId) -> bool {
+        self.known.contains_key(id)
+    }
+
     pub(crate) fn content(&self, id: &SegmentId) -> Option<&Segment> {
         self.known.get(id)?.content.as_ref()
     }
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -88,6 +88,10 @@
 /// Writes after which a waiting removal goes first, so that retention makes progress under full load.
 const WRITES_PER_REMOVAL: u32 = 8;
 
+/// Segments of one bucket that are read at the same time, so that a writer that takes over a bucket neither
+/// reads them one by one nor uses up the store's reads.
+const SEGMENT_READS: usize = 8;
+
 /// Identifies a store call of this writer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Call(pub u64);
@@ -575,6 +579,8 @@
             return;
         }
         if bucket.ops.is_empty() && !bucket.retain {
+            // The owner of a bucket goes on to read its segments.
+            self.read_segments(index, &[], actions);
             return;
         }
         if bucket.base.is_none() || bucket.stale {
@@ -619,15 +625,24 @@
         actions.push(Action::Read { call, name: Name::Head(index) });
     }
 
+    /// Reads segments that are needed now and, if there are any or this writer owns the bucket, others whose
+    /// index is missing, because each new key needs all of them.
     fn read_segments(&mut self, index: u8, unread: &[SegmentId], actions: &mut Vec<Action>) {
-        for id in unread {
-            if self.segment_reads.values().any(|(_, reading)| reading == id) {
-                continue;
-            }
+        let bucket = &self.buckets[usize::from(index)];
+        let mut wanted: IndexSet<SegmentId> = unread.iter().copied().collect();
+        if let Some(base) = &bucket.base
+            && (!unread.is_empty() || bucket.retain_at.is_some())
+        {
+            let ids = base.head.segments.iter().rev().map(|segment| segment.id);
+            wanted.extend(ids.filter(|id| !self.cache.knows(id)));
+        }
+        let reading = self.segment_reads.values().filter(|(of, _)| *of == index).count();
+        wanted.retain(|id| !self.segment_reads.values().any(|(_, reading)| reading == id));
+        for id in wanted.into_iter().take(SEGMENT_READS.saturating_sub(reading)) {
             let call = self.new_call();
             self.counts.reads += 1;
-            self.segment_reads.insert(call, (index, *id));
-            actions.push(Action::Read { call, name: Name::Segment(index, *id) });
+            self.segment_reads.insert(call, (index, id));
+            actions.push(Action::Read { call, name: Name::Segment(index, id) });
         }
     }
 
--- a/siskin-claim/tests/main/rules.rs
+++ b/siskin-claim/tests/main/rules.rs
@@ -205,6 +205,25 @@
     }
 }
 
+/// Guards against a writer that takes over a bucket and lets the first claim wait for all its segments.
+#[test]
+fn takeover() {
+    let options = Options { head_bytes: 1_024, segment_bytes: 1_024, ..unlimited() };
+    let mut first = Bench::new(options.clone());
+    for number in 0..1_000 {
+        first.claim(in_first_bucket(number), BODY, token(number.into()));
+    }
+    let segments = first.store.segments();
+    assert!(segments > 30, "{segments} segments");
+    let mut second = Bench { store: first.store, ..Bench::new(options) };
+    let actions = second.writer.owned(second.now, &[0]);
+    second.settle(actions);
+    let reads = second.writer.counts().reads;
+    assert_eq!(reads, 1 + segments as u64);
+    assert_eq!(second.claim(in_first_bucket(5_000), BODY, token(5_000)), [Decision::Granted]);
+    assert_eq!(second.writer.counts().reads, reads);
+}
+
 /// Guards against groups that lose or reorder claims, and against heads above their limit.
 #[test]
 fn groups() {
--- a/siskin-outcome/tests/main/life.rs
+++ b/siskin-outcome/tests/main/life.rs
@@ -221,17 +221,23 @@
     let deadline = Instant::from_micros(10_000_000);
     let options = Options { idempotent: true, ..Options::new(REQUEST, deadline) };
     let mut life = Life::new(options);
-    let events = [
-        Dispatched(1),
-        Sent(1),
-        StartedOther(1),
-        Later,
-        Dispatched(3),
-        Sent(3),
-        Chunk(3, 0, 1),
-        Cancelled,
-    ];
+    #[rustfmt::skip]
+    let events = [Dispatched(1), Sent(1), Chunk(1, 0, 0), StartedOther(1), Later, Dispatched(3), Sent(3), Chunk(3, 0, 1), Cancelled];
     let actions = run(&mut life, &events, &mut budget());
-    assert!(actions.contains(&Action::Charge(Units(1))), "{actions:?}");
+    assert!(actions.contains(&Action::Charge(Units(2))), "{actions:?}");
     assert_eq!(life.ignored().crossed, 1);
 }
+
+/// Guards against a first byte that is written after the deadline, and against a retry for which there is no
+/// time, which would only hold back the result.
+#[test]
+fn near_the_deadline() {
+    let deadline = Instant::from_micros(3_000);
+    let options = Options { idempotent: true, ..Options::new(REQUEST, deadline) };
+    let mut life = Life::new(options.clone());
+    run(&mut life, &[Dispatched(1)], &mut budget());
+    assert_eq!(life.bytes_sent(deadline, Attempt(1)), Err(Stale));
+    let mut life = Life::new(options);
+    run(&mut life, &[Dispatched(1), ConnectFailed(1)], &mut budget());
+    assert_eq!(life.outcome(), Some(Outcome::NotRun(Reason::ConnectFailed)));
+}
--- a/siskin-outcome/tests/main/poison.rs
+++ b/siskin-outcome/tests/main/poison.rs
@@ -219,3 +219,76 @@
     assert!(!detector.tick(at(1_099)).contains(&Action::Confirmed(other)));
     assert!(detector.tick(at(1_100)).contains(&Action::Confirmed(other)));
 }
+
+/// Guards against news that is acknowledged by a router that does not pass it on, and against a restarted
+/// owner that admits requests before it has asked the other routers.
+#[test]
+fn mistaken_and_restarted_owners() {
+    let mut detector = Detector::new(Options::new(POOL, Node(2)));
+    detector.members(at(0), &[OWNER, Node(2), Node(3)]);
+    detector.owner_changed(at(0), Some(OWNER));
+    assert_eq!(sends(&detector.receive(at(1), Node(3), &tell(7, &[1]))), []);
+    assert_eq!(sends(&detector.receive(at(1), OWNER, &tell(7, &[1]))), [(OWNER, "ack")]);
+    let mut restarted = Detector::new(Options::new(POOL, OWNER));
+    restarted.members(at(0), &[OWNER, Node(2), Node(3)]);
+    let asked = restarted.owner_changed(at(0), Some(OWNER));
+    assert_eq!(sends(&asked), [(Node(2), "ask"), (Node(3), "ask")]);
+    for (from, to) in
+        [(&mut detector, Node(2)), (&mut Detector::new(Options::new(POOL, Node(3))), Node(3))]
+    {
+        assert!(!restarted.synced());
+        for action in from.receive(at(2), OWNER, &Message::Ask { pool: POOL }) {
+            let Action::Send { message, .. } = action else { panic!("{action:?}") };
+            restarted.receive(at(3), to, &message);
+        }
+        restarted.tick(at(4));
+    }
+    assert!(restarted.synced());
+    assert_eq!(restarted.admit(at(4), fingerprint(1)), Verdict::RunAlone);
+}
+
+/// Guards against facts that get lost or change on their way from one router to the next.
+#[test]
+fn facts_travel() {
+    struct Case {
+        name: &'static str,
+        /// At the first router, after it has told the owner of crashes at 0 and 1,000 ms.
+        event: On,
+        /// Verdict at a router that joins afterwards, at the time in milliseconds.
+        want: (u64, Verdict),
+    }
+    let left = |millis| Verdict::Refuse { retry_after: Duration::from_millis(millis) };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "struck", event: On::Complete(9), want: (10_000, left(591_000)) },
+        Case { name: "age", event: On::Complete(9), want: (601_001, Verdict::Run) },
+        Case { name: "cleared", event: On::Complete(1), want: (10_000, Verdict::Run) },
+        Case { name: "lifted", event: On::Lift(1), want: (10_000, Verdict::Run) },
+    ];
+    for case in cases {
+        let mut first = owner(&[]);
+        let mut second = Detector::new(Options::new(POOL, Node(2)));
+        second.owner_changed(at(0), Some(OWNER));
+        first.crashed(at(0), Endpoint(1), 1, &in_flight(&[1]));
+        first.crashed(at(1_000), Endpoint(2), 1, &in_flight(&[1]));
+        // Another router reports that the request ran alone at the second crash.
+        let crash = Crash { endpoint: Endpoint(2), instance: 1 };
+        let fact = Fact::Struck { crash, age_ms: 0, in_flight: in_flight(&[101]) };
+        let mut actions = first.merge(at(1_000), &[fact]);
+        actions.extend(first.members(at(5_000), &[OWNER, Node(2)]));
+        actions.extend(match case.event {
+            On::Complete(number) => first.completed(at(5_000), fingerprint(number)),
+            On::Lift(number) => first.lift(at(5_000), fingerprint(number)),
+            On::Crash(..) => Vec::new(),
+        });
+        actions.extend(first.tick(at(5_500)));
+        for action in actions {
+            if let Action::Send { message, .. } = action {
+                second.receive(at(5_500), OWNER, &message);
+            }
+        }
+        second.tick(at(7_000));
+        let (millis, want) = case.want;
+        assert_eq!(second.admit(at(millis), fingerprint(1)), want, "{}", case.name);
+    }
+}
