--- a/siskin-outcome/tests/main/poison.rs
+++ b/siskin-outcome/tests/main/poison.rs
@@ -189,6 +189,12 @@
     assert_eq!(sends(&detector.tick(at(5_000))), []);
     let more = detector.receive(at(5_001), Node(3), &tell(9, &[1, 2]));
     assert_eq!(sends(&more), [(Node(2), "tell"), (Node(3), "ack")]);
+    let facts = vec![Fact::Cleared { fingerprint: fingerprint(1), age_ms: 0 }];
+    detector.receive(at(5_010), Node(2), &Message::Tell { pool: POOL, serial: 8, facts });
+    assert_eq!(detector.admit(at(5_010), fingerprint(1)), Verdict::Run);
+    let told = detector.tick(at(5_510));
+    let cleared = told.iter().filter(|action| format!("{action:?}").contains("Cleared"));
+    assert_eq!(cleared.count(), 2, "completions are told in batches");
 }
 
 /// Guards against callers that are answered before the owner knows of the crash, against callers that are
