Measure fairness, utilisation and control traffic over the real sockets

Cause: the targets of the design are ratios to a single global queue measured in the same run, and nothing measured them. It samples the stand-ins' true service, checks every answer and the run histories, and prints a table or JSON; faults are injected in the middle third. The engine stand-in takes a free slot at once and reports service and running requests by user.

--- /dev/null
+++ b/siskin-measure/src/fault.rs
@@ -0,0 +1,164 @@
+//! Faults that a scenario injects in the middle third of its time.
+
+use {
+    crate::{
+        mode::{Unknown, find},
+        site::Site,
+    },
+    siskin_standin::{
+        fault::{Command, Fault as Endpoint},
+        kv,
+    },
+    std::{str::FromStr, time::Duration},
+    tokio::time::{Instant, sleep_until},
+};
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// A small customer sends three times the capacity.
+    Flood,
+    /// The key-value service does not answer.
+    StoreOutage,
+    /// The key-value service takes half a second longer.
+    StoreSlow,
+    /// A router dies and starts again a second later, without memory.
+    Restart,
+    /// Two data centres lose sight of the other two.
+    Partition,
+    /// Streams go silent on connections that stay open.
+    Silent,
+    /// A customer keeps sending a request that crashes engines.
+    Crash,
+    /// An engine reports that it is leaving.
+    Leaving,
+}
+
+/// Added time of a slow store.
+const STORE_DELAY_MS: u64 = 500;
+
+/// Time until a killed router starts again.
+const ROUTER_RESTART: Duration = Duration::from_secs(1);
+
+/// Time until a crashed engine accepts connections again.
+const ENGINE_RESTART_MS: u64 = 500;
+
+/// Streams of each engine that go silent.
+const SILENT_STREAMS: u64 = 3;
+
+/// Events after which a stream goes silent.
+const SILENT_AFTER_EVENTS: u32 = 2;
+
+/// Text of the request that crashes engines.
+pub const CRASH_TEXT: &str = "crash-the-engine";
+
+impl Fault {
+    /// All faults.
+    pub const ALL: [Self; 8] = [
+        Self::Flood,
+        Self::StoreOutage,
+        Self::StoreSlow,
+        Self::Restart,
+        Self::Partition,
+        Self::Silent,
+        Self::Crash,
+        Self::Leaving,
+    ];
+
+    /// Its name in flags and reports.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Flood => "flood",
+            Self::StoreOutage => "store-outage",
+            Self::StoreSlow => "store-slow",
+            Self::Restart => "restart",
+            Self::Partition => "partition",
+            Self::Silent => "silent",
+            Self::Crash => "crash",
+            Self::Leaving => "leaving",
+        }
+    }
+
+    /// One line of explanation.
+    #[must_use]
+    pub const fn summary(self) -> &'static str {
+        match self {
+            Self::Flood => "a small customer sends three times the capacity",
+            Self::StoreOutage => "the key-value service does not answer",
+            Self::StoreSlow => "the key-value service takes 500 ms longer",
+            Self::Restart => "a router dies and starts again a second later, without memory",
+            Self::Partition => "two of four data centres lose sight of the other two",
+            Self::Silent => "three streams of each engine go silent on open connections",
+            Self::Crash => "a request that crashes engines is sent again and again",
+            Self::Leaving => "an engine reports that it is leaving",
+        }
+    }
+}
+
+impl FromStr for Fault {
+    type Err = Unknown;
+
+    fn from_str(name: &str) -> Result<Self, Unknown> {
+        find(&Self::ALL, Self::name, "fault", name)
+    }
+}
+
+/// Injects `faults` between the two times.
+pub(crate) async fn inject(site: &Site, faults: &[Fault], start: Instant, end: Instant) {
+    sleep_until(start).await;
+    for fault in faults {
+        begin(site, *fault);
+    }
+    if faults.contains(&Fault::Restart) {
+        site.kill_router();
+        sleep_until(start + ROUTER_RESTART).await;
+        if let Err(error) = site.start_router().await {
+            log::error!("the router did not start again: {error:#}");
+        }
+    }
+    sleep_until(end).await;
+    for fault in faults {
+        finish(site, *fault);
+    }
+}
+
+fn begin(site: &Site, fault: Fault) {
+    match fault {
+        Fault::Flood | Fault::Restart => {}
+        Fault::StoreOutage => store(site, &kv::Command::Hang),
+        Fault::StoreSlow => store(site, &kv::Command::Slow { delay_ms: STORE_DELAY_MS }),
+        Fault::Partition => site.partition(),
+        Fault::Silent => {
+            let fault = Endpoint::Silence { after_events: SILENT_AFTER_EVENTS };
+            engines(site, &Command { times: Some(SILENT_STREAMS), ..Command::always(fault) });
+        }
+        Fault::Crash => {
+            let text = CRASH_TEXT.to_owned();
+            let fault = Endpoint::CrashOn { text, restart_ms: ENGINE_RESTART_MS };
+            engines(site, &Command::always(fault));
+        }
+        Fault::Leaving => site.engines[0].command(Command::always(Endpoint::Leaving { on: true })),
+    }
+}
+
+fn finish(site: &Site, fault: Fault) {
+    match fault {
+        Fault::Flood | Fault::Restart | Fault::Crash | Fault::Leaving => {}
+        Fault::StoreOutage | Fault::StoreSlow => store(site, &kv::Command::Up),
+        Fault::Partition => site.heal(),
+        Fault::Silent => engines(site, &Command::always(Endpoint::Clear)),
+    }
+}
+
+fn store(site: &Site, command: &kv::Command) {
+    if let Err(error) = site.store.command(command) {
+        log::error!("the store stand-in refused a command: {error}");
+    }
+}
+
+fn engines(site: &Site, command: &Command) {
+    for engine in &site.engines {
+        engine.command(command.clone());
+    }
+}
--- /dev/null
+++ b/siskin-measure/src/report.rs
@@ -0,0 +1,271 @@
+//! Figures of a run, as a table and as JSON.
+
+use {
+    crate::{mode::Mode, tally::Broken},
+    hdrhistogram::Histogram,
+    indexmap::IndexMap,
+    serde::Serialize,
+    std::fmt::Write as _,
+};
+
+/// Percentiles of a time in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Values.
+    pub count: u64,
+    /// Not exceeded by 50%.
+    pub p50_ms: f64,
+    /// Not exceeded by 95%.
+    pub p95_ms: f64,
+    /// Not exceeded by 99%.
+    pub p99_ms: f64,
+}
+
+impl Percentiles {
+    /// Reads a histogram of microseconds.
+    #[must_use]
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile| {
+            // The histogram's largest value is far below the point where doubles lose whole numbers.
+            #[allow(clippy::cast_precision_loss)]
+            let micros = histogram.value_at_quantile(quantile) as f64;
+            micros / 1_000.0
+        };
+        Self { count: histogram.len(), p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
+    }
+}
+
+/// Fairness between backlogged customers, in tokens per unit of weight.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Fairness {
+    /// Largest gap.
+    pub largest: f64,
+    /// Gap not exceeded in 99% of the samples.
+    pub p99: u64,
+    /// Bound of the design for this site.
+    pub bound: f64,
+    /// Samples in which at least two customers were backlogged.
+    pub samples: u64,
+}
+
+/// Figures of one mode.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// The mode.
+    pub mode: &'static str,
+    /// Routers that ran.
+    pub routers: u32,
+    /// Length of the run in seconds.
+    pub seconds: f64,
+    /// Calls sent.
+    pub sent: u64,
+    /// Calls that had no answer when the run ended.
+    pub unfinished: u64,
+    /// Fairness gap.
+    pub fairness: Fairness,
+    /// Part of the slots in use while work waited; none if no work waited.
+    pub utilisation_while_waiting: Option<f64>,
+    /// Part of the slots in use over the whole run.
+    pub utilisation: f64,
+    /// Tokens per second that engines served.
+    pub tokens_per_second: f64,
+    /// Most requests that waited at one engine, which is what exceeds its slots.
+    pub engine_excess: u32,
+    /// Runs that began at a leaving engine later than 3 s after it reported that.
+    pub late_starts_at_leaving: Option<usize>,
+    /// Control bytes sent per second and router.
+    pub control_bytes_per_second: f64,
+    /// Control messages sent per second and router.
+    pub control_messages_per_second: f64,
+    /// The same by kind of message.
+    pub control_bytes_by_kind: IndexMap<String, f64>,
+    /// Store calls per second of the whole fleet by kind.
+    pub store_calls_per_second: IndexMap<String, f64>,
+    /// Time to the first token of streams.
+    pub first_token: Percentiles,
+    /// Time between tokens of streams.
+    pub between_tokens: Percentiles,
+    /// Attempts by outcome and reason.
+    pub outcomes: IndexMap<String, u64>,
+    /// Confirmations by how many times they ran.
+    pub confirmation_runs: IndexMap<String, u64>,
+    /// Refusals by reason.
+    pub refusals: IndexMap<String, f64>,
+    /// Retries by reason.
+    pub retries: IndexMap<String, f64>,
+    /// Broken promises.
+    pub broken: Broken,
+}
+
+/// Figures of all modes of a scenario.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Scenario.
+    pub scenario: &'static str,
+    /// Faults.
+    pub faults: Vec<&'static str>,
+    /// Seed.
+    pub seed: u64,
+    /// Command that repeats the run.
+    pub command: String,
+    /// One entry for each mode, the product first.
+    pub modes: Vec<Figures>,
+}
+
+/// A line of the table: a name and its text for a mode.
+type Line = (&'static str, fn(&Figures) -> String);
+
+/// A line whose ratio to the global queue is shown.
+type Ratio = (&'static str, fn(&Figures) -> Option<f64>, usize);
+
+const RATIOS: [Ratio; 5] = [
+    ("gap, largest (tokens/weight)", |figures| Some(figures.fairness.largest), 0),
+    // Gaps are far below the point where doubles lose whole units.
+    #[allow(clippy::cast_precision_loss)]
+    ("gap, p99 over time", |figures| Some(figures.fairness.p99 as f64), 0),
+    ("utilisation while work waits", |figures| figures.utilisation_while_waiting, 4),
+    ("utilisation", |figures| Some(figures.utilisation), 4),
+    ("tokens/s", |figures| Some(figures.tokens_per_second), 0),
+];
+
+const LINES: [Line; 11] = [
+    ("gap, bound", |figures| format!("{:.0}", figures.fairness.bound)),
+    ("gap, samples", |figures| figures.fairness.samples.to_string()),
+    ("control B/s per router", |figures| format!("{:.0}", figures.control_bytes_per_second)),
+    ("control messages/s per router", |figures| {
+        format!("{:.1}", figures.control_messages_per_second)
+    }),
+    ("first token p50/p95/p99 ms", |figures| times(&figures.first_token)),
+    ("between tokens p50/p95/p99 ms", |figures| times(&figures.between_tokens)),
+    ("calls sent", |figures| figures.sent.to_string()),
+    ("calls unfinished at the end", |figures| figures.unfinished.to_string()),
+    ("most waiting at an engine", |figures| figures.engine_excess.to_string()),
+    ("late starts at a leaving engine", |figures| {
+        figures.late_starts_at_leaving.map_or_else(|| "-".to_owned(), |count| count.to_string())
+    }),
+    ("broken promises", |figures| figures.broken.all().count().to_string()),
+];
+
+/// A group of lines with names that differ from run to run.
+type Group = (&'static str, fn(&Figures) -> IndexMap<String, f64>);
+
+const GROUPS: [Group; 6] = [
+    ("attempts", |figures| counts(&figures.outcomes)),
+    ("confirmations that ran", |figures| counts(&figures.confirmation_runs)),
+    ("refusals", |figures| figures.refusals.clone()),
+    ("retries", |figures| figures.retries.clone()),
+    ("store calls/s", |figures| figures.store_calls_per_second.clone()),
+    ("control B/s per router", |figures| figures.control_bytes_by_kind.clone()),
+];
+
+/// Width of the first column.
+const NAME_WIDTH: usize = 44;
+
+/// Width of the other columns.
+const WIDTH: usize = 22;
+
+impl Report {
+    /// Whether all promises were kept.
+    #[must_use]
+    pub fn kept(&self) -> bool {
+        self.modes.iter().all(|figures| figures.broken.is_none())
+    }
+
+    /// The report as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a figure cannot be written, which is not expected.
+    pub fn json(&self) -> serde_json::Result<String> {
+        serde_json::to_string_pretty(self)
+    }
+
+    /// The report as a table.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut table = Table { text: String::new() };
+        let faults =
+            if self.faults.is_empty() { "none".to_owned() } else { self.faults.join(", ") };
+        let title = format!("scenario {}, faults {faults}, seed {}", self.scenario, self.seed);
+        table.text.push_str(&title);
+        table.text.push('\n');
+        let names = self.modes.iter().map(|figures| figures.mode.to_owned());
+        table.row("", names, self.global().map(|_| "fleet/global".to_owned()));
+        for (name, value, digits) in RATIOS {
+            let cells = self.modes.iter().map(|figures| {
+                value(figures).map_or_else(|| "-".to_owned(), |value| format!("{value:.digits$}"))
+            });
+            table.row(name, cells, self.ratio(value).map(|ratio| format!("{ratio:.3}")));
+        }
+        for (name, value) in LINES {
+            table.row(name, self.modes.iter().map(value), None);
+        }
+        for (name, value) in GROUPS {
+            table.group(name, &self.modes.iter().map(value).collect::<Vec<_>>());
+        }
+        for figures in &self.modes {
+            for (kind, case) in figures.broken.all() {
+                let _ = writeln!(table.text, "BROKEN in {}: {kind}: {case}", figures.mode);
+            }
+        }
+        let _ = writeln!(table.text, "repeat with: {}", self.command);
+        table.text
+    }
+
+    /// Ratio of the product's figure to that of the global queue.
+    #[must_use]
+    pub fn ratio(&self, value: fn(&Figures) -> Option<f64>) -> Option<f64> {
+        let of = |mode: Mode| {
+            let figures = self.modes.iter().find(|figures| figures.mode == mode.name())?;
+            value(figures)
+        };
+        let (fleet, global) = (of(Mode::Fleet)?, of(Mode::Global)?);
+        (global != 0.0).then(|| fleet / global)
+    }
+
+    fn global(&self) -> Option<&Figures> {
+        self.modes.iter().find(|figures| figures.mode == Mode::Global.name())
+    }
+}
+
+struct Table {
+    text: String,
+}
+
+impl Table {
+    fn row(&mut self, name: &str, cells: impl Iterator<Item = String>, ratio: Option<String>) {
+        let _ = write!(self.text, "{name:<NAME_WIDTH$}");
+        for cell in cells.chain(ratio) {
+            let _ = write!(self.text, "{cell:>WIDTH$}");
+        }
+        self.text.push('\n');
+    }
+
+    fn group(&mut self, name: &str, modes: &[IndexMap<String, f64>]) {
+        let mut keys: Vec<&String> = modes.iter().flat_map(IndexMap::keys).collect();
+        keys.sort();
+        keys.dedup();
+        keys.retain(|key| {
+            modes.iter().any(|mode| mode.get(*key).is_some_and(|value| *value != 0.0))
+        });
+        for key in keys {
+            let cells = modes.iter().map(|mode| {
+                let value = mode.get(key).copied().unwrap_or_default();
+                if value.fract() == 0.0 { format!("{value:.0}") } else { format!("{value:.1}") }
+            });
+            self.row(&format!("{name}: {key}"), cells, None);
+        }
+    }
+}
+
+fn times(percentiles: &Percentiles) -> String {
+    let Percentiles { p50_ms, p95_ms, p99_ms, .. } = percentiles;
+    format!("{p50_ms:.1}/{p95_ms:.1}/{p99_ms:.1}")
+}
+
+fn counts(counts: &IndexMap<String, u64>) -> IndexMap<String, f64> {
+    // Counts of calls are far below the point where doubles lose whole numbers.
+    #[allow(clippy::cast_precision_loss)]
+    let double = |count: u64| count as f64;
+    counts.iter().map(|(name, count)| (name.clone(), double(*count))).collect()
+}
--- a/siskin-standin/src/application.rs
+++ b/siskin-standin/src/application.rs
@@ -15,7 +15,7 @@
         body::{self, Body},
         fault::{Applied, Command, Fault, Plan},
         load::{Lagged, Load},
-        run::{End, History, Number, Run},
+        run::{End, History, Number, Run, Service},
         server::Listener,
     },
     http_body_util::BodyExt,
@@ -134,7 +134,7 @@
 
     /// Service by the header `X-Standin-User`, in milliseconds of an occupied slot.
     #[must_use]
-    pub fn service(&self) -> IndexMap<String, u64> {
+    pub fn service(&self) -> IndexMap<String, Service> {
         self.application.history.service()
     }
 
--- a/siskin-standin/src/engine/batch.rs
+++ b/siskin-standin/src/engine/batch.rs
@@ -143,7 +143,9 @@
         });
         let first = Progress { produced: work.produced, ..Progress::default() };
         let (sender, progress) = watch::channel(first);
-        let guard = Guard::new(Arc::clone(self), context.history.clone(), number);
+        // A free slot is taken at once. If requests wait, the semaphore keeps free slots for them.
+        let slot = Arc::clone(&self.slots).try_acquire_owned().ok();
+        let guard = Guard::new(Arc::clone(self), Arc::clone(&context.history), number, slot);
         let (answer, user) = (work.answer.clone(), work.user.clone());
         let prompt = Arc::clone(&work.prompt);
         let task = tokio::spawn(run(guard, context.clone(), work, sender));
@@ -213,9 +215,17 @@
 }
 
 impl Guard {
-    fn new(instance: Arc<Instance>, history: Arc<History>, number: Number) -> Self {
-        instance.load.change(|load| load.waiting += 1);
-        Self { instance, history, number, slot: None, completed: false }
+    fn new(
+        instance: Arc<Instance>,
+        history: Arc<History>,
+        number: Number,
+        slot: Option<OwnedSemaphorePermit>,
+    ) -> Self {
+        instance.load.change(|load| match slot {
+            Some(_) => load.running += 1,
+            None => load.waiting += 1,
+        });
+        Self { instance, history, number, slot, completed: false }
     }
 
     fn running(&mut self, slot: OwnedSemaphorePermit) {
@@ -241,9 +251,11 @@
 
 /// Runs a job: waits for a slot, reads the prompt, then produces tokens at a steady rate.
 async fn run(mut guard: Guard, context: Context, work: Work, progress: watch::Sender<Progress>) {
-    let slots = Arc::clone(&guard.instance.slots);
-    let Ok(slot) = slots.acquire_owned().await else { return };
-    guard.running(slot);
+    if guard.slot.is_none() {
+        let slots = Arc::clone(&guard.instance.slots);
+        let Ok(slot) = slots.acquire_owned().await else { return };
+        guard.running(slot);
+    }
     let answer = &work.answer;
     let names = std::iter::once(answer.request.as_str()).chain(work.idempotency.as_deref());
     context.history.started(guard.number, names);
--- a/siskin-standin/src/engine/mod.rs
+++ b/siskin-standin/src/engine/mod.rs
@@ -22,7 +22,7 @@
         Error,
         fault::{Command, Fault},
         load::Load,
-        run::Run,
+        run::{Run, Service},
         server::Listener,
     },
     handler::Engine,
@@ -155,9 +155,9 @@
         self.engine.history().counts()
     }
 
-    /// Service by the `user` of the requests, in tokens; cached prompt tokens count a tenth.
+    /// Service by the `user` of the requests, in tokens.
     #[must_use]
-    pub fn service(&self) -> IndexMap<String, u64> {
+    pub fn service(&self) -> IndexMap<String, Service> {
         self.engine.history().service()
     }
 
--- a/siskin-standin/src/run.rs
+++ b/siskin-standin/src/run.rs
@@ -43,6 +43,15 @@
     pub end: End,
 }
 
+/// Service to one user.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Service {
+    /// Units of service: tokens, of which cached prompt tokens count a tenth, or milliseconds.
+    pub units: u64,
+    /// Runs that hold a slot.
+    pub running: u32,
+}
+
 /// Number of a run in the history.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Number(usize);
@@ -52,8 +61,24 @@
     runs: Vec<Run>,
     /// Runs that started, by each name the request has.
     started: IndexMap<String, u64>,
-    /// Units of service by user.
-    service: IndexMap<String, u64>,
+    /// Service by user.
+    service: IndexMap<String, Service>,
+}
+
+impl Table {
+    fn end(&mut self, number: usize, end: End) {
+        let run = &mut self.runs[number];
+        if run.end != End::Open {
+            return;
+        }
+        run.end = end;
+        run.ended = Some(Instant::now());
+        if run.started.is_some()
+            && let Some(service) = self.service.get_mut(&run.user)
+        {
+            service.running -= 1;
+        }
+    }
 }
 
 /// History of runs.
@@ -75,7 +100,9 @@
         let mut table = crate::lock(&self.table);
         let run = &mut table.runs[number.0];
         run.started = Some(Instant::now());
-        if run.resumed {
+        let (user, resumed) = (run.user.clone(), run.resumed);
+        table.service.entry(user).or_default().running += 1;
+        if resumed {
             return;
         }
         for name in names {
@@ -89,25 +116,19 @@
         let run = &mut table.runs[number.0];
         run.units += units;
         let user = run.user.clone();
-        *table.service.entry(user).or_default() += units;
+        table.service.entry(user).or_default().units += units;
     }
 
     /// Records the end of a run; later ends of the same run are ignored.
     pub(crate) fn ended(&self, number: Number, end: End) {
-        let mut table = crate::lock(&self.table);
-        let run = &mut table.runs[number.0];
-        if run.end == End::Open {
-            run.end = end;
-            run.ended = Some(Instant::now());
-        }
+        crate::lock(&self.table).end(number.0, end);
     }
 
     /// Records that the process died: every open run crashed.
     pub(crate) fn crashed(&self) {
         let mut table = crate::lock(&self.table);
-        for run in table.runs.iter_mut().filter(|run| run.end == End::Open) {
-            run.end = End::Crashed;
-            run.ended = Some(Instant::now());
+        for number in 0..table.runs.len() {
+            table.end(number, End::Crashed);
         }
     }
 
@@ -121,8 +142,8 @@
         crate::lock(&self.table).started.clone()
     }
 
-    /// Units of service by user.
-    pub(crate) fn service(&self) -> IndexMap<String, u64> {
+    /// Service by user.
+    pub(crate) fn service(&self) -> IndexMap<String, Service> {
         crate::lock(&self.table).service.clone()
     }
 
--- a/siskin-standin/tests/standin/engine.rs
+++ b/siskin-standin/tests/standin/engine.rs
@@ -58,7 +58,8 @@
     expect_that!(events.iter().map(|(id, _)| *id).collect::<Vec<_>>(), eq(&vec![1, 2, 3, 4, 5, 6]));
     expect_true!(stream.done() && stream.complete);
     expect_that!(server.runs("a"), eq(1));
-    expect_that!(server.service()["c1"], ge(10));
+    let service = server.service()["c1"];
+    expect_that!((service.units, service.running), (ge(10), eq(0)));
 }
 
 /// Guards against lost and doubled tokens when a stream is resumed at any offset.
