Base the measured site on the loopback site

Cause: the measuring program listed every setting of a router again and broke when two were added. Change: it takes them from siskin-site. Conclusion: one place lists the settings of a router on loopback.

--- a/siskin-measure/src/site.rs
+++ b/siskin-measure/src/site.rs
@@ -5,10 +5,7 @@
     anyhow::Context,
     serde_json::{Map, json},
     siskin_config::document::{Document, Hash},
-    siskin_router::{
-        router::Router,
-        settings::{Secret, Settings},
-    },
+    siskin_router::{router::Router, settings::Settings},
     siskin_standin::{application, engine, kv, vms},
     siskin_types::id::Node,
     std::{
@@ -243,25 +240,12 @@
 }
 
 fn settings(number: u32, mode: Mode, seeds: Vec<SocketAddr>, document: Document) -> Settings {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let store = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     Settings {
-        node: Node(number),
         data_centre: data_centre(number),
-        listen: any,
-        control: any,
-        operator: any,
-        seeds,
-        store: Vec::new(),
-        vm_list: None,
-        bootstrap: Some(document),
         stop_timeout: STOP_TIMEOUT,
-        stop_notice: Duration::ZERO,
         scheduling: mode.scheduling(),
-        fleet_size: 1,
-        fleet_key: Secret::new("measurement-fleet-key"),
-        fleet_key_next: None,
-        operator_token: Secret::new("measurement-operator-token"),
-        log: String::new(),
+        ..siskin_site::settings(Node(number), seeds, store, document)
     }
 }
 
