--- /dev/null
+++ b/siskin-config/src/follower.rs
@@ -0,0 +1,473 @@
+//! Follows the history of the configuration and keeps the document in force.
+//!
+//! A few routers, chosen by the caller, watch the store; the others ask routers that announce a higher
+//! version. Versions never go down.
+
+use {
+    crate::{
+        document::{self, Document, Hash},
+        entry::{self, Entry},
+        history::History,
+        index::Index,
+        patch,
+        snapshot::Snapshot,
+        store::{Call, Pair},
+    },
+    siskin_types::{id, time::Instant},
+    siskin_wire::config,
+    std::{sync::Arc, time::Duration},
+};
+
+pub mod maintain;
+mod peers;
+mod repair;
+mod serve;
+pub(crate) mod task;
+
+pub use serve::{Refusal, Serving, View};
+
+/// Time between two reads by which a watcher confirms its version, so that a missed event of a watch
+/// is made up for within the 5 s in which a change must be in force.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time between two announcements of an unchanged version.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Routers that get an announcement when nothing has changed.
+const IDLE_FANOUT: usize = 2;
+
+/// Routers that get an announcement at once when the version has changed.
+const CHANGE_FANOUT: usize = 3;
+
+/// Time for peers to announce themselves before a router that is not a watcher loads from the store.
+/// It keeps the restart of a whole fleet away from the store.
+const PEER_WAIT: Duration = Duration::from_millis(500);
+
+/// How long a divergence that another router reported counts.
+const DIVERGENCE_MEMORY: Duration = Duration::from_secs(30);
+
+/// Entries per read from the store and per request to a peer.
+pub const BATCH: usize = 32;
+
+/// Settings of a follower.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Seed for the jitter of retries.
+    pub seed: u64,
+}
+
+/// What the caller has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Carry out a call and hand the answer to [`Follower::stored`], [`Answer::Unknown`] if there is
+    /// none in time.
+    ///
+    /// [`Answer::Unknown`]: crate::store::Answer::Unknown
+    Store(Call),
+    /// Watch this key in place of the one before, or none. Changes go to [`Follower::watched`].
+    Watch(Option<Watch>),
+    /// Send a message to a router.
+    Send {
+        /// The router.
+        to: id::Node,
+        /// The message.
+        message: config::Message,
+    },
+    /// Send an announcement to a few other routers, chosen at random among those that are visible.
+    Announce {
+        /// How many.
+        fanout: usize,
+        /// The announcement.
+        announcement: config::Announcement,
+    },
+    /// The document in force has changed; it is in [`Follower::state`].
+    Changed {
+        /// The version.
+        version: u64,
+    },
+    /// Histories have diverged. Log it as an error.
+    Diverged(Divergence),
+}
+
+/// A key to watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Watch {
+    /// The key.
+    pub key: String,
+    /// The first revision of the store whose changes are wanted.
+    pub from_revision: u64,
+}
+
+/// What a watch reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// Keys have changed.
+    Changed(Vec<Pair>),
+    /// The watch has ended.
+    Broken,
+}
+
+/// Two histories contain different entries, or lead to different documents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "version {version} differs between this router (hash {ours}) and another place (hash {theirs}); \
+     patches are refused until an operator stops the routers that hold the wrong history, deletes its \
+     entries from the store if they are there, and starts the routers again"
+)]
+pub struct Divergence {
+    /// The first version that is known to differ.
+    pub version: u64,
+    /// Hash of this router's document or entry.
+    pub ours: Hash,
+    /// Hash of the other document or entry.
+    pub theirs: Hash,
+}
+
+/// Why an entry was not applied.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Entries before it are missing.
+    #[error("entry {version} does not follow version {have}; fetch the entries between them")]
+    Gap {
+        /// The version in force.
+        have: u64,
+        /// The version of the entry.
+        version: u64,
+    },
+    /// The entry cannot be read.
+    #[error(transparent)]
+    Entry(#[from] entry::Error),
+    /// The changes do not fit this program's document.
+    #[error("entry {version} cannot be applied: {error}; upgrade this router")]
+    Patch {
+        /// The version of the entry.
+        version: u64,
+        /// The rule that it breaks.
+        error: document::Error,
+    },
+    /// It belongs to another history.
+    #[error(transparent)]
+    Diverged(#[from] Divergence),
+}
+
+/// The document in force. The caller may keep it while the follower goes on.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// Its version.
+    pub version: u64,
+    /// Hash of the document.
+    pub hash: Hash,
+    /// The document.
+    pub document: Document,
+    /// Lookups in the document.
+    pub index: Index,
+}
+
+impl State {
+    fn new(version: u64, document: Document) -> Self {
+        Self { version, hash: document.hash(), index: Index::new(&document), document }
+    }
+}
+
+/// Follows the history.
+///
+/// ```
+/// use {
+///     siskin_config::{
+///         follower::{Action, Follower, Options},
+///         store::Answer,
+///     },
+///     siskin_types::time::Instant,
+/// };
+/// let mut follower = Follower::new(Options { seed: 1 });
+/// let now = Instant::ZERO;
+/// follower.watcher(now, Some(0));
+/// // The store is new: it has neither a snapshot nor entries.
+/// let mut actions = follower.tick(now);
+/// while let Some(Action::Store(call)) = actions.first() {
+///     let empty = Answer::Range { pairs: Vec::new(), revision: 1 };
+///     actions = follower.stored(now, call.number, empty);
+/// }
+/// assert!(follower.ready());
+/// assert_eq!(follower.version(), 0);
+/// ```
+#[derive(Debug)]
+pub struct Follower {
+    random: u64,
+    state: Arc<State>,
+    ready: bool,
+    history: History,
+    confirmed: Option<Instant>,
+    divergence: Option<Divergence>,
+    divergence_heard: Option<Instant>,
+    unreadable: Option<String>,
+    rank: Option<usize>,
+    watch: Option<Watch>,
+    watch_after: Instant,
+    revision: u64,
+    store: task::Progress,
+    peers: peers::Peers,
+    isolated_since: Option<Instant>,
+    started: Option<Instant>,
+    announce_at: Instant,
+}
+
+impl Follower {
+    /// Makes a follower that has nothing yet.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            random: options.seed,
+            state: Arc::new(State::new(0, Document::default())),
+            ready: false,
+            history: History::default(),
+            confirmed: None,
+            divergence: None,
+            divergence_heard: None,
+            unreadable: None,
+            rank: None,
+            watch: None,
+            watch_after: Instant::ZERO,
+            revision: 0,
+            store: task::Progress::default(),
+            peers: peers::Peers::default(),
+            isolated_since: None,
+            started: None,
+            announce_at: Instant::ZERO,
+        }
+    }
+
+    /// The document in force, with its version.
+    #[must_use]
+    pub const fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// The document in force.
+    #[must_use]
+    pub fn document(&self) -> &Document {
+        &self.state.document
+    }
+
+    /// The version in force.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.state.version
+    }
+
+    /// The latest entries.
+    #[must_use]
+    pub const fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Whether the configuration has been loaded.
+    #[must_use]
+    pub const fn ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Time since it was last confirmed, by the store or by a peer that had confirmed it, that there was
+    /// no version newer than the one in force. It leaves out the time that a peer's message took.
+    #[must_use]
+    pub fn freshness(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now - confirmed)
+    }
+
+    /// The divergence that this router found.
+    #[must_use]
+    pub const fn divergence(&self) -> Option<&Divergence> {
+        self.divergence.as_ref()
+    }
+
+    /// Whether this router or another one has found a divergence lately.
+    #[must_use]
+    pub fn diverged(&self, now: Instant) -> bool {
+        let heard = self.divergence_heard.is_some_and(|heard| now - heard < DIVERGENCE_MEMORY);
+        self.divergence.is_some() || heard
+    }
+
+    /// The highest version that any router has announced in the last hour.
+    #[must_use]
+    pub fn announced_version(&self, now: Instant) -> u64 {
+        self.peers.newest(now).max(self.version())
+    }
+
+    /// Problems that need an operator.
+    #[must_use]
+    pub fn alarms(&self, now: Instant) -> Vec<String> {
+        let own = self.divergence.as_ref().map(ToString::to_string);
+        let heard = (own.is_none() && self.diverged(now)).then(|| {
+            "another router reports that histories have diverged; look at the status of the others"
+                .to_owned()
+        });
+        own.into_iter().chain(heard).chain(self.unreadable.clone()).collect()
+    }
+
+    /// Says whether this router watches the store, and at which place in the order of watchers.
+    pub fn watcher(&mut self, now: Instant, rank: Option<usize>) -> Vec<Action> {
+        if self.rank == rank {
+            return Vec::new();
+        }
+        self.rank = rank;
+        self.store.confirm_soon(now);
+        let mut actions = Vec::new();
+        self.update_watch(now, &mut actions);
+        actions
+    }
+
+    /// Timers. Call it about every 100 ms.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.started.get_or_insert(now);
+        let mut actions = Vec::new();
+        self.expire_call(now, &mut actions);
+        self.start_task(now, &mut actions);
+        self.update_watch(now, &mut actions);
+        self.tick_peers(now, &mut actions);
+        if now >= self.announce_at {
+            self.announce_at = now + if self.ready { ANNOUNCE_INTERVAL } else { PEER_WAIT };
+            actions.push(self.announce(now, IDLE_FANOUT));
+        }
+        actions
+    }
+
+    /// Takes an entry from whatever source. Entries that are in force already are compared. A
+    /// divergence is remembered.
+    ///
+    /// # Errors
+    ///
+    /// The entry does not follow the version in force, cannot be read or belongs to another history.
+    pub fn entry(
+        &mut self,
+        now: Instant,
+        version: u64,
+        bytes: &Arc<[u8]>,
+    ) -> Result<Vec<Action>, Error> {
+        let before = self.version();
+        let mut actions = Vec::new();
+        if let Err(error) = self.apply(version, bytes) {
+            self.failed(&error, &mut actions);
+            return Err(error);
+        }
+        self.after_change(now, before, &mut actions);
+        Ok(actions)
+    }
+
+    fn apply(&mut self, version: u64, bytes: &Arc<[u8]>) -> Result<(), Error> {
+        let have = self.version();
+        if version <= have {
+            return self.compare(version, bytes);
+        }
+        if version > have + 1 {
+            return Err(Error::Gap { have, version });
+        }
+        let entry = Entry::decode(version, bytes)?;
+        let mut document = self.state.document.clone();
+        let changes = patch::apply(&mut document, &entry.changes)
+            .map_err(|error| Error::Patch { version, error })?;
+        let hash = document.hash();
+        if hash != entry.hash {
+            return Err(Divergence { version, ours: hash, theirs: entry.hash }.into());
+        }
+        let mut index = self.state.index.clone();
+        index.update(&changes);
+        self.history.push(&entry.patch, Arc::clone(bytes), changes);
+        self.install(State { version, hash, document, index });
+        Ok(())
+    }
+
+    /// Compares an entry with the one in force, if that is still kept.
+    fn compare(&self, version: u64, bytes: &Arc<[u8]>) -> Result<(), Error> {
+        match self.history.bytes(version) {
+            Some(ours) if ours != bytes => {
+                let (ours, theirs) = (Hash::of(ours), Hash::of(bytes));
+                Err(Divergence { version, ours, theirs }.into())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Puts a state in force.
+    fn install(&mut self, state: State) {
+        assert!(state.version > self.state.version, "the version in force must never go down");
+        self.state = Arc::new(state);
+        self.unreadable = None;
+    }
+
+    /// Puts a snapshot in force if it is newer.
+    fn install_snapshot(&mut self, snapshot: Snapshot) {
+        if snapshot.version <= self.version() {
+            return;
+        }
+        self.history = History::new(snapshot.version, snapshot.recent);
+        self.install(State::new(snapshot.version, snapshot.document));
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            version: self.version(),
+            recent: self.history.recent(),
+            document: self.state.document.clone(),
+        }
+    }
+
+    /// Tells the caller and others about a new version.
+    fn after_change(&mut self, now: Instant, before: u64, actions: &mut Vec<Action>) {
+        if self.version() == before {
+            return;
+        }
+        actions.push(Action::Changed { version: self.version() });
+        self.update_watch(now, actions);
+        if self.ready {
+            self.announce_at = now + ANNOUNCE_INTERVAL;
+            actions.push(self.announce(now, CHANGE_FANOUT));
+        }
+    }
+
+    fn loaded(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.ready {
+            return;
+        }
+        self.ready = true;
+        actions.push(Action::Changed { version: self.version() });
+        self.update_watch(now, actions);
+        self.announce_at = now + ANNOUNCE_INTERVAL;
+        actions.push(self.announce(now, IDLE_FANOUT));
+    }
+
+    fn confirm(&mut self, at: Instant) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Takes note of an entry that could not be applied.
+    fn failed(&mut self, error: &Error, actions: &mut Vec<Action>) {
+        match error {
+            Error::Gap { .. } => {}
+            Error::Entry(_) | Error::Patch { .. } => self.unreadable = Some(error.to_string()),
+            Error::Diverged(divergence) => self.diverge(*divergence, actions),
+        }
+    }
+
+    fn diverge(&mut self, divergence: Divergence, actions: &mut Vec<Action>) {
+        self.store.recheck_failed();
+        if self.divergence.is_none() {
+            self.divergence = Some(divergence);
+            actions.push(Action::Diverged(divergence));
+        }
+    }
+
+    /// A number for jitter, by the splitmix64 generator.
+    fn random(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Between half of `longest` and all of it.
+    fn jittered(&mut self, longest: Duration) -> Duration {
+        let half = longest / 2;
+        let micros = u64::try_from(half.as_micros()).unwrap_or(u64::MAX).max(1);
+        half + Duration::from_micros(self.random() % micros)
+    }
+}
--- /dev/null
+++ b/siskin-config/src/follower/peers.rs
@@ -0,0 +1,361 @@
+//! Exchange with other routers: announcements, entries and snapshots.
+
+use {
+    super::{Action, BATCH, CONFIRM_INTERVAL, Error, Follower},
+    crate::snapshot::Snapshot,
+    siskin_types::{id, time::Instant},
+    siskin_wire::config::{
+        Announcement, Entries, EntriesRequest, Message, Snapshot as Piece, SnapshotRequest,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time for a peer to answer before another is asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Routers that are remembered because they announced a higher version.
+const MAX_CANDIDATES: usize = 4;
+
+/// Most bytes of entries in one answer. The first entry is sent whatever its size.
+const MAX_ANSWER_BYTES: usize = 256 << 10;
+
+/// Bytes in a piece of a snapshot.
+const PIECE_BYTES: usize = 32 << 10;
+
+/// Most pieces of a snapshot that are accepted, so that a faulty peer cannot exhaust memory.
+const MAX_PIECES: u32 = 1_024;
+
+/// How long an encoded snapshot is kept after a piece was last asked for.
+const OUTGOING_MEMORY: Duration = Duration::from_secs(10);
+
+/// How long the highest announced version is remembered: as long as an unreachable member is known.
+const NEWEST_MEMORY: Duration = Duration::from_secs(3_600);
+
+/// What is known of other routers.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    candidates: Vec<Candidate>,
+    fetch: Option<Fetch>,
+    outgoing: Option<Outgoing>,
+    newest: Option<(u64, Instant)>,
+}
+
+/// A router that announced a higher version.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    node: id::Node,
+    version: u64,
+}
+
+/// A request that waits for its answer.
+#[derive(Debug)]
+struct Fetch {
+    from: id::Node,
+    sent: Instant,
+    transfer: Option<Transfer>,
+}
+
+/// A snapshot that is being received.
+#[derive(Debug, Default)]
+struct Transfer {
+    version: Option<u64>,
+    pieces: u32,
+    next: u32,
+    bytes: Vec<u8>,
+}
+
+/// A snapshot that is being sent.
+#[derive(Debug)]
+struct Outgoing {
+    version: u64,
+    bytes: Arc<[u8]>,
+    used: Instant,
+}
+
+impl Peers {
+    pub(super) fn newest(&self, now: Instant) -> u64 {
+        let newest = self.newest.filter(|(_, heard)| now - *heard < NEWEST_MEMORY);
+        newest.map_or(0, |(version, _)| version)
+    }
+}
+
+fn age_ms(now: Instant, at: Instant) -> u32 {
+    u32::try_from((now - at).as_millis()).unwrap_or(u32::MAX)
+}
+
+/// The instant that lies this many milliseconds back.
+fn instant_ago(now: Instant, age_ms: u32) -> Instant {
+    Instant::from_micros(now.as_micros().saturating_sub(u64::from(age_ms) * 1_000))
+}
+
+impl Follower {
+    /// The announcement of this router's version, also for gossip of other kinds to carry.
+    #[must_use]
+    pub fn announcement(&self, now: Instant) -> Announcement {
+        let diverged = if self.divergence.is_some() { Some(now) } else { self.divergence_heard };
+        Announcement {
+            version: self.version(),
+            ready: self.ready,
+            hash: self.state.hash.short(),
+            confirmed_ms_ago: self.confirmed.map(|at| age_ms(now, at)),
+            diverged_ms_ago: diverged.map(|at| age_ms(now, at)),
+        }
+    }
+
+    pub(super) fn announce(&self, now: Instant, fanout: usize) -> Action {
+        Action::Announce { fanout, announcement: self.announcement(now) }
+    }
+
+    /// Takes a message from another router.
+    pub fn received(&mut self, now: Instant, from: id::Node, message: &Message) -> Vec<Action> {
+        match message {
+            Message::Announcement(announcement) => self.announced(now, from, announcement),
+            Message::EntriesRequest(request) => self.entries_wanted(from, *request),
+            Message::Entries(entries) => self.entries(now, from, entries),
+            Message::SnapshotRequest(request) => self.snapshot_wanted(now, from, *request),
+            Message::Snapshot(piece) => self.piece(now, from, piece),
+        }
+    }
+
+    /// Takes another router's announcement.
+    pub fn announced(
+        &mut self,
+        now: Instant,
+        from: id::Node,
+        announcement: &Announcement,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(age) = announcement.diverged_ms_ago {
+            self.divergence_heard = self.divergence_heard.max(Some(instant_ago(now, age)));
+        }
+        if self.peers.newest.is_none_or(|(newest, _)| announcement.version >= newest) {
+            self.peers.newest = Some((announcement.version, now));
+        }
+        if announcement.ready && announcement.version == self.version() {
+            self.announced_same(now, announcement, &mut actions);
+        } else if announcement.version > self.version() {
+            self.remember(from, announcement.version);
+            self.fetch(now, &mut actions);
+        }
+        if self.ready && self.knows_more(now, announcement) {
+            let message = Message::Announcement(self.announcement(now));
+            actions.push(Action::Send { to: from, message });
+        }
+        actions
+    }
+
+    /// Whether the sender of an announcement can learn something from this router's.
+    fn knows_more(&self, now: Instant, announcement: &Announcement) -> bool {
+        let theirs = announcement.confirmed_ms_ago.map(|age| instant_ago(now, age));
+        let fresher = self.confirmed > theirs.map(|at| at + CONFIRM_INTERVAL);
+        !announcement.ready
+            || announcement.version < self.version()
+            || announcement.version == self.version() && fresher
+    }
+
+    fn announced_same(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        actions: &mut Vec<Action>,
+    ) {
+        if announcement.hash != self.state.hash.short() {
+            self.divergence_heard = Some(now);
+            return;
+        }
+        if let Some(age) = announcement.confirmed_ms_ago {
+            self.confirm(instant_ago(now, age));
+        }
+        self.loaded(now, actions);
+    }
+
+    fn remember(&mut self, node: id::Node, version: u64) {
+        let candidates = &mut self.peers.candidates;
+        candidates.retain(|candidate| candidate.node != node);
+        candidates.push(Candidate { node, version });
+        if candidates.len() > MAX_CANDIDATES {
+            candidates.remove(0);
+        }
+    }
+
+    pub(super) fn tick_peers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let outgoing = &mut self.peers.outgoing;
+        outgoing.take_if(|outgoing| now - outgoing.used >= OUTGOING_MEMORY);
+        let late = self.peers.fetch.take_if(|fetch| now - fetch.sent >= ANSWER_TIMEOUT);
+        if let Some(late) = late {
+            self.peers.candidates.retain(|candidate| candidate.node != late.from);
+        }
+        self.fetch(now, actions);
+    }
+
+    /// Asks the latest candidate for entries, unless a request is under way.
+    fn fetch(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let have = self.version();
+        self.peers.candidates.retain(|candidate| candidate.version > have);
+        if self.peers.fetch.is_some() || self.divergence.is_some() {
+            return;
+        }
+        if let Some(candidate) = self.peers.candidates.last().copied() {
+            actions.push(self.ask_entries(now, candidate.node));
+        }
+    }
+
+    fn ask_entries(&mut self, now: Instant, to: id::Node) -> Action {
+        self.peers.fetch = Some(Fetch { from: to, sent: now, transfer: None });
+        let limit = u16::try_from(BATCH).unwrap_or(u16::MAX);
+        let request = EntriesRequest { after: self.version(), limit };
+        Action::Send { to, message: Message::EntriesRequest(request) }
+    }
+
+    fn ask_piece(&mut self, now: Instant, to: id::Node, transfer: Transfer) -> Action {
+        let request = SnapshotRequest { version: transfer.version, piece: transfer.next };
+        self.peers.fetch = Some(Fetch { from: to, sent: now, transfer: Some(transfer) });
+        Action::Send { to, message: Message::SnapshotRequest(request) }
+    }
+
+    fn entries_wanted(&self, from: id::Node, request: EntriesRequest) -> Vec<Action> {
+        if !self.ready {
+            return Vec::new();
+        }
+        let first = request.after.saturating_add(1);
+        let compacted = first < self.history.first() && request.after < self.version();
+        let limit = usize::from(request.limit).min(BATCH);
+        let mut room = MAX_ANSWER_BYTES;
+        let entries = (first..).map_while(|version| self.history.bytes(version)).take(limit);
+        let entries = entries.enumerate().take_while(|(position, bytes)| {
+            let fits = *position == 0 || bytes.len() <= room;
+            room = room.saturating_sub(bytes.len());
+            fits
+        });
+        let entries = entries.map(|(_, bytes)| bytes.to_vec()).collect();
+        let answer = Entries { first, entries, compacted, version: self.version() };
+        vec![Action::Send { to: from, message: Message::Entries(answer) }]
+    }
+
+    fn entries(&mut self, now: Instant, from: id::Node, answer: &Entries) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let asked = self.peers.fetch.take_if(|fetch| fetch.from == from).is_some();
+        let before = self.version();
+        if let Err(error) = self.apply_answer(answer) {
+            self.failed(&error, &mut actions);
+            self.peers.candidates.retain(|candidate| candidate.node != from);
+        } else if asked && answer.compacted && answer.version > self.version() {
+            actions.push(self.ask_piece(now, from, Transfer::default()));
+        } else if asked && answer.version > self.version() && self.version() > before {
+            actions.push(self.ask_entries(now, from));
+        } else if asked {
+            self.peers.candidates.retain(|candidate| candidate.node != from);
+            if answer.version == self.version() {
+                self.loaded(now, &mut actions);
+            }
+        }
+        self.after_change(now, before, &mut actions);
+        self.fetch(now, &mut actions);
+        actions
+    }
+
+    fn apply_answer(&mut self, answer: &Entries) -> Result<(), Error> {
+        for (version, bytes) in (answer.first..).zip(&answer.entries) {
+            self.apply(version, &bytes.as_slice().into())?;
+        }
+        Ok(())
+    }
+
+    fn snapshot_wanted(
+        &mut self,
+        now: Instant,
+        from: id::Node,
+        request: SnapshotRequest,
+    ) -> Vec<Action> {
+        if !self.ready {
+            return Vec::new();
+        }
+        self.prepare_outgoing(now);
+        let Some(outgoing) = &self.peers.outgoing else {
+            return Vec::new();
+        };
+        let pieces = outgoing.bytes.len().div_ceil(PIECE_BYTES);
+        let same = request.version.is_none_or(|version| version == outgoing.version);
+        let piece = if same { request.piece } else { 0 };
+        let Some(bytes) = outgoing.bytes.chunks(PIECE_BYTES).nth(piece as usize) else {
+            return Vec::new();
+        };
+        let answer = Piece {
+            version: outgoing.version,
+            piece,
+            pieces: u32::try_from(pieces).unwrap_or(u32::MAX),
+            bytes: bytes.to_vec(),
+        };
+        vec![Action::Send { to: from, message: Message::Snapshot(answer) }]
+    }
+
+    /// Keeps one encoded snapshot for all transfers. It is used as long as the entries after it are
+    /// kept, since encoding takes milliseconds.
+    fn prepare_outgoing(&mut self, now: Instant) {
+        let first = self.history.first();
+        let usable = |outgoing: &mut Outgoing| {
+            outgoing.version + 1 >= first && now - outgoing.used < OUTGOING_MEMORY
+        };
+        if let Some(outgoing) = &mut self.peers.outgoing
+            && usable(outgoing)
+        {
+            outgoing.used = now;
+            return;
+        }
+        let bytes = self.snapshot().encode().ok();
+        let version = self.version();
+        self.peers.outgoing = bytes.map(|bytes| Outgoing { version, bytes, used: now });
+    }
+
+    fn piece(&mut self, now: Instant, from: id::Node, piece: &Piece) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(fetch) = self.peers.fetch.take_if(|fetch| fetch.from == from) else {
+            return actions;
+        };
+        let Some(mut transfer) = fetch.transfer else {
+            self.peers.fetch = Some(fetch);
+            return actions;
+        };
+        if !transfer.accept(piece) {
+            self.peers.candidates.retain(|candidate| candidate.node != from);
+            self.fetch(now, &mut actions);
+            return actions;
+        }
+        if transfer.next < transfer.pieces {
+            actions.push(self.ask_piece(now, from, transfer));
+            return actions;
+        }
+        let before = self.version();
+        match Snapshot::decode(&transfer.bytes) {
+            Ok(snapshot) => {
+                self.install_snapshot(snapshot);
+                actions.push(self.ask_entries(now, from));
+            }
+            Err(error) => {
+                self.unreadable = Some(error.to_string());
+                self.peers.candidates.retain(|candidate| candidate.node != from);
+            }
+        }
+        self.after_change(now, before, &mut actions);
+        actions
+    }
+}
+
+impl Transfer {
+    /// Takes the next piece; `false` if the transfer cannot go on. A piece of another version begins
+    /// the transfer anew, because the sender has dropped the earlier snapshot.
+    fn accept(&mut self, piece: &Piece) -> bool {
+        if self.version != Some(piece.version) {
+            *self = Self { version: Some(piece.version), pieces: piece.pieces, ..Self::default() };
+        }
+        let fits = piece.piece == self.next
+            && piece.pieces == self.pieces
+            && piece.pieces <= MAX_PIECES
+            && piece.bytes.len() <= PIECE_BYTES;
+        if fits {
+            self.bytes.extend_from_slice(&piece.bytes);
+            self.next += 1;
+        }
+        fits
+    }
+}
--- /dev/null
+++ b/siskin-config/src/follower/serve.rs
@@ -0,0 +1,80 @@
+//! Whether new work may be accepted.
+
+use {super::Follower, siskin_types::time::Instant, std::time::Duration};
+
+/// How long a router with neither the store nor half of the members keeps accepting new work.
+const ISOLATION_GRACE: Duration = Duration::from_secs(3);
+
+/// How many members a router sees.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Members that are reachable now, this router included.
+    pub visible: usize,
+    /// Members that are known, this router included.
+    pub known: usize,
+}
+
+impl View {
+    /// Whether at least half of the known members are visible, which suffices to serve.
+    ///
+    /// ```
+    /// use siskin_config::follower::View;
+    /// let view = View { visible: 3, known: 6 };
+    /// assert!(view.half());
+    /// assert!(!view.majority());
+    /// ```
+    #[must_use]
+    pub const fn half(self) -> bool {
+        self.visible * 2 >= self.known
+    }
+
+    /// Whether more than half of the known members are visible, which is needed to accept patches.
+    #[must_use]
+    pub const fn majority(self) -> bool {
+        self.visible * 2 > self.known
+    }
+}
+
+/// Whether new work is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Serving {
+    /// It is.
+    Serve,
+    /// It is not.
+    Refuse(Refusal),
+}
+
+/// Why new work is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Refusal {
+    /// The configuration is not loaded yet.
+    #[error("not ready")]
+    NotReady,
+    /// Neither the store nor half of the members can be reached.
+    #[error("isolated")]
+    Isolated,
+}
+
+impl Follower {
+    /// Whether new work may be accepted. Call it on every change of its arguments and at least every
+    /// 100 ms, since the grace period counts from the first call in isolation.
+    ///
+    /// A router that reaches the store serves because its configuration is current; after isolation,
+    /// that is so once its version has been confirmed again. A router without
+    /// the store serves while it sees at least half of the known members, because patches need more
+    /// than half. Otherwise it stops after 3 s.
+    pub fn serving(&mut self, now: Instant, store_reachable: bool, view: View) -> Serving {
+        if !self.ready {
+            return Serving::Refuse(Refusal::NotReady);
+        }
+        if view.half() || (store_reachable && self.confirmed >= self.isolated_since) {
+            self.isolated_since = None;
+            return Serving::Serve;
+        }
+        let since = *self.isolated_since.get_or_insert(now);
+        if now - since < ISOLATION_GRACE {
+            return Serving::Serve;
+        }
+        Serving::Refuse(Refusal::Isolated)
+    }
+}
--- /dev/null
+++ b/siskin-config/src/history.rs
@@ -0,0 +1,173 @@
+//! The latest entries, kept in memory for peers, for the repair of the store and for operators.
+
+use {
+    crate::{document::Document, entry::Entry, patch::Changes, snapshot::Recent},
+    serde_json::Value,
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// Most entries that are kept. Twice the distance between snapshots, so that a store that lost
+/// everything since its last snapshot can be repaired.
+pub const MAX_ENTRIES: usize = 1_000;
+
+/// Most bytes of entries that are kept.
+pub const MAX_BYTES: usize = 4 << 20;
+
+/// Most identifiers of patches that are kept. At 28,000 changes per day this is about 100 minutes.
+pub const MAX_RECENT: usize = 2_000;
+
+/// Most touched items that are kept for differences between versions.
+const MAX_TOUCHED: usize = 20_000;
+
+/// The latest entries, without gaps.
+#[derive(Debug, Default)]
+pub struct History {
+    last: u64,
+    entries: VecDeque<Kept>,
+    bytes: usize,
+    touched: usize,
+    recent: VecDeque<Recent>,
+    versions: HashMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    bytes: Arc<[u8]>,
+    changes: Option<Changes>,
+}
+
+/// The versions are not kept any more, or do not exist.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("only versions {oldest} to {newest} can be compared; choose two of them")]
+pub struct Error {
+    /// The oldest version that can be compared.
+    pub oldest: u64,
+    /// The newest version.
+    pub newest: u64,
+}
+
+impl History {
+    /// The history after loading a snapshot: no entries, but the identifiers of recent patches.
+    #[must_use]
+    pub fn new(version: u64, recent: Vec<Recent>) -> Self {
+        let mut history = Self { last: version, ..Self::default() };
+        for recent in recent {
+            history.remember(recent);
+        }
+        history
+    }
+
+    /// Adds the next entry.
+    pub(crate) fn push(&mut self, patch: &str, bytes: Arc<[u8]>, changes: Changes) {
+        self.last += 1;
+        self.remember(Recent { patch: patch.to_owned(), version: self.last });
+        self.bytes += bytes.len();
+        self.touched += changes.len();
+        self.entries.push_back(Kept { bytes, changes: Some(changes) });
+        self.trim();
+    }
+
+    fn remember(&mut self, recent: Recent) {
+        self.versions.entry(recent.patch.clone()).or_insert(recent.version);
+        self.recent.push_back(recent);
+        if self.recent.len() > MAX_RECENT
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.versions.remove(&oldest.patch);
+        }
+    }
+
+    fn trim(&mut self) {
+        while self.entries.len() > MAX_ENTRIES || (self.bytes > MAX_BYTES && self.entries.len() > 1)
+        {
+            let Some(oldest) = self.entries.pop_front() else { break };
+            self.bytes -= oldest.bytes.len();
+            self.touched -= oldest.changes.map_or(0, |changes| changes.len());
+        }
+        let newest = self.entries.len().saturating_sub(1);
+        for kept in self.entries.iter_mut().take(newest) {
+            if self.touched <= MAX_TOUCHED {
+                break;
+            }
+            self.touched -= kept.changes.take().map_or(0, |changes| changes.len());
+        }
+    }
+
+    /// The oldest version whose entry is kept; one more than the newest if none is.
+    #[must_use]
+    pub fn first(&self) -> u64 {
+        self.last + 1 - self.entries.len() as u64
+    }
+
+    /// The bytes of an entry.
+    #[must_use]
+    pub fn bytes(&self, version: u64) -> Option<&Arc<[u8]>> {
+        Some(&self.kept(version)?.bytes)
+    }
+
+    fn kept(&self, version: u64) -> Option<&Kept> {
+        let position = version.checked_sub(self.first())?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// An entry.
+    #[must_use]
+    pub fn entry(&self, version: u64) -> Option<Entry> {
+        Entry::decode(version, self.bytes(version)?).ok()
+    }
+
+    /// The version that a patch led to, if it is one of the latest.
+    #[must_use]
+    pub fn accepted(&self, patch: &str) -> Option<u64> {
+        self.versions.get(patch).copied()
+    }
+
+    /// The latest entries, newest first.
+    #[must_use]
+    pub fn newest(&self, limit: usize) -> Vec<Entry> {
+        (self.first()..=self.last).rev().take(limit).filter_map(|v| self.entry(v)).collect()
+    }
+
+    /// The entries after a version, oldest first, and whether some of them are no longer kept.
+    #[must_use]
+    pub fn since(&self, version: u64) -> (Vec<Entry>, bool) {
+        let start = self.first().max(version.saturating_add(1));
+        let entries = (start..=self.last).filter_map(|version| self.entry(version)).collect();
+        (entries, version + 1 < self.first() && version < self.last)
+    }
+
+    pub(crate) fn recent(&self) -> Vec<Recent> {
+        self.recent.iter().cloned().collect()
+    }
+
+    /// The merge patch that leads from one version to another. `document` is the newest one.
+    ///
+    /// # Errors
+    ///
+    /// One of the versions is not kept or does not exist.
+    pub fn difference(&self, document: &Document, from: u64, to: u64) -> Result<Value, Error> {
+        let kept = self.entries.iter().rev().take_while(|kept| kept.changes.is_some()).count();
+        let oldest = self.last - kept as u64;
+        if from.min(to) < oldest || from.max(to) > self.last {
+            return Err(Error { oldest, newest: self.last });
+        }
+        Ok(crate::patch::difference(
+            &self.document_at(document, from),
+            &self.document_at(document, to),
+        ))
+    }
+
+    /// Takes back the entries after `version`, newest first.
+    fn document_at(&self, document: &Document, version: u64) -> Document {
+        let mut document = document.clone();
+        for version in (version + 1..=self.last).rev() {
+            if let Some(changes) = self.kept(version).and_then(|kept| kept.changes.as_ref()) {
+                changes.take_back(&mut document);
+            }
+        }
+        document
+    }
+}
--- a/siskin-config/src/index.rs
+++ b/siskin-config/src/index.rs
@@ -9,17 +9,18 @@
     std::{collections::HashMap, sync::Arc},
 };
 
-/// Lookup tables over a document. They follow a patch without being built anew.
+/// Lookup tables over a document. They follow a patch without being built anew, and copies share the
+/// tables that a patch does not touch.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Index {
-    keys: HashMap<Hash, id::Customer>,
-    customers: HashMap<id::Customer, Arc<str>>,
-    pools: HashMap<id::Pool, Arc<str>>,
-    models: HashMap<id::Model, Arc<str>>,
-    endpoints: HashMap<id::Endpoint, Arc<str>>,
-    pools_by_name: HashMap<Arc<str>, id::Pool>,
-    pool_names_by_model: HashMap<Arc<str>, Arc<str>>,
-    pool_names_by_route: HashMap<Arc<str>, Arc<str>>,
+    keys: Arc<HashMap<Hash, id::Customer>>,
+    customers: Arc<HashMap<id::Customer, Arc<str>>>,
+    pools: Arc<HashMap<id::Pool, Arc<str>>>,
+    models: Arc<HashMap<id::Model, Arc<str>>>,
+    endpoints: Arc<HashMap<id::Endpoint, Arc<str>>>,
+    pools_by_name: Arc<HashMap<Arc<str>, id::Pool>>,
+    pool_names_by_model: Arc<HashMap<Arc<str>, Arc<str>>>,
+    pool_names_by_route: Arc<HashMap<Arc<str>, Arc<str>>>,
 }
 
 impl Index {
@@ -40,47 +41,49 @@
 
     fn take_out(&mut self, changes: &Changes) {
         for (_, customer) in before(&changes.customers) {
-            self.customers.remove(&customer.id);
+            Arc::make_mut(&mut self.customers).remove(&customer.id);
             for hash in &customer.key_hashes {
-                self.keys.remove(hash);
+                Arc::make_mut(&mut self.keys).remove(hash);
             }
         }
         for (name, pool) in before(&changes.pools) {
-            self.pools.remove(&pool.id);
-            self.pools_by_name.remove(name);
+            Arc::make_mut(&mut self.pools).remove(&pool.id);
+            Arc::make_mut(&mut self.pools_by_name).remove(name);
         }
         for (name, model) in before(&changes.models) {
-            self.models.remove(&model.id);
-            self.pool_names_by_model.remove(name);
+            Arc::make_mut(&mut self.models).remove(&model.id);
+            Arc::make_mut(&mut self.pool_names_by_model).remove(name);
         }
         for (_, endpoint) in before(&changes.endpoints) {
-            self.endpoints.remove(&endpoint.id);
+            Arc::make_mut(&mut self.endpoints).remove(&endpoint.id);
         }
         for (name, _) in before(&changes.routes) {
-            self.pool_names_by_route.remove(name);
+            Arc::make_mut(&mut self.pool_names_by_route).remove(name);
         }
     }
 
     fn put_in(&mut self, changes: &Changes) {
         for (name, customer) in after(&changes.customers) {
-            self.customers.insert(customer.id, Arc::clone(name));
+            Arc::make_mut(&mut self.customers).insert(customer.id, Arc::clone(name));
             for hash in &customer.key_hashes {
-                self.keys.insert(*hash, customer.id);
+                Arc::make_mut(&mut self.keys).insert(*hash, customer.id);
             }
         }
         for (name, pool) in after(&changes.pools) {
-            self.pools.insert(pool.id, Arc::clone(name));
-            self.pools_by_name.insert(Arc::clone(name), pool.id);
+            Arc::make_mut(&mut self.pools).insert(pool.id, Arc::clone(name));
+            Arc::make_mut(&mut self.pools_by_name).insert(Arc::clone(name), pool.id);
         }
         for (name, model) in after(&changes.models) {
-            self.models.insert(model.id, Arc::clone(name));
-            self.pool_names_by_model.insert(Arc::clone(name), model.pool.as_str().into());
+            let pool = model.pool.as_str().into();
+            Arc::make_mut(&mut self.models).insert(model.id, Arc::clone(name));
+            Arc::make_mut(&mut self.pool_names_by_model).insert(Arc::clone(name), pool);
         }
         for (name, endpoint) in after(&changes.endpoints) {
-            self.endpoints.insert(endpoint.id, Arc::clone(name));
+            Arc::make_mut(&mut self.endpoints).insert(endpoint.id, Arc::clone(name));
         }
         for (name, route) in after(&changes.routes) {
-            self.pool_names_by_route.insert(Arc::clone(name), route.pool.as_str().into());
+            let pool = route.pool.as_str().into();
+            Arc::make_mut(&mut self.pool_names_by_route).insert(Arc::clone(name), pool);
         }
     }
 
--- a/siskin-config/src/lib.rs
+++ b/siskin-config/src/lib.rs
@@ -18,7 +18,12 @@
 
 pub mod document;
 pub mod entry;
+pub mod follower;
+pub mod history;
 pub mod index;
 pub mod operator;
 pub mod patch;
+pub mod snapshot;
+pub mod store;
+pub mod submit;
 pub mod table;
--- a/siskin-config/src/operator.rs
+++ b/siskin-config/src/operator.rs
@@ -16,6 +16,7 @@
     crate::{
         document::{self, Document, Service},
         entry::Entry,
+        submit::Refusal,
     },
     serde::{Deserialize, Serialize},
     serde_json::Value,
@@ -115,11 +116,57 @@
 /// Any other failure.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
-    /// Text for the operator.
+    /// Text for the operator, with the remedy.
     pub error: String,
-    /// What to do about it.
-    #[serde(default)]
-    pub remedy: String,
+}
+
+/// Answer to a patch that was not accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Refused {
+    /// Status 409.
+    Stale(Stale),
+    /// Status 422.
+    Invalid(Invalid),
+    /// Status 503.
+    Unavailable(Failure),
+}
+
+impl Refused {
+    /// The HTTP status of the answer.
+    ///
+    /// ```
+    /// use siskin_config::{operator::Refused, submit::Refusal};
+    /// assert_eq!(Refused::from(&Refusal::StoreUnavailable).status(), 503);
+    /// ```
+    #[must_use]
+    pub const fn status(&self) -> u16 {
+        match self {
+            Self::Stale(_) => 409,
+            Self::Invalid(_) => 422,
+            Self::Unavailable(_) => 503,
+        }
+    }
+}
+
+impl From<&Refusal> for Refused {
+    fn from(refusal: &Refusal) -> Self {
+        let error = refusal.to_string();
+        match refusal {
+            Refusal::Invalid(error) => Self::Invalid(error.into()),
+            Refusal::Stale { current, changes_since, truncated } => Self::Stale(Stale {
+                error,
+                current: *current,
+                changes_since: changes_since.clone(),
+                truncated: *truncated,
+            }),
+            Refusal::StoreUnavailable
+            | Refusal::CatchingUp
+            | Refusal::Minority(_)
+            | Refusal::Diverged(_)
+            | Refusal::Unknown => Self::Unavailable(Failure { error }),
+        }
+    }
 }
 
 /// The endpoints and their load over the fleet.
--- a/siskin-config/src/patch.rs
+++ b/siskin-config/src/patch.rs
@@ -105,8 +105,8 @@
     pub endpoints: Vec<Change<Endpoint>>,
     /// Touched routes.
     pub routes: Vec<Change<Route>>,
-    /// Whether the settings of the fleet were touched.
-    pub fleet: bool,
+    /// The settings of the fleet before, if they were touched.
+    pub fleet: Option<Box<Fleet>>,
 }
 
 impl Changes {
@@ -119,9 +119,90 @@
             models: differing(&before.models, &after.models),
             endpoints: differing(&before.endpoints, &after.endpoints),
             routes: differing(&before.routes, &after.routes),
-            fleet: before.fleet != after.fleet,
+            fleet: (before.fleet != after.fleet).then(|| Box::new(before.fleet.clone())),
         }
     }
+
+    /// How many items were touched.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.customers.len()
+            + self.pools.len()
+            + self.models.len()
+            + self.endpoints.len()
+            + self.routes.len()
+            + usize::from(self.fleet.is_some())
+    }
+
+    /// Whether nothing was touched.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Puts the earlier items back. The order of the items may differ from before.
+    pub(crate) fn take_back(&self, document: &mut Document) {
+        put_back(&mut document.customers, &self.customers);
+        put_back(&mut document.pools, &self.pools);
+        put_back(&mut document.models, &self.models);
+        put_back(&mut document.endpoints, &self.endpoints);
+        put_back(&mut document.routes, &self.routes);
+        if let Some(fleet) = &self.fleet {
+            document.fleet = fleet.as_ref().clone();
+        }
+    }
+}
+
+fn put_back<T: Serialize + Clone>(table: &mut Table<T>, changes: &[Change<T>]) {
+    for change in changes {
+        match &change.before {
+            Some(before) => table.insert(&change.name, before.as_ref().clone()),
+            None => table.remove(&change.name),
+        };
+    }
+}
+
+/// The merge patch that leads from one document to another.
+#[must_use]
+pub fn difference(before: &Document, after: &Document) -> Value {
+    let changes = Changes::between(before, after);
+    let sections = [
+        ("customers", section_difference(&changes.customers)),
+        ("pools", section_difference(&changes.pools)),
+        ("models", section_difference(&changes.models)),
+        ("endpoints", section_difference(&changes.endpoints)),
+        ("routes", section_difference(&changes.routes)),
+        ("fleet", value_difference(&json(&before.fleet), &json(&after.fleet))),
+    ];
+    let sections = sections.into_iter().filter(|(_, changes)| !is_empty_object(changes));
+    Value::Object(sections.map(|(name, changes)| (name.to_owned(), changes)).collect())
+}
+
+fn is_empty_object(value: &Value) -> bool {
+    value.as_object().is_some_and(Map::is_empty)
+}
+
+fn section_difference<T: Serialize>(changes: &[Change<T>]) -> Value {
+    let item = |item: &Option<Arc<T>>| item.as_deref().map_or(Value::Null, json);
+    let differing = changes.iter().map(|change| {
+        let difference = value_difference(&item(&change.before), &item(&change.after));
+        (change.name.to_string(), difference)
+    });
+    Value::Object(differing.collect())
+}
+
+fn value_difference(before: &Value, after: &Value) -> Value {
+    let (Value::Object(before), Value::Object(after)) = (before, after) else {
+        return after.clone();
+    };
+    let removed = before.keys().filter(|key| !after.contains_key(*key));
+    let removed = removed.map(|key| (key.clone(), Value::Null));
+    let changed = after.iter().filter(|(key, value)| before.get(*key) != Some(value));
+    let changed = changed.map(|(key, value)| {
+        let earlier = before.get(key).unwrap_or(&Value::Null);
+        (key.clone(), value_difference(earlier, value))
+    });
+    Value::Object(removed.chain(changed).collect())
 }
 
 fn differing<T: PartialEq>(before: &Table<T>, after: &Table<T>) -> Vec<Change<T>> {
@@ -130,7 +211,9 @@
     });
     let changed = after.iter().filter_map(|(name, item)| {
         let earlier = before.shared(name);
-        (earlier != Some(item)).then(|| Change {
+        // Documents of nearby versions share most items, so the pointers usually settle it.
+        let same = earlier.is_some_and(|earlier| Arc::ptr_eq(earlier, item) || earlier == item);
+        (!same).then(|| Change {
             name: Arc::clone(name),
             before: earlier.cloned(),
             after: Some(Arc::clone(item)),
@@ -177,8 +260,8 @@
         }
         "routes" => touched.routes = merge(&mut document.routes, section, value, &route_sample())?,
         "fleet" => {
-            document.fleet = merge_fleet(&document.fleet, value)?;
-            touched.fleet = true;
+            let next = merge_fleet(&document.fleet, value)?;
+            touched.fleet = Some(Box::new(std::mem::replace(&mut document.fleet, next)));
         }
         _ => {
             let remedy = "use customers, pools, models, endpoints, routes or fleet";
--- /dev/null
+++ b/siskin-config/src/snapshot.rs
@@ -0,0 +1,154 @@
+//! Snapshots: the document of one version with what is needed to continue from it.
+
+use {
+    crate::document::{Document, Hash},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Key of the head of the snapshot in the store.
+pub const HEAD_KEY: &str = "config/base";
+
+/// Prefix of the keys of shards, and the first key after all of them.
+const SHARD_PREFIX: &str = "config/base/";
+
+/// Largest shard, in bytes. The store takes values of up to 1 MB.
+pub const MAX_SHARD_BYTES: usize = 512 << 10;
+
+/// Most shards of a snapshot that are read, so that a damaged head cannot exhaust memory.
+const MAX_SHARDS: u32 = 64;
+
+/// The document of one version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The version.
+    pub version: u64,
+    /// Identifiers of the latest patches with the versions they led to, oldest first.
+    pub recent: Vec<Recent>,
+    /// The document.
+    pub document: Document,
+}
+
+/// An accepted patch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recent {
+    /// Identifier of the patch.
+    pub patch: String,
+    /// The version that it led to.
+    pub version: u64,
+}
+
+/// What the head of a snapshot in the store says. It is written after the shards.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The version.
+    pub version: u64,
+    /// Hash of the document.
+    pub hash: Hash,
+    /// Hash of the bytes of all shards together. It is part of their keys, so shards of different
+    /// writers are never mixed.
+    pub content: Hash,
+    /// How many shards there are.
+    pub shards: u32,
+}
+
+/// The bytes are not a usable snapshot.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It is not JSON of the right form.
+    #[error(
+        "the snapshot cannot be read; if a newer version of the routers wrote it, upgrade this one"
+    )]
+    Malformed(#[from] serde_json::Error),
+    /// It has too many shards.
+    #[error(
+        "a snapshot of {0} shards exceeds the limit of {MAX_SHARDS}; make the document smaller"
+    )]
+    TooLarge(u32),
+    /// The shards do not belong to the head.
+    #[error("the content of the snapshot does not match its head; load it from another place")]
+    Mismatch,
+}
+
+impl Snapshot {
+    /// The bytes that are stored and sent.
+    ///
+    /// # Errors
+    ///
+    /// The document cannot be expressed in JSON, which does not happen for a valid one.
+    pub fn encode(&self) -> Result<Arc<[u8]>, Error> {
+        Ok(serde_json::to_vec(self)?.into())
+    }
+
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+}
+
+impl Head {
+    /// The head for a snapshot with these bytes.
+    #[must_use]
+    pub fn new(version: u64, hash: Hash, bytes: &[u8]) -> Self {
+        let shards = u32::try_from(bytes.len().div_ceil(MAX_SHARD_BYTES)).unwrap_or(u32::MAX);
+        Self { version, hash, content: Hash::of(bytes), shards }
+    }
+
+    /// The value of the head in the store.
+    ///
+    /// # Errors
+    ///
+    /// Too many shards.
+    pub fn encode(&self) -> Result<Arc<[u8]>, Error> {
+        self.check()?;
+        Ok(serde_json::to_vec(self)?.into())
+    }
+
+    /// Reads a head.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a head, or it names too many shards.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let head: Self = serde_json::from_slice(bytes)?;
+        head.check()?;
+        Ok(head)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        if self.shards <= MAX_SHARDS { Ok(()) } else { Err(Error::TooLarge(self.shards)) }
+    }
+
+    /// The key of a shard.
+    #[must_use]
+    pub fn shard_key(&self, shard: u32) -> String {
+        let Self { version, content, .. } = self;
+        format!("{SHARD_PREFIX}{version:020}-{:016x}/{shard:04}", content.short())
+    }
+
+    /// The range of the keys of all shards of earlier versions.
+    #[must_use]
+    pub fn earlier_shards(&self) -> (String, String) {
+        (SHARD_PREFIX.to_owned(), format!("{SHARD_PREFIX}{:020}", self.version))
+    }
+
+    /// Reads the snapshot from all its shards together.
+    ///
+    /// # Errors
+    ///
+    /// The shards are damaged or belong to another head.
+    pub fn open(&self, bytes: &[u8]) -> Result<Snapshot, Error> {
+        if Hash::of(bytes) != self.content {
+            return Err(Error::Mismatch);
+        }
+        let snapshot = Snapshot::decode(bytes)?;
+        if snapshot.version != self.version || snapshot.document.hash() != self.hash {
+            return Err(Error::Mismatch);
+        }
+        Ok(snapshot)
+    }
+}
--- /dev/null
+++ b/siskin-config/tests/main/fleet.rs
@@ -0,0 +1,732 @@
+//! A fleet of followers and submitters in virtual time, with faults drawn from a seed.
+
+use {
+    crate::store::{Reference, Store},
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    siskin_config::{
+        entry,
+        follower::{self, Follower, Serving, View, Watch, Watched},
+        patch::Patch,
+        store::{Answer, Call, Pair},
+        submit::{self, Accepted, Refusal, Submission},
+    },
+    siskin_types::{id, time::Instant},
+    siskin_wire::config::Message,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, BinaryHeap},
+        time::Duration,
+    },
+};
+
+/// What goes wrong in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Fault {
+    StalePatch,
+    Race,
+    LostAnswer,
+    BadWatch,
+    Restart,
+    Partition,
+    Outage,
+    Rollback,
+}
+
+pub(crate) const ALL: [Fault; 8] = [
+    Fault::StalePatch,
+    Fault::Race,
+    Fault::LostAnswer,
+    Fault::BadWatch,
+    Fault::Restart,
+    Fault::Partition,
+    Fault::Outage,
+    Fault::Rollback,
+];
+
+const NODES: usize = 6;
+const WATCHERS: usize = 3;
+const TICK: Duration = Duration::from_millis(100);
+/// Faults and patches stop here; then everything heals.
+const ACTIVE: Duration = Duration::from_secs(60);
+/// The end of a run.
+const END: Duration = Duration::from_secs(80);
+/// A change must be in force within this time (section 1 of the design).
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Longest time until membership notices a change.
+const DETECTION: Duration = Duration::from_millis(1_500);
+/// A router with neither the store nor half of the members stops within this time, with the timers.
+const ISOLATION: Duration = Duration::from_millis(3_200);
+/// Longest time of a submission.
+const SUBMISSION: Duration = Duration::from_secs(5);
+/// Time for a call to the store after which the runtime gives up.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) accepted: usize,
+    pub(crate) stale: usize,
+    pub(crate) unknown: usize,
+    pub(crate) unavailable: usize,
+    /// Whether one version has two entries.
+    pub(crate) forked: bool,
+    /// Whether a router found that histories have diverged.
+    pub(crate) noticed: bool,
+    /// Whether an accepted entry is in neither the store nor any router.
+    pub(crate) lost: bool,
+}
+
+/// Runs the fixed seeds of CI and, if set, the one in `SISKIN_SEED`, over a table of faults.
+pub(crate) fn check(table: &[&[Fault]], seeds: u64) -> Report {
+    let mut total = Report::default();
+    let extra = std::env::var("SISKIN_SEED").ok().map(|seed| seed.parse().unwrap());
+    for faults in table {
+        for seed in (0..seeds).chain(extra) {
+            println!("faults {faults:?}, SISKIN_SEED={seed}");
+            let report = Fleet::new(faults, seed).run();
+            total.accepted += report.accepted;
+            total.stale += report.stale;
+            total.unknown += report.unknown;
+            total.unavailable += report.unavailable;
+            total.forked |= report.forked;
+            total.lost |= report.lost;
+        }
+    }
+    total
+}
+
+/// Every pair of faults whose first is `first`, and `first` alone.
+pub(crate) fn pairs(first: Fault) -> Vec<Vec<Fault>> {
+    ALL.into_iter()
+        .filter(|second| *second >= first)
+        .map(|second| if second == first { vec![first] } else { vec![first, second] })
+        .collect()
+}
+
+#[derive(Debug)]
+struct Node {
+    follower: Follower,
+    submissions: BTreeMap<u64, Submission>,
+    incarnation: u64,
+    since: Instant,
+    alive: bool,
+    side: usize,
+    side_since: Instant,
+    view: View,
+    peers: Vec<usize>,
+    watch: Option<Watch>,
+    highest: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owner {
+    Follower,
+    Submission(u64),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    Message(usize, Message),
+    Execute(Owner, Call),
+    Answer(Owner, u64, Answer),
+    Watched(Watched),
+    Look,
+}
+
+/// An event at a node, for one incarnation of it.
+#[derive(Clone, Debug)]
+struct Scheduled {
+    node: usize,
+    incarnation: u64,
+    event: Event,
+}
+
+#[derive(Clone, Debug)]
+struct Success {
+    version: u64,
+    at: Instant,
+    node: usize,
+    incarnation: u64,
+}
+
+#[derive(Debug)]
+struct Fleet {
+    faults: Vec<Fault>,
+    random: SmallRng,
+    now: Instant,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    events: BTreeMap<u64, Scheduled>,
+    order: u64,
+    nodes: Vec<Node>,
+    store: Store,
+    backups: Vec<(Instant, Store)>,
+    store_up: bool,
+    store_since: Instant,
+    /// The sides of a partition that reach the store.
+    store_sides: [bool; 2],
+    reference: Reference,
+    /// Patches by identifier, with the first result.
+    patches: BTreeMap<String, (Patch, Option<u64>)>,
+    refused: BTreeSet<String>,
+    accepted: Vec<Success>,
+    submitting: BTreeMap<u64, String>,
+    next_patch: u64,
+    report: Report,
+}
+
+impl Fleet {
+    fn new(faults: &[Fault], seed: u64) -> Self {
+        let mut fleet = Self {
+            faults: faults.to_vec(),
+            random: SmallRng::seed_from_u64(seed),
+            now: Instant::ZERO,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            order: 0,
+            nodes: Vec::new(),
+            store: Store::default(),
+            backups: Vec::new(),
+            store_up: true,
+            store_since: Instant::ZERO,
+            store_sides: [true; 2],
+            reference: Reference::default(),
+            patches: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            accepted: Vec::new(),
+            submitting: BTreeMap::new(),
+            next_patch: 0,
+            report: Report::default(),
+        };
+        for node in 0..NODES {
+            let empty = fleet.node(node, 1, seed);
+            fleet.nodes.push(empty);
+            fleet.schedule(node, Duration::ZERO, Event::Look);
+            fleet.schedule(node, Duration::ZERO, Event::Tick);
+        }
+        fleet
+    }
+
+    fn node(&self, node: usize, incarnation: u64, seed: u64) -> Node {
+        let side = self.nodes.get(node).map_or(0, |node| node.side);
+        Node {
+            follower: Follower::new(follower::Options {
+                seed: seed ^ node as u64 ^ incarnation << 8,
+            }),
+            submissions: BTreeMap::new(),
+            incarnation,
+            since: self.now,
+            alive: true,
+            side,
+            side_since: self.now,
+            view: View { visible: 1, known: NODES },
+            peers: Vec::new(),
+            watch: None,
+            highest: 0,
+        }
+    }
+
+    fn has(&self, fault: Fault) -> bool {
+        self.faults.contains(&fault)
+    }
+
+    fn micros(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(self.random.random_range(from..to))
+    }
+
+    fn chance(&mut self, probability: f64) -> bool {
+        self.random.random_bool(probability)
+    }
+
+    fn schedule(&mut self, node: usize, after: Duration, event: Event) {
+        let incarnation = self.nodes[node].incarnation;
+        self.order += 1;
+        self.queue.push(Reverse((self.now + after, self.order)));
+        self.events.insert(self.order, Scheduled { node, incarnation, event });
+    }
+
+    fn run(mut self) -> Report {
+        let mut next_step = Instant::ZERO;
+        while let Some(Reverse((at, order))) = self.queue.pop() {
+            if at - Instant::ZERO >= END {
+                break;
+            }
+            self.now = at;
+            while next_step <= at {
+                next_step = next_step + TICK;
+                self.step();
+            }
+            let Scheduled { node, incarnation, event } = self.events.remove(&order).unwrap();
+            let target = &self.nodes[node];
+            if target.incarnation == incarnation
+                && (target.alive || matches!(event, Event::Execute(..)))
+            {
+                self.handle(node, event);
+                self.check_node(node);
+            }
+        }
+        self.check_end();
+        self.report
+    }
+
+    /// Draws what happens in the next 100 ms.
+    fn step(&mut self) {
+        let elapsed = self.now - Instant::ZERO;
+        if elapsed.as_millis() % 1_000 < 100 {
+            self.backups.push((self.now, self.store.clone()));
+        }
+        if elapsed < Duration::from_secs(3) {
+            return;
+        }
+        if elapsed >= ACTIVE {
+            self.heal();
+            return;
+        }
+        if self.chance(0.3) {
+            self.submit_somewhere();
+        }
+        if self.has(Fault::Race) && self.chance(0.1) {
+            (0..4).for_each(|_| self.submit_somewhere());
+        }
+        if self.has(Fault::Restart) && self.chance(0.03) {
+            let node = self.random.random_range(0..NODES);
+            self.restart(node);
+        }
+        if self.has(Fault::Partition) && self.chance(0.01) {
+            self.split();
+        }
+        if self.has(Fault::Outage) && self.chance(if self.store_up { 0.01 } else { 0.03 }) {
+            self.store_up = !self.store_up;
+            self.break_watches();
+        }
+        if self.has(Fault::Rollback) && self.chance(0.01) {
+            self.roll_back();
+        }
+    }
+
+    fn heal(&mut self) {
+        if !self.store_up || self.store_sides != [true; 2] {
+            self.store_since = self.now;
+        }
+        let broken = !self.store_up || self.nodes.iter().any(|node| node.side != 0);
+        self.store_up = true;
+        self.store_sides = [true; 2];
+        for node in 0..NODES {
+            if self.nodes[node].side != 0 {
+                self.nodes[node].side = 0;
+                self.nodes[node].side_since = self.now;
+            }
+        }
+        if broken {
+            self.all_look();
+        }
+    }
+
+    fn restart(&mut self, node: usize) {
+        let incarnation = self.nodes[node].incarnation + 1;
+        self.nodes[node] = self.node(node, incarnation, self.order);
+        let after = self.micros(0, 2_000_000);
+        self.nodes[node].since = self.now + after;
+        self.schedule(node, after, Event::Look);
+        self.schedule(node, after, Event::Tick);
+    }
+
+    fn split(&mut self) {
+        let joined = self.nodes.iter().all(|node| node.side == 0);
+        for node in 0..NODES {
+            let side = if joined { self.random.random_range(0..2) } else { 0 };
+            self.nodes[node].side = side;
+            self.nodes[node].side_since = self.now;
+        }
+        self.store_sides = if joined { [self.chance(0.6), self.chance(0.6)] } else { [true, true] };
+        self.break_watches();
+        self.all_look();
+    }
+
+    fn all_look(&mut self) {
+        for node in 0..NODES {
+            let after = self.micros(0, 1_500_000).min(DETECTION);
+            self.schedule(node, after, Event::Look);
+        }
+    }
+
+    /// Restores the store from a copy that is two to six seconds old.
+    fn roll_back(&mut self) {
+        let age = self.micros(2_000_000, 6_000_000);
+        let Some((_, backup)) = self.backups.iter().rev().find(|(at, _)| self.now - *at >= age)
+        else {
+            return;
+        };
+        self.store = backup.clone();
+        self.break_watches();
+    }
+
+    fn break_watches(&mut self) {
+        self.store_since = self.now;
+        for node in 0..NODES {
+            if self.nodes[node].watch.take().is_some() {
+                self.schedule(node, TICK, Event::Watched(Watched::Broken));
+            }
+        }
+    }
+
+    fn reaches_store(&self, node: usize) -> bool {
+        self.store_up && self.store_sides[self.nodes[node].side]
+    }
+
+    fn handle(&mut self, node: usize, event: Event) {
+        let now = self.now;
+        let view = self.nodes[node].view;
+        match event {
+            Event::Tick => {
+                self.schedule(node, TICK, Event::Tick);
+                let actions = self.nodes[node].follower.tick(now);
+                self.follow(node, actions);
+                for number in self.nodes[node].submissions.keys().copied().collect::<Vec<_>>() {
+                    self.with_submission(node, number, |submission, follower| {
+                        submission.tick(now, follower, view)
+                    });
+                }
+            }
+            Event::Message(from, message) => {
+                if self.nodes[from].side == self.nodes[node].side {
+                    let from = id::Node(u32::try_from(from).unwrap());
+                    let actions = self.nodes[node].follower.received(now, from, &message);
+                    self.follow(node, actions);
+                }
+            }
+            Event::Execute(owner, call) => self.execute(node, owner, &call),
+            Event::Answer(Owner::Follower, number, answer) => {
+                let actions = self.nodes[node].follower.stored(now, number, answer);
+                self.follow(node, actions);
+            }
+            Event::Answer(Owner::Submission(key), number, answer) => {
+                self.with_submission(node, key, |submission, follower| {
+                    submission.stored(now, follower, view, number, answer)
+                });
+            }
+            Event::Watched(watched) => {
+                let actions = self.nodes[node].follower.watched(now, &watched);
+                self.follow(node, actions);
+            }
+            Event::Look => self.look(node),
+        }
+    }
+
+    /// Updates what a node knows of the membership.
+    fn look(&mut self, node: usize) {
+        let side = self.nodes[node].side;
+        let visible: Vec<_> = (0..NODES).filter(|other| self.nodes[*other].side == side).collect();
+        self.nodes[node].view = View { visible: visible.len(), known: NODES };
+        self.nodes[node].peers = visible.iter().copied().filter(|other| *other != node).collect();
+        let rank = visible.iter().position(|other| *other == node).filter(|rank| *rank < WATCHERS);
+        let actions = self.nodes[node].follower.watcher(self.now, rank);
+        self.follow(node, actions);
+    }
+
+    fn with_submission(
+        &mut self,
+        node: usize,
+        key: u64,
+        event: impl FnOnce(&mut Submission, &mut Follower) -> Vec<submit::Action>,
+    ) {
+        let target = &mut self.nodes[node];
+        let Some(submission) = target.submissions.get_mut(&key) else { return };
+        let actions = event(submission, &mut target.follower);
+        self.carry_out(node, key, actions);
+    }
+
+    fn carry_out(&mut self, node: usize, key: u64, actions: Vec<submit::Action>) {
+        for action in actions {
+            match action {
+                submit::Action::Store(call) => self.call(node, Owner::Submission(key), call),
+                submit::Action::Follower(action) => self.follow(node, vec![action]),
+                submit::Action::Finish(result) => self.finished(node, key, result),
+            }
+        }
+    }
+
+    fn follow(&mut self, node: usize, actions: Vec<follower::Action>) {
+        for action in actions {
+            match action {
+                follower::Action::Store(call) => self.call(node, Owner::Follower, call),
+                follower::Action::Watch(watch) => self.watch(node, watch),
+                follower::Action::Send { to, message } => self.send(node, to.0 as usize, message),
+                follower::Action::Announce { fanout, announcement } => {
+                    let peers = self.nodes[node].peers.clone();
+                    for to in peers.choose_multiple(&mut self.random, fanout) {
+                        self.send(node, *to, Message::Announcement(announcement));
+                    }
+                }
+                follower::Action::Changed { .. } | follower::Action::Diverged(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.chance(0.02) {
+            return;
+        }
+        let slowest = if self.has(Fault::BadWatch) { 400_000 } else { 5_000 };
+        let after = self.micros(500, slowest);
+        self.schedule(to, after, Event::Message(from, message));
+    }
+
+    fn watch(&mut self, node: usize, watch: Option<Watch>) {
+        self.nodes[node].watch = watch;
+        let Some(Watch { key, from_revision }) = &self.nodes[node].watch else { return };
+        if !self.reaches_store(node) {
+            self.nodes[node].watch = None;
+            self.schedule(node, TICK, Event::Watched(Watched::Broken));
+        } else if let Some((value, revision)) = self.store.keys.get(key)
+            && revision >= from_revision
+        {
+            let pair = Pair { key: key.clone(), value: value.clone(), revision: *revision };
+            self.fire(node, &pair);
+        }
+    }
+
+    fn fire(&mut self, node: usize, pair: &Pair) {
+        let bad = self.has(Fault::BadWatch);
+        if bad && self.chance(0.2) {
+            return;
+        }
+        let copies = if bad && self.chance(0.2) { 2 } else { 1 };
+        for _ in 0..copies {
+            let slowest = if bad { 3_000_000 } else { 10_000 };
+            let after = self.micros(500, slowest);
+            self.schedule(node, after, Event::Watched(Watched::Changed(vec![pair.clone()])));
+        }
+    }
+
+    fn call(&mut self, node: usize, owner: Owner, call: Call) {
+        let luck = if self.has(Fault::LostAnswer) { self.random.random() } else { 1.0 };
+        if luck < 0.2 {
+            let unknown = Event::Answer(owner, call.number, Answer::Unknown);
+            self.schedule(node, CALL_LIMIT, unknown);
+        }
+        if luck < 0.1 {
+            // The request arrives after the caller has given up.
+            let after = self.micros(1_000_000, 3_000_000);
+            self.schedule(node, after, Event::Execute(owner, call));
+        } else if luck >= 0.2 {
+            let after = self.micros(500, 5_000);
+            self.schedule(node, after, Event::Execute(owner, call));
+        }
+    }
+
+    fn execute(&mut self, node: usize, owner: Owner, call: &Call) {
+        if !self.reaches_store(node) {
+            self.schedule(node, CALL_LIMIT, Event::Answer(owner, call.number, Answer::Unknown));
+            return;
+        }
+        let (answer, written) = self.store.execute(&call.request);
+        if let Some(pair) = written {
+            if !self.reference.created(&pair) {
+                self.forked(&pair);
+            }
+            for other in 0..NODES {
+                let watched = self.nodes[other].watch.as_ref().is_some_and(|watch| {
+                    watch.key == pair.key && watch.from_revision <= pair.revision
+                });
+                if watched && self.reaches_store(other) {
+                    self.fire(other, &pair);
+                }
+            }
+        }
+        let lost = self.has(Fault::LostAnswer) && self.chance(0.2);
+        let (answer, after) =
+            if lost { (Answer::Unknown, CALL_LIMIT) } else { (answer, self.micros(500, 5_000)) };
+        self.schedule(node, after, Event::Answer(owner, call.number, answer));
+    }
+
+    /// A second entry was created for one version, which only a rollback of the store makes possible.
+    fn forked(&mut self, pair: &Pair) {
+        assert!(self.has(Fault::Rollback), "two entries have the key {}", pair.key);
+        let version = entry::version(&pair.key).unwrap();
+        let kept = self.nodes.iter().any(|node| node.follower.version() >= version);
+        let accepted = self.accepted.iter().any(|success| success.version >= version);
+        match (kept, accepted) {
+            (false, false) => self.reference.replace(pair),
+            (true, _) => self.report.forked = true,
+            // The store lost the entry, and the only router that had it is gone too.
+            (false, true) => self.report.lost = true,
+        }
+    }
+
+    fn submit_somewhere(&mut self) {
+        let node = self.random.random_range(0..NODES);
+        if !self.nodes[node].follower.ready() {
+            return;
+        }
+        let repeated = self.chance(0.1);
+        let known: Vec<_> = self
+            .patches
+            .values()
+            .filter(|(_, result)| result.is_some() || self.report.unknown > 0)
+            .map(|(patch, _)| patch.clone())
+            .collect();
+        let patch = match known.choose(&mut self.random) {
+            Some(patch) if repeated => patch.clone(),
+            _ => self.patch(node),
+        };
+        self.refused.remove(&patch.id);
+        let key = self.order;
+        self.submitting.insert(key, patch.id.clone());
+        self.patches.entry(patch.id.clone()).or_insert((patch.clone(), None));
+        let target = &mut self.nodes[node];
+        let options = submit::Options { patch, time_ms: self.now.as_micros() / 1_000 };
+        let (submission, actions) =
+            Submission::start(self.now, options, &mut target.follower, target.view);
+        target.submissions.insert(key, submission);
+        self.order += 1;
+        self.carry_out(node, key, actions);
+    }
+
+    /// A patch for the version that the node has; some are stale and some break a rule.
+    fn patch(&mut self, node: usize) -> Patch {
+        self.next_patch += 1;
+        let number = self.random.random_range(0..20);
+        let name = format!("customer-{number}");
+        let exists = self.nodes[node].follower.document().customers.contains(&name);
+        // A weight of zero breaks a rule.
+        let weight = if self.chance(0.05) { 0 } else { self.random.random_range(1..1_000) };
+        let customer = match self.random.random_range(0..4) {
+            0 if exists => serde_json::Value::Null,
+            1 if exists => serde_json::json!({ "weight": weight }),
+            _ => serde_json::json!({
+                "id": number, "weight": weight, "max_in_flight": 4, "max_queue": 16
+            }),
+        };
+        let late = if self.has(Fault::StalePatch) { self.random.random_range(0..3) } else { 0 };
+        Patch {
+            id: format!("patch-{}", self.next_patch),
+            base: self.nodes[node].follower.version().saturating_sub(late),
+            author: "operator".to_owned(),
+            changes: serde_json::json!({ "customers": { name: customer } }),
+        }
+    }
+
+    fn finished(&mut self, node: usize, key: u64, result: Result<Accepted, Refusal>) {
+        self.nodes[node].submissions.remove(&key);
+        let id = self.submitting.remove(&key).unwrap();
+        match result {
+            Ok(Accepted { version }) => self.succeeded(node, &id, version),
+            Err(Refusal::Unknown) => self.report.unknown += 1,
+            Err(refusal @ (Refusal::Stale { .. } | Refusal::Invalid(_))) => {
+                self.report.stale += usize::from(matches!(refusal, Refusal::Stale { .. }));
+                self.refused.insert(id);
+            }
+            // The patch may have been accepted elsewhere under the same identifier.
+            Err(_) => self.report.unavailable += 1,
+        }
+    }
+
+    fn succeeded(&mut self, node: usize, id: &str, version: u64) {
+        let first = &mut self.patches.get_mut(id).unwrap().1;
+        if let Some(first) = first {
+            assert_eq!(*first, version, "{id} was accepted twice, at {first} and {version}");
+            return;
+        }
+        *first = Some(version);
+        if !self.report.forked && !self.report.lost {
+            assert_eq!(self.reference.patch(version).as_deref(), Some(id), "winner of {version}");
+        }
+        let incarnation = self.nodes[node].incarnation;
+        self.report.accepted += 1;
+        self.accepted.push(Success { version, at: self.now, node, incarnation });
+    }
+
+    fn check_node(&mut self, node: usize) {
+        let now = self.now;
+        let reaches = self.reaches_store(node);
+        let Node { follower, view, highest, .. } = &mut self.nodes[node];
+        let serving = follower.serving(now, reaches, *view);
+        let version = follower.version();
+        assert!(version >= *highest, "node {node} went from version {highest} to {version}");
+        *highest = version;
+        self.report.noticed |= follower.divergence().is_some();
+        if self.report.forked || self.report.lost {
+            return;
+        }
+        let due = self.accepted.iter().rev().take_while(|success| now - success.at < END);
+        for success in due.filter(|success| success.version > version) {
+            self.check_missing(node, success, serving);
+        }
+    }
+
+    /// A node does not have an accepted version: it must not be able to, or not be late.
+    fn check_missing(&self, node: usize, success: &Success, serving: Serving) {
+        let Success { version, at, .. } = success;
+        let (here, there) = (&self.nodes[node], &self.nodes[success.node]);
+        let late = self.now - *at;
+        let joined = here.side == there.side
+            && there.incarnation == success.incarnation
+            && self.now - here.since.max(here.side_since).max(there.side_since) > IN_FORCE;
+        assert!(
+            !joined || late <= IN_FORCE,
+            "node {node} lacks version {version}, accepted {late:?} ago by reachable node {}",
+            success.node
+        );
+        // A store that lost the entry cannot tell a router that starts anew about it.
+        let reaches = self.reaches_store(node);
+        let known = !reaches || self.store.has(*version);
+        let changed = here.since.max(here.side_since).max(self.store_since);
+        let bound = if reaches { IN_FORCE } else { DETECTION + ISOLATION };
+        // A patch may be accepted around a split, before its side notices. The other side cannot know
+        // of it, and with half of the members it serves on without the store by section 7.
+        let around = *at < here.side_since + (DETECTION + SUBMISSION);
+        let exempt = !reaches && here.view.half() && around;
+        assert!(
+            serving != Serving::Serve || !known || exempt || self.now - changed.max(*at) <= bound,
+            "node {node} serves an old version while {version} was accepted {late:?} ago"
+        );
+    }
+
+    fn check_end(&mut self) {
+        if self.report.lost {
+            return;
+        }
+        if self.report.forked {
+            // Another rollback may have removed the second entry before any router read it.
+            let differs = (1..).zip(&self.reference.entries).any(|(version, ours)| {
+                let stored = self.store.keys.get(&entry::key(version));
+                stored.is_some_and(|(stored, _)| stored != ours)
+            });
+            assert!(!differs || self.report.noticed, "nobody noticed that histories diverged");
+            return;
+        }
+        let want = self.reference.document();
+        let newest = self.reference.entries.len() as u64;
+        for (number, node) in self.nodes.iter().enumerate() {
+            assert_eq!(node.follower.version(), newest, "last version of node {number}");
+            let document = serde_json::to_value(node.follower.document()).unwrap();
+            let mut document = document;
+            fill_defaults(&mut document);
+            let mut want = want.clone();
+            fill_defaults(&mut want);
+            assert_eq!(document, want, "document of node {number}");
+            let confirmed = node.follower.freshness(self.now).unwrap();
+            assert!(confirmed <= IN_FORCE, "node {number} confirmed its version {confirmed:?} ago");
+            assert!(!node.follower.diverged(self.now), "node {number} sees a divergence");
+        }
+        for (version, bytes) in (1..).zip(&self.reference.entries) {
+            let stored = self.store.keys.get(&entry::key(version)).map(|(value, _)| value);
+            assert_eq!(stored, Some(bytes), "entry {version} in the store");
+        }
+        for id in &self.refused {
+            let found =
+                (1..=newest).any(|version| self.reference.patch(version).as_ref() == Some(id));
+            assert!(!found, "{id} was refused and is in the history");
+        }
+    }
+}
+
+/// The program leaves out values equal to their defaults; the library keeps what it is given.
+fn fill_defaults(document: &mut serde_json::Value) {
+    let customers = document.as_object_mut().unwrap().entry("customers");
+    let customers = customers.or_insert_with(|| serde_json::json!({}));
+    for customer in customers.as_object_mut().unwrap().values_mut() {
+        customer.as_object_mut().unwrap().entry("weight").or_insert_with(|| 1.into());
+    }
+}
--- /dev/null
+++ b/siskin-config/tests/main/history.rs
@@ -0,0 +1,30 @@
+//! Versions never go down and every reachable router has every accepted patch in force.
+
+use crate::fleet::{Fault, check, pairs};
+
+fn run(first: Fault) {
+    let table = pairs(first);
+    let table: Vec<_> = table.iter().map(Vec::as_slice).collect();
+    let report = check(&table, 8);
+    assert!(report.accepted > 0, "no patch was accepted: {report:?}");
+    println!("{report:?}");
+}
+
+/// Guards against a follower that goes wrong without any fault.
+#[test]
+fn without_faults() {
+    let report = check(&[&[]], 8);
+    assert!(report.accepted > 100 && report.unavailable == 0, "{report:?}");
+}
+
+/// Guards against entries being missed when a watch drops, repeats or reorders its events.
+#[test]
+fn bad_watch() {
+    run(Fault::BadWatch);
+}
+
+/// Guards against a restarted router that serves before it is up to date.
+#[test]
+fn restart() {
+    run(Fault::Restart);
+}
--- /dev/null
+++ b/siskin-config/tests/main/store.rs
@@ -0,0 +1,95 @@
+//! A naive key-value service, and the single linear history that its log is compared with.
+
+use {
+    siskin_config::{
+        entry::{self, Entry},
+        store::{Answer, Pair, Request},
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Store {
+    pub(crate) keys: BTreeMap<String, (Arc<[u8]>, u64)>,
+    pub(crate) revision: u64,
+}
+
+impl Store {
+    /// Carries out a request and returns the pair that it wrote, if any.
+    pub(crate) fn execute(&mut self, request: &Request) -> (Answer, Option<Pair>) {
+        match request {
+            Request::Range { start, end, limit } => {
+                let range = self.keys.range(start.clone()..end.clone()).take(*limit);
+                let pairs = range.map(|(key, (value, revision))| Pair {
+                    key: key.clone(),
+                    value: Arc::clone(value),
+                    revision: *revision,
+                });
+                (Answer::Range { pairs: pairs.collect(), revision: self.revision }, None)
+            }
+            Request::Create { key, value } => {
+                let absent = !self.keys.contains_key(key);
+                (Answer::Created(absent), absent.then(|| self.put(key, value)))
+            }
+            Request::Swap { key, revision, value } => {
+                let matches = self.keys.get(key).map_or(0, |(_, revision)| *revision) == *revision;
+                (Answer::Swapped(matches), matches.then(|| self.put(key, value)))
+            }
+            Request::Delete { start, end } => {
+                self.keys.retain(|key, _| !(start <= key && key < end));
+                self.revision += 1;
+                (Answer::Deleted, None)
+            }
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &Arc<[u8]>) -> Pair {
+        self.revision += 1;
+        self.keys.insert(key.to_owned(), (Arc::clone(value), self.revision));
+        Pair { key: key.to_owned(), value: Arc::clone(value), revision: self.revision }
+    }
+
+    pub(crate) fn has(&self, version: u64) -> bool {
+        self.keys.contains_key(&entry::key(version))
+    }
+}
+
+/// The entries that were created, as one line of versions.
+#[derive(Debug, Default)]
+pub(crate) struct Reference {
+    pub(crate) entries: Vec<Arc<[u8]>>,
+}
+
+impl Reference {
+    /// Takes note of a created entry; `false` if another entry had its version.
+    pub(crate) fn created(&mut self, pair: &Pair) -> bool {
+        let Some(version) = entry::version(&pair.key) else { return true };
+        let position = usize::try_from(version - 1).unwrap();
+        assert!(position <= self.entries.len(), "entry {version} precedes the one before it");
+        if position == self.entries.len() {
+            self.entries.push(Arc::clone(&pair.value));
+        }
+        self.entries[position] == pair.value
+    }
+
+    /// Forgets an entry that a rollback of the store removed before any router saw it.
+    pub(crate) fn replace(&mut self, pair: &Pair) {
+        let version = entry::version(&pair.key).unwrap();
+        self.entries.truncate(usize::try_from(version - 1).unwrap());
+        self.entries.push(Arc::clone(&pair.value));
+    }
+
+    pub(crate) fn patch(&self, version: u64) -> Option<String> {
+        let position = usize::try_from(version.checked_sub(1)?).ok()?;
+        Some(Entry::decode(version, self.entries.get(position)?).unwrap().patch)
+    }
+
+    /// The document after all entries, by the library's merge on the whole document.
+    pub(crate) fn document(&self) -> serde_json::Value {
+        let mut document = serde_json::json!({});
+        for (bytes, version) in self.entries.iter().zip(1..) {
+            json_patch::merge(&mut document, &Entry::decode(version, bytes).unwrap().changes);
+        }
+        document
+    }
+}
--- a/siskin-wire/src/config.rs
+++ b/siskin-wire/src/config.rs
@@ -24,12 +24,15 @@
 pub struct Announcement {
     /// The version.
     pub version: u64,
+    /// Whether the sender has loaded the configuration. One that has not asks for announcements in
+    /// this way.
+    pub ready: bool,
     /// Start of the hash of the sender's document, so that divergence is noticed.
     pub hash: u64,
     /// Milliseconds since the version was confirmed by the store, if it ever was.
     pub confirmed_ms_ago: Option<u32>,
-    /// Whether the sender found that histories have diverged.
-    pub diverged: bool,
+    /// Milliseconds since some router last reported that histories have diverged, if one did.
+    pub diverged_ms_ago: Option<u32>,
 }
 
 /// Asks for the entries after a version.
