Test divergence, and a store that lost everything

Cause: the randomised runs reach a divergence only by chance, and never a store that is empty again.

Change: two tests that drive one router with a store that answers at once; the alarm about an unreadable entry ends when the log can be read again; more examples.

--- a/siskin-config/src/follower/task.rs
+++ b/siskin-config/src/follower/task.rs
@@ -361,6 +361,7 @@
             return Reading::More;
         }
         self.confirm(sent);
+        self.unreadable = None;
         self.loaded(now, actions);
         Reading::Current
     }
--- a/siskin-config/src/patch.rs
+++ b/siskin-config/src/patch.rs
@@ -163,6 +163,15 @@
 }
 
 /// The merge patch that leads from one document to another.
+///
+/// ```
+/// use siskin_config::{document::Document, patch};
+/// let before = Document::default();
+/// let mut after = before.clone();
+/// after.fleet.max_head_bytes = 4_096;
+/// let changes = patch::difference(&before, &after);
+/// assert_eq!(changes, serde_json::json!({ "fleet": { "max_head_bytes": 4096 } }));
+/// ```
 #[must_use]
 pub fn difference(before: &Document, after: &Document) -> Value {
     let changes = Changes::between(before, after);
@@ -229,6 +238,18 @@
 ///
 /// A section or field that is unknown or has the wrong type. Rules between items are checked by
 /// [`crate::document::validate`].
+///
+/// ```
+/// use siskin_config::{document::Document, patch};
+/// let mut document = Document::default();
+/// let changes = serde_json::json!({ "fleet": { "retry_budget_percent": 5 } });
+/// patch::apply(&mut document, &changes).unwrap();
+/// assert_eq!(document.fleet.retry_budget_percent, 5);
+///
+/// let wrong = serde_json::json!({ "fleet": { "retry_budget_percent": "five" } });
+/// let error = patch::apply(&mut document, &wrong).unwrap_err();
+/// assert_eq!(error.field, "fleet.retry_budget_percent");
+/// ```
 pub fn apply(document: &mut Document, changes: &Value) -> Result<Changes, Error> {
     let Value::Object(sections) = changes else {
         let remedy = "use a JSON object with the sections to change";
--- a/siskin-config/src/snapshot.rs
+++ b/siskin-config/src/snapshot.rs
@@ -19,6 +19,19 @@
 const MAX_SHARDS: u32 = 64;
 
 /// The document of one version.
+///
+/// ```
+/// use siskin_config::{
+///     document::Document,
+///     snapshot::{Head, MAX_SHARD_BYTES, Snapshot},
+/// };
+/// let document = Document::default();
+/// let snapshot = Snapshot { version: 7, recent: Vec::new(), document };
+/// let bytes = snapshot.encode().unwrap();
+/// let head = Head::new(7, snapshot.document.hash(), &bytes);
+/// assert_eq!(bytes.chunks(MAX_SHARD_BYTES).len(), head.shards as usize);
+/// assert_eq!(head.open(&bytes).unwrap(), snapshot);
+/// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The version.
--- a/siskin-config/tests/main/outage.rs
+++ b/siskin-config/tests/main/outage.rs
@@ -1,13 +1,20 @@
 //! The store is down, or comes back with an older state.
 
 use {
-    crate::fleet::{Fault, check, pairs},
+    crate::{
+        fleet::{Fault, check, pairs},
+        store::Store,
+    },
     siskin_config::{
+        entry,
         follower::{Action, Follower, Options, Refusal, Serving, View},
-        store::Answer,
+        patch::Patch,
+        store::{Answer, Call},
+        submit::{self, Submission},
     },
     siskin_types::{id, time::Instant},
     siskin_wire::config::Announcement,
+    std::time::Duration,
 };
 
 /// Guards against patches that are accepted or lost while the store is down.
@@ -31,21 +38,21 @@
 #[test]
 fn start_without_the_store() {
     let view = View { visible: 2, known: 2 };
-    let mut alone = Follower::new(Options { seed: 1, ..Options::default() });
+    let mut router = Follower::new(Options { seed: 1, ..Options::default() });
     let second = |seconds: u64| Instant::from_micros(seconds * 1_000_000);
     for seconds in 0..30 {
-        for action in alone.tick(second(seconds)) {
+        for action in router.tick(second(seconds)) {
             if let Action::Store(call) = action {
-                alone.stored(second(seconds), call.number, Answer::Unknown);
+                router.stored(second(seconds), call.number, Answer::Unknown);
             }
         }
-        let serving = alone.serving(second(seconds), false, view);
+        let serving = router.serving(second(seconds), false, view);
         assert_eq!(serving, Serving::Refuse(Refusal::NotReady), "after {seconds} s");
     }
     // A peer at the same version, which has loaded the configuration, is enough.
-    let announcement = Announcement { ready: true, ..alone.announcement(second(30)) };
-    alone.announced(second(30), id::Node(2), &announcement);
-    assert_eq!(alone.serving(second(30), false, view), Serving::Serve);
+    let announcement = Announcement { ready: true, ..router.announcement(second(30)) };
+    router.announced(second(30), id::Node(2), &announcement);
+    assert_eq!(router.serving(second(30), false, view), Serving::Serve);
 }
 
 /// Guards against a router that stops too early or too late when it is isolated.
@@ -78,3 +85,112 @@
         assert_eq!(follower.serving(late, false, joined), Serving::Serve, "{name}, rejoined");
     }
 }
+
+/// A router alone with a store that answers at once.
+struct Alone {
+    follower: Follower,
+    store: Store,
+    now: Instant,
+}
+
+impl Alone {
+    fn new(store: Store) -> Self {
+        let mut follower = Follower::new(Options { seed: 1, snapshot_interval: 8 });
+        follower.watcher(Instant::ZERO, Some(0));
+        Self { follower, store, now: Instant::ZERO }
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds * 10 {
+            self.now = self.now + Duration::from_millis(100);
+            let mut actions = self.follower.tick(self.now);
+            while let Some(call) = actions.iter().find_map(store_call) {
+                let (answer, _) = self.store.execute(&call.request);
+                actions = self.follower.stored(self.now, call.number, answer);
+            }
+        }
+    }
+
+    fn submit(&mut self, id: &str) -> Result<submit::Accepted, submit::Refusal> {
+        let base = self.follower.version();
+        let changes = serde_json::json!({ "fleet": { "poison_expiry_s": base + 1 } });
+        let patch = Patch { id: id.to_owned(), base, author: "ann".to_owned(), changes };
+        let options = submit::Options { patch, time_ms: 0 };
+        let view = View { visible: 1, known: 1 };
+        let (mut submission, mut actions) =
+            Submission::start(self.now, options, &mut self.follower, view);
+        loop {
+            let step = actions.into_iter().find_map(|action| match action {
+                submit::Action::Store(call) => Some(Ok(call)),
+                submit::Action::Finish(result) => Some(Err(result)),
+                submit::Action::Follower(_) => None,
+            });
+            match step.expect("the submission goes on") {
+                Err(result) => return result,
+                Ok(call) => {
+                    let (answer, _) = self.store.execute(&call.request);
+                    actions =
+                        submission.stored(self.now, &mut self.follower, view, call.number, answer);
+                }
+            }
+        }
+    }
+}
+
+fn store_call(action: &Action) -> Option<Call> {
+    if let Action::Store(call) = action { Some(call.clone()) } else { None }
+}
+
+/// Guards against patches that are accepted while the store and a router hold different histories, and
+/// against a divergence that stays after an operator has resolved it.
+#[test]
+fn divergence() {
+    let mut alone = Alone::new(Store::default());
+    alone.pass(1);
+    for version in 1..=3 {
+        assert_eq!(alone.submit(&format!("p{version}")).unwrap().version, version);
+    }
+    let other = alone.store.keys[&entry::key(2)].clone();
+    let ours = alone.store.keys.insert(entry::key(3), other).unwrap();
+    alone.pass(3);
+    let alarms = alone.follower.alarms(alone.now);
+    assert!(alarms.iter().any(|alarm| alarm.contains("version 3 differs")), "{alarms:?}");
+    let refusal = alone.submit("p4").unwrap_err();
+    assert!(matches!(refusal, submit::Refusal::Diverged(Some(_))), "{refusal}");
+    assert_eq!(alone.submit("p3").unwrap().version, 3, "a known patch returns its first result");
+
+    alone.store.keys.remove(&entry::key(3));
+    alone.pass(15);
+    assert_eq!(alone.store.keys[&entry::key(3)].0, ours.0, "the entry is created again");
+    assert_eq!(alone.follower.alarms(alone.now), [""; 0]);
+    assert_eq!(alone.submit("p4").unwrap().version, 4);
+}
+
+/// Guards against a store that lost more than a router has in memory, and against a snapshot from
+/// which a new router cannot start.
+#[test]
+fn store_lost_everything() {
+    let mut alone = Alone::new(Store::default());
+    alone.pass(1);
+    for version in 1..=40 {
+        assert_eq!(alone.submit(&format!("p{version}")).unwrap().version, version);
+        alone.pass(1);
+    }
+    let base = alone.store.head().map_or(0, |head| head.version);
+    assert!(base > 24, "the last snapshot is of version {base}");
+    assert!(!alone.store.keys.contains_key(&entry::key(1)), "old entries stay in the log");
+    alone.store = Store::default();
+    alone.pass(5);
+    assert_eq!(alone.submit("p41").unwrap().version, 41);
+
+    let mut started = Alone::new(alone.store.clone());
+    started.pass(5);
+    assert!(started.follower.ready());
+    assert_eq!(started.follower.state().hash, alone.follower.state().hash);
+    assert_eq!(
+        started.submit("p41").unwrap().version,
+        41,
+        "a known patch returns its first result"
+    );
+    assert_eq!(started.submit("p42").unwrap().version, 42);
+}
