--- a/siskin-config/src/follower/repair.rs
+++ b/siskin-config/src/follower/repair.rs
@@ -99,6 +99,11 @@
 
     pub(super) fn repair_from(&mut self, now: Instant, next: u64) -> Action {
         if next > self.version() {
+            if std::mem::take(&mut self.store.created) {
+                // The store may have lost entries once more in the meantime, so everything is compared
+                // again until nothing is missing.
+                return self.repair(now, Missing { version: u64::MAX, sent: None });
+            }
             self.store.recheck_passed();
             return self.confirm_by_store(now);
         }
@@ -144,6 +149,7 @@
         next: u64,
         created: bool,
     ) -> Option<Action> {
+        self.store.created |= created;
         if created && next < self.version() {
             return self.repair_create(now, next + 1);
         }
--- a/siskin-config/src/follower/task.rs
+++ b/siskin-config/src/follower/task.rs
@@ -113,6 +113,8 @@
     recheck_at: Instant,
     /// Whether the last comparison of all entries found no difference.
     recheck_passed: bool,
+    /// Whether the running repair has created an entry.
+    pub(super) created: bool,
     /// Version of the latest snapshot in the store, if known.
     pub(super) base: Option<u64>,
     pub(super) maintain_at: Option<Instant>,
@@ -359,6 +361,7 @@
             return Reading::More;
         }
         self.confirm(sent);
+        self.unreadable = None;
         self.loaded(now, actions);
         Reading::Current
     }
