--- /dev/null
+++ b/siskin-sched/examples/decision_cost.rs
@@ -0,0 +1,166 @@
+//! Prints the cost of a scheduling decision against the number of backlogged customers.
+//!
+//! A router's decision is the end of a request and the dispatch of the next one with the same slot. An owner's
+//! decision is a report that returns a slot and the grant of that slot. The last column is the same event at
+//! the naive global queue. Run it with `--release`.
+
+use {
+    siskin_sched::{
+        baseline::Baseline, owner, owner::Owner, pool, router, router::Scheduler, ticket::Ticket,
+    },
+    siskin_types::{cost::Units, id, time::Instant},
+    siskin_wire::sched::{Line, Queue, Report, Slots},
+    std::{collections::VecDeque, time::Duration},
+};
+
+const MODEL: id::Model = id::Model(1);
+const NODE: id::Node = id::Node(1);
+const SLOTS: u32 = 64;
+const COST: Units = Units(100);
+/// Decisions timed at the router and the owner, and at the linear baseline.
+const DECISIONS: u32 = 20_000;
+const BASELINE_DECISIONS: u32 = 500;
+
+fn main() {
+    println!(
+        "{:>10} {:>12} {:>12} {:>16}",
+        "backlogged", "router ns", "owner ns", "global queue ns"
+    );
+    for customers in [10, 100, 1_000, 10_000] {
+        println!(
+            "{customers:>10} {:>12} {:>12} {:>16}",
+            router(customers).as_nanos(),
+            owner(customers).as_nanos(),
+            global(customers).as_nanos()
+        );
+    }
+}
+
+fn options() -> pool::Options {
+    pool::Options::new(id::Pool(1), NODE, 1)
+}
+
+fn endpoints() -> [pool::Endpoint; 1] {
+    [pool::Endpoint::new(id::Endpoint(1), SLOTS, vec![MODEL])]
+}
+
+fn customers(count: u32) -> Vec<pool::Customer> {
+    (0..count).map(|number| pool::Customer::new(id::Customer(number))).collect()
+}
+
+fn ticket(sequence: u64, customer: u32) -> Ticket {
+    let request = id::Request { node: NODE, incarnation: 1, sequence };
+    let deadline = Instant::from_micros(u64::MAX);
+    Ticket::new(request, id::Customer(customer), MODEL, COST, deadline)
+}
+
+/// Time of one decision of a router; the request that keeps the customer backlogged is not timed.
+fn router(count: u32) -> Duration {
+    let mut now = Instant::from_micros(1_000);
+    let mut scheduler = Scheduler::new(options());
+    let mut owner = Owner::new(options());
+    owner.endpoints(now, &endpoints());
+    owner.customers(now, &customers(count));
+    owner.members(now, &[NODE], 1);
+    scheduler.endpoints(now, &endpoints());
+    scheduler.customers(now, &customers(count));
+    let mut actions = scheduler.owner_changed(now, Some(NODE));
+    let mut sequence = 0;
+    for customer in (0..count).chain(0..count).chain((0..SLOTS).map(|slot| slot % count)) {
+        sequence += 1;
+        actions.extend(scheduler.submit(now, ticket(sequence, customer)).expect("within the caps"));
+    }
+    let mut flights = VecDeque::new();
+    let mut spent = Duration::ZERO;
+    let mut decisions = 0;
+    while decisions < DECISIONS {
+        now = now + Duration::from_micros(200);
+        actions.extend(scheduler.tick(now));
+        for action in std::mem::take(&mut actions) {
+            match action {
+                router::Action::Dispatch { request, .. } => flights.push_back(request),
+                router::Action::Send { message, .. } => {
+                    for owner::Action::Send { message, .. } in owner.receive(now, NODE, &message) {
+                        actions.extend(scheduler.receive(now, NODE, &message));
+                    }
+                }
+                router::Action::Expire { .. } => {}
+            }
+        }
+        let Some(request) = flights.pop_front() else { continue };
+        let start = std::time::Instant::now();
+        let decided = scheduler.finish(now, request, COST);
+        spent += start.elapsed();
+        actions.extend(decided);
+        decisions += 1;
+        sequence += 1;
+        let customer = u32::try_from(sequence).unwrap_or(0) % count;
+        actions.extend(scheduler.submit(now, ticket(sequence, customer)).expect("within the caps"));
+    }
+    spent / decisions
+}
+
+/// Time of one decision of an owner.
+fn owner(count: u32) -> Duration {
+    let mut now = Instant::from_micros(1_000);
+    let mut owner = Owner::new(options());
+    owner.endpoints(now, &endpoints());
+    owner.customers(now, &customers(count));
+    owner.members(now, &[NODE], 1);
+    let queue = |customer: u32, charged: i64| Queue {
+        customer: id::Customer(customer),
+        charged,
+        clock: None,
+        lines: vec![Line { model: MODEL, waiting: 5, estimate: COST, prefer: None }],
+    };
+    let mut report = Report {
+        pool: id::Pool(1),
+        account: 2,
+        sequence: 1,
+        full: true,
+        queues: (0..count).map(|customer| queue(customer, 0)).collect(),
+        ..Report::default()
+    };
+    let mut grants = owner.receive(now, NODE, &report);
+    let mut spent = Duration::ZERO;
+    for decision in 0..DECISIONS {
+        now = now + Duration::from_micros(200);
+        for owner::Action::Send { message, .. } in grants {
+            report.heard = message.sequence;
+        }
+        report.sequence += 1;
+        report.full = false;
+        report.queues = vec![queue(decision % count, i64::from(decision / count) * 100)];
+        let endpoint = id::Endpoint(1);
+        let returned = u64::from(decision) + 1;
+        report.slots = vec![Slots { endpoint, opening: 0, returned, busy: SLOTS - 1 }];
+        let start = std::time::Instant::now();
+        grants = owner.receive(now, NODE, &report);
+        spent += start.elapsed();
+    }
+    spent / DECISIONS
+}
+
+/// Time of one decision of the global queue.
+fn global(count: u32) -> Duration {
+    let now = Instant::from_micros(1_000);
+    let mut baseline = Baseline::global(options(), &endpoints(), &customers(count));
+    let mut flights = VecDeque::new();
+    let mut sequence = 0;
+    for customer in (0..count).chain(0..count).chain((0..SLOTS).map(|slot| slot % count)) {
+        sequence += 1;
+        flights.extend(baseline.submit(now, NODE, ticket(sequence, customer)));
+    }
+    let mut spent = Duration::ZERO;
+    for _ in 0..BASELINE_DECISIONS {
+        let Some(flight) = flights.pop_front() else { break };
+        let start = std::time::Instant::now();
+        let decided = baseline.finish(now, NODE, flight.request, COST);
+        spent += start.elapsed();
+        flights.extend(decided);
+        sequence += 1;
+        let customer = u32::try_from(sequence).unwrap_or(0) % count;
+        flights.extend(baseline.submit(now, NODE, ticket(sequence, customer)));
+    }
+    spent / BASELINE_DECISIONS
+}
--- a/siskin-sched/src/pool.rs
+++ b/siskin-sched/src/pool.rs
@@ -31,6 +31,9 @@
     pub max_catch_up: Units,
     /// Least time between two reports of a router.
     pub report_spacing: Duration,
+    /// Least time between two reports if the second only says that one more customer waits at a router whose
+    /// other waiting requests the owner knows of.
+    pub order_spacing: Duration,
     /// Time between reports while something changes.
     pub report_interval: Duration,
     /// Time between reports while nothing changes.
@@ -80,6 +83,7 @@
             reuse_slack: REUSE_SLACK,
             max_catch_up: Units(MAX_REQUEST.0 * CATCH_UP_REQUESTS),
             report_spacing: Duration::from_millis(5),
+            order_spacing: Duration::from_millis(50),
             report_interval: Duration::from_millis(250),
             keep_alive: Duration::from_secs(1),
             answer_delay: Duration::from_millis(50),
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -179,7 +179,7 @@
         let mut actions = Vec::new();
         self.settle(now, &mut actions);
         if self.queues.get(&customer).is_some_and(|queue| queue.queued == 1) {
-            self.outbox.hurry();
+            self.outbox.soon();
         }
         self.report(now, &mut actions);
         Ok(actions)
@@ -353,8 +353,14 @@
         Ok(())
     }
 
-    /// Changes a customer's queue and keeps the indexes and the outbox in step.
+    /// Changes a customer's queue in a way that the owner has to hear of.
     fn change(&mut self, customer: id::Customer, change: impl FnOnce(&mut Queue)) {
+        self.reorder(customer, change);
+        self.outbox.customer(customer);
+    }
+
+    /// Changes a customer's queue and keeps the indexes in step.
+    fn reorder(&mut self, customer: id::Customer, change: impl FnOnce(&mut Queue)) {
         let Some(queue) = self.queues.get_mut(&customer) else { return };
         for model in queue.models() {
             let waiting = queue.waiting(model);
@@ -371,7 +377,6 @@
                 *self.waiting.entry(model).or_default() += waiting;
             }
         }
-        self.outbox.customer(customer);
     }
 
     fn change_slots(&mut self, endpoint: id::Endpoint, change: impl FnOnce(&mut Slots)) {
@@ -441,7 +446,7 @@
 
     fn apply_clocks(&mut self, answers: u64, clocks: &[Clock]) {
         for entry in clocks {
-            self.change(entry.customer, |queue| queue.told(answers, entry));
+            self.reorder(entry.customer, |queue| queue.told(answers, entry));
         }
     }
 
--- a/siskin-sched/src/router/outbox.rs
+++ b/siskin-sched/src/router/outbox.rs
@@ -24,6 +24,8 @@
     sent: VecDeque<(u64, Instant)>,
     last: Option<Instant>,
     urgent: bool,
+    /// A report is wanted earlier than the interval asks for.
+    soon: bool,
     recalled: bool,
 }
 
@@ -41,6 +43,11 @@
         self.urgent = true;
     }
 
+    /// Asks for a report of something that changes the order of service but leaves no slot idle.
+    pub(super) fn soon(&mut self) {
+        self.soon = true;
+    }
+
     /// Asks for a report at once, whatever the spacing. Only for slots returned because the owner just said
     /// that others wait: the owner's own spacing bounds how often that happens.
     pub(super) fn answer_recall(&mut self) {
@@ -59,10 +66,11 @@
     pub(super) fn due(&self, options: &pool::Options, waiting: bool) -> Instant {
         let Some(last) = self.last.filter(|_| !self.recalled) else { return Instant::ZERO };
         let changed = waiting || !self.customers.is_empty() || !self.endpoints.is_empty();
-        last + match (self.urgent, changed) {
-            (true, _) => options.report_spacing,
-            (false, true) => options.report_interval,
-            (false, false) => options.keep_alive,
+        last + match (self.urgent, self.soon, changed) {
+            (true, ..) => options.report_spacing,
+            (false, true, _) => options.order_spacing,
+            (false, false, true) => options.report_interval,
+            (false, false, false) => options.keep_alive,
         }
     }
 
@@ -72,6 +80,7 @@
         self.sent.push_back((self.sequence, now));
         self.last = Some(now);
         self.urgent = false;
+        self.soon = false;
         self.recalled = false;
         self.sequence
     }
