--- a/siskin-config/src/operator.rs
+++ b/siskin-config/src/operator.rs
@@ -211,8 +211,6 @@
 pub struct Suspect {
     /// Keyed hash of the customer and the content, in hexadecimal.
     pub fingerprint: String,
-    /// Name of the customer.
-    pub customer: String,
     /// Endpoints that died with the request in flight.
     pub strikes: u32,
     /// Whether it is refused.
--- a/siskin-ctl/src/command.rs
+++ b/siskin-ctl/src/command.rs
@@ -260,13 +260,12 @@
     let rows = list.suspects.iter().map(|suspect| {
         vec![
             suspect.fingerprint.clone(),
-            suspect.customer.clone(),
             suspect.strikes.to_string(),
             if suspect.refused { "refused" } else { "runs alone" }.to_owned(),
             short(Duration::from_millis(suspect.expires_in_ms)),
         ]
     });
-    let headings = ["fingerprint", "customer", "strikes", "state", "expires in"];
+    let headings = ["fingerprint", "strikes", "state", "expires in"];
     Ok(Output { json: json(&list)?, table: Table::new(&headings, rows.collect()) })
 }
 
--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -71,7 +71,7 @@
 impl Config {
     pub(crate) fn new(store: http::Client, seed: u64) -> Self {
         Self {
-            follower: Mutex::new(Follower::new(Options { seed })),
+            follower: Mutex::new(Follower::new(Options { seed, ..Options::default() })),
             store,
             watch: watch::Sender::new(None),
             serving: Mutex::new(Serving::Refuse(Unready::NotReady)),
--- a/siskin-router/src/operator.rs
+++ b/siskin-router/src/operator.rs
@@ -241,7 +241,6 @@
             };
             Suspect {
                 fingerprint: hexadecimal(suspect.fingerprint),
-                customer: String::new(),
                 strikes: u32::try_from(suspect.crashes).unwrap_or(u32::MAX),
                 refused: matches!(suspect.verdict, Verdict::Refuse { .. }),
                 expires_in_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -125,7 +125,7 @@
             prefixes: Mutex::new(Table::new(PREFIX_BLOCKS)),
             health: Mutex::new(Tracker::new(health::Options::default())),
             view: RwLock::new(Arc::new(View::new(Arc::clone(
-                Follower::new(Options { seed: 0 }).state(),
+                Follower::new(Options::default()).state(),
             )))),
             pools: RwLock::default(),
             stopping: AtomicBool::new(false),
