Remove segments of writers that died

Cause: a writer that died between writing a segment and the head that names it, or before it had removed a replaced segment, left values in the store for ever. Change: a head names the next segment in advance and lists segments to be removed; the next writer removes them. Names are never reused, so a late removal is harmless. Conclusion: what remains is a create that the store carries out after the removal.

--- a/siskin-claim/src/bucket.rs
+++ b/siskin-claim/src/bucket.rs
@@ -61,8 +61,6 @@
     pub(crate) unread: Vec<SegmentId>,
     /// Whether something expired is not in `next`.
     pub(crate) expired: bool,
-    /// Expired segments that are not in `next`.
-    pub(crate) dropped: Vec<SegmentId>,
     /// The entries do not fit; those of the current head have to move to a segment.
     pub(crate) full: bool,
 }
@@ -135,17 +133,17 @@
 /// Leaves out expired entries and a bounded number of expired segments.
 fn expire(plan: &mut Plan, now_s: u32, options: &Options) {
     let limit_s = oldest_kept(now_s, options);
-    let dropped = &mut plan.dropped;
-    plan.next.segments.retain(|segment| {
-        let keep = segment.newest_s >= limit_s || dropped.len() >= options.retention_batch;
+    let Head { segments, entries, garbage, .. } = &mut plan.next;
+    let (first, before) = (garbage.len(), segments.len() + entries.len());
+    segments.retain(|segment| {
+        let keep = segment.newest_s >= limit_s || garbage.len() - first >= options.retention_batch;
         if !keep {
-            dropped.push(segment.id);
+            garbage.push(segment.id);
         }
         keep
     });
-    let entries = plan.next.entries.len();
-    plan.next.entries.retain(|entry| entry.at_s >= limit_s);
-    plan.expired = !plan.dropped.is_empty() || plan.next.entries.len() < entries;
+    entries.retain(|entry| entry.at_s >= limit_s);
+    plan.expired = segments.len() + entries.len() < before;
 }
 
 /// The newest entry of a key, or the segment that has to be read to find it.
--- a/siskin-claim/src/format.rs
+++ b/siskin-claim/src/format.rs
@@ -103,6 +103,11 @@
     pub segments: Vec<SegmentRef>,
     /// The newest claims, one for each key.
     pub entries: Vec<Entry>,
+    /// Name that the last writer will use for its next segment. A later writer removes a segment of this
+    /// name, in case the last one died before the segment was in the head.
+    pub reserved: Option<SegmentId>,
+    /// Segments that are no longer used and may still be in the store.
+    pub garbage: Vec<SegmentId>,
 }
 
 /// Content of a segment: entries ordered by key, one for each key.
--- a/siskin-claim/src/rate.rs
+++ b/siskin-claim/src/rate.rs
@@ -34,7 +34,10 @@
 
     /// When the next write is allowed.
     pub(crate) fn next(&self) -> Instant {
-        let missing = (1.0 - self.level).max(0.0) / self.per_second;
+        if self.level >= 1.0 {
+            return self.at;
+        }
+        let missing = (1.0 - self.level) / self.per_second;
         // One microsecond more, because the time is rounded down.
         self.at + Duration::from_secs_f64(missing) + Duration::from_micros(1)
     }
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -210,6 +210,7 @@
 }
 
 #[derive(Debug, Default)]
+#[allow(clippy::struct_excessive_bools, reason = "independent conditions of one bucket")]
 struct Bucket {
     base: Option<Base>,
     /// The head may have changed; it has to be read before it is used.
@@ -217,6 +218,13 @@
     ops: IndexMap<u64, Op>,
     outstanding: Option<(Call, Outstanding)>,
     spill: Option<Spill>,
+    /// Segment of the last spill. Its name is not used again even if the spill came to nothing.
+    last_spill: Option<SegmentId>,
+    /// Whether a name was reserved for the next spill, though another writer may have replaced it since.
+    /// Without this, two writers that compete for a full head would replace each other's name for ever.
+    reserved: bool,
+    /// Segments that were removed from the store.
+    removed: Vec<SegmentId>,
     failures: u32,
     retry_at: Option<Instant>,
     /// Whether it waits for the write limit.
@@ -399,6 +407,8 @@
             if answer == Answer::Failed {
                 self.removals.push_back(name);
                 self.remove_after = Some(now + self.options.backoff.1);
+            } else if let Name::Segment(index, id) = name {
+                self.buckets[usize::from(index)].removed.push(id);
             }
             return actions;
         }
@@ -610,7 +620,9 @@
             let mut segments = base.head.segments.clone();
             segments.retain(|segment| Some(segment.id) != spill.replaces);
             segments.push(spill.reference);
-            Head { segments, entries: Vec::new() }
+            let mut garbage = base.head.garbage.clone();
+            garbage.extend(spill.replaces);
+            Head { segments, entries: Vec::new(), reserved: base.head.reserved, garbage }
         });
         let head = spilled.as_ref().unwrap_or(&base.head);
         let ops = bucket.ops.values();
@@ -666,9 +678,11 @@
         let call = self.new_call();
         self.counts.writes += 1;
         self.writes_since_removal += 1;
-        let action = if plan.full && self.spillable(index) {
+        let spill = plan.full && self.spillable(index);
+        let action = if spill && self.has_name(index) {
             self.write_segment(index, call)
         } else {
+            self.buckets[usize::from(index)].reserved = spill;
             self.write_head(now, index, call, plan)
         };
         if let Action::Swap { value, .. } = &action {
@@ -686,6 +700,15 @@
         !stored && !empty
     }
 
+    /// Whether the next segment has a name that is reserved in the head. Otherwise the head is written first,
+    /// so that the segment is found if this process dies before it is in the head.
+    fn has_name(&self, index: u8) -> bool {
+        let bucket = &self.buckets[usize::from(index)];
+        let reserved = bucket.base.as_ref().and_then(|base| base.head.reserved);
+        let usable = reserved.is_some_and(|id| self.may_use(index, &id));
+        usable || bucket.reserved || bucket.spill.is_some()
+    }
+
     fn write_segment(&mut self, index: u8, call: Call) -> Action {
         if self.buckets[usize::from(index)].spill.is_none() {
             let spill = self.new_spill(index);
@@ -725,19 +748,63 @@
         let segment = Segment::new(entries);
         let value = format::encode(&segment);
         let revision = base.revision;
-        self.next_segment += 1;
-        let id = SegmentId {
-            node: self.options.node,
-            incarnation: self.options.incarnation,
-            sequence: self.next_segment,
-        };
+        let reserved = base.head.reserved.filter(|id| self.may_use(index, id));
+        let id = reserved.unwrap_or_else(|| self.new_segment());
+        self.buckets[usize::from(index)].last_spill = Some(id);
         let bytes = u32::try_from(value.len()).unwrap_or(u32::MAX);
         self.cache.insert(id, segment, value.len());
         let reference = SegmentRef { id, oldest_s, newest_s, bytes };
         Spill { reference, value, replaces, revision, stored: false }
     }
 
-    fn write_head(&mut self, now: Instant, index: u8, call: Call, plan: Plan) -> Action {
+    fn new_segment(&mut self) -> SegmentId {
+        self.next_segment += 1;
+        SegmentId {
+            node: self.options.node,
+            incarnation: self.options.incarnation,
+            sequence: self.next_segment,
+        }
+    }
+
+    /// Whether a name is this writer's and has not been used.
+    fn may_use(&self, index: u8, id: &SegmentId) -> bool {
+        let own = (id.node, id.incarnation) == (self.options.node, self.options.incarnation);
+        own && self.buckets[usize::from(index)].last_spill != Some(*id)
+    }
+
+    /// Reserves a name for the next segment and keeps the list of garbage up to date.
+    fn tidy(&mut self, index: u8, head: &mut Head) {
+        let removed = &self.buckets[usize::from(index)].removed;
+        head.garbage.retain(|id| !removed.contains(id));
+        if head.reserved.is_some_and(|id| self.may_use(index, &id)) {
+            return;
+        }
+        if let Some(old) = head.reserved
+            && !head.segments.iter().any(|segment| segment.id == old)
+            && !head.garbage.contains(&old)
+        {
+            head.garbage.push(old);
+        }
+        head.reserved = Some(self.new_segment());
+    }
+
+    /// Queues the removal of garbage that a head lists, but for what other writers have listed: that is left to
+    /// them and to the owner of the bucket.
+    fn remove_garbage(&mut self, index: u8, others: &[SegmentId]) {
+        let bucket = &self.buckets[usize::from(index)];
+        let Some(base) = &bucket.base else { return };
+        let owned = bucket.retain_at.is_some();
+        for id in base.head.garbage.iter().filter(|id| owned || !others.contains(id)) {
+            let name = Name::Segment(index, *id);
+            let known = bucket.removed.contains(id) || self.removals.contains(&name);
+            if !known && !self.removing.values().any(|removing| *removing == name) {
+                self.removals.push_back(name);
+            }
+        }
+    }
+
+    fn write_head(&mut self, now: Instant, index: u8, call: Call, mut plan: Plan) -> Action {
+        self.tidy(index, &mut plan.next);
         let bucket = &mut self.buckets[usize::from(index)];
         for (id, _) in &plan.verdicts {
             if let Some(op) = bucket.ops.get_mut(id) {
@@ -763,7 +830,12 @@
             _ => None,
         };
         match base {
-            Some(base) => self.set_base(index, base),
+            Some(base) => {
+                self.set_base(index, base);
+                if self.buckets[usize::from(index)].retain_at.is_some() {
+                    self.remove_garbage(index, &[]);
+                }
+            }
             None => self.back_off(now, index),
         }
     }
@@ -825,10 +897,14 @@
     ) {
         match answer {
             Answer::Swapped { revision } => {
+                let old = self.buckets[usize::from(index)].base.as_ref();
+                let old = old.map(|base| base.head.garbage.clone()).unwrap_or_default();
                 let base = Base { revision: *revision, head: plan.next, confirmed: issued };
                 self.set_base(index, base);
-                let removed = plan.dropped.into_iter().map(|id| Name::Segment(index, id));
-                self.removals.extend(removed);
+                let bucket = &mut self.buckets[usize::from(index)];
+                let garbage = bucket.base.as_ref().map_or(&[][..], |base| &base.head.garbage);
+                bucket.removed.retain(|id| garbage.contains(id));
+                self.remove_garbage(index, &old);
                 self.resolve_spill(index);
                 let verdicts = plan.verdicts.into_iter().chain(plan.unconfirmed).collect();
                 self.settle(now, index, verdicts, actions);
@@ -854,11 +930,11 @@
         if !done && base.revision == spill.revision {
             return;
         }
-        let obsolete = if done { spill.replaces } else { Some(id) };
         bucket.spill = None;
-        if let Some(obsolete) = obsolete {
-            self.cache.remove(&obsolete);
-            self.removals.push_back(Name::Segment(index, obsolete));
+        // The segment that it replaces is in the head's list of garbage.
+        if !done {
+            self.cache.remove(&id);
+            self.removals.push_back(Name::Segment(index, id));
         }
     }
 
--- a/siskin-claim/tests/main/fleet.rs
+++ b/siskin-claim/tests/main/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        rules::{BODY, key, record},
+        rules::{BODY, Bench, key, record, token},
         store::Store,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -363,6 +363,28 @@
     }
 }
 
+impl Sim {
+    /// A new writer takes over every bucket, and every segment that no head names must be gone.
+    fn check_garbage(&mut self) {
+        let options = writer::Options { node: Node(9), buckets: BUCKETS, ..Default::default() };
+        let mut bench = Bench::new(options);
+        bench.store = std::mem::take(&mut self.store);
+        bench.now = Instant::from_micros(END);
+        let actions = bench.writer.owned(bench.now, &[0, 1, 2, 3]);
+        bench.settle(actions);
+        for bucket in 0..u16::from(BUCKETS) {
+            bench.claim(key(256 * bucket + 200), BODY, token(u64::from(bucket)));
+        }
+        for _ in 0..1_000 {
+            bench.now = bench.now + Duration::from_millis(50);
+            let actions = bench.writer.tick(bench.now);
+            bench.settle(actions);
+        }
+        let unused = bench.store.unused_segments();
+        assert!(unused.is_empty(), "seed {}: {unused:?}", self.seed);
+    }
+}
+
 fn seeds() -> Vec<u64> {
     match std::env::var("SISKIN_SEED") {
         Ok(seed) => vec![seed.parse().expect("SISKIN_SEED is a number")],
@@ -421,3 +443,14 @@
         assert_eq!(sim.done.len(), usize::from(KEYS), "seed {seed}");
     }
 }
+
+/// Guards against segments that stay in the store for ever because their writer died.
+#[test]
+fn leaves_no_segments_behind() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        let mut sim = Sim::new(seed, Faults { kills: true, ..Faults::default() });
+        sim.run();
+        sim.check_garbage();
+    }
+}
--- a/siskin-claim/tests/main/rules.rs
+++ b/siskin-claim/tests/main/rules.rs
@@ -224,6 +224,58 @@
     assert_eq!(second.writer.counts().reads, reads);
 }
 
+/// Guards against claims that are lost, and segments that are left behind, when a writer dies after any of
+/// its store calls.
+#[test]
+fn writer_dies() {
+    let options =
+        |incarnation| Options { incarnation, head_bytes: 150, segment_bytes: 300, ..unlimited() };
+    let mut spills = 0;
+    for stop in 0..60 {
+        let mut first = Bench::new(options(1));
+        // Whether the last head is full when the next writer takes over depends on the number of claims.
+        let mut held: Vec<u16> = (0..20 + stop % 5).collect();
+        for number in &held {
+            first.claim(in_first_bucket(*number), BODY, token(u64::from(*number)));
+        }
+        let mut second = Bench { store: first.store, ..Bench::new(options(2)) };
+        let mut calls = 0;
+        for number in 100..140 {
+            let (key, deadline) = (in_first_bucket(number), Instant::from_micros(5_000_000));
+            let mut queue =
+                second.writer.claim(second.now, key, BODY, token(number.into()), deadline);
+            queue.extend(second.writer.tick(second.now));
+            while let Some(action) = queue.pop().filter(|_| calls < stop) {
+                match action {
+                    Action::Decide { .. } => held.push(number),
+                    Action::Settled { .. } => {}
+                    call => {
+                        calls += 1;
+                        let (call, answer) = second.store.apply(&call);
+                        queue.extend(second.writer.stored(second.now, call, answer));
+                    }
+                }
+            }
+        }
+        spills += usize::from(!second.store.unused_segments().is_empty());
+        let mut third = Bench { store: second.store, ..Bench::new(options(3)) };
+        let actions = third.writer.owned(third.now, &[0]);
+        third.settle(actions);
+        for number in 200..220 {
+            third.claim(in_first_bucket(number), BODY, token(number.into()));
+            let actions = third.writer.tick(third.now);
+            third.settle(actions);
+        }
+        assert_eq!(third.store.unused_segments(), [], "after {stop} calls");
+        assert!(third.store.garbage() <= 2, "after {stop} calls: {} listed", third.store.garbage());
+        for number in held {
+            let got = third.claim(in_first_bucket(number), BODY, token(10_000));
+            assert_eq!(got, [Decision::InProgress], "claim {number} after {stop} calls");
+        }
+    }
+    assert!(spills > 10, "{spills} deaths left a segment to be removed");
+}
+
 /// Guards against groups that lose or reorder claims, and against heads above their limit.
 #[test]
 fn groups() {
--- a/siskin-claim/tests/main/store.rs
+++ b/siskin-claim/tests/main/store.rs
@@ -2,7 +2,7 @@
 
 use {
     siskin_claim::{
-        format::Name,
+        format::{self, Head, Name},
         writer::{Action, Answer, Call},
     },
     std::collections::HashMap,
@@ -42,4 +42,28 @@
     pub(crate) fn segments(&self) -> usize {
         self.values.keys().filter(|name| matches!(name, Name::Segment(..))).count()
     }
+
+    fn heads(&self) -> impl Iterator<Item = (u8, Head)> {
+        self.values.iter().filter_map(|(name, (_, value))| match name {
+            Name::Head(bucket) => Some((*bucket, format::decode(value).ok()?)),
+            Name::Segment(..) => None,
+        })
+    }
+
+    /// Segments that the heads list as garbage.
+    pub(crate) fn garbage(&self) -> usize {
+        self.heads().map(|(_, head)| head.garbage.len()).sum()
+    }
+
+    /// Segments that no head names.
+    pub(crate) fn unused_segments(&self) -> Vec<Name> {
+        let used: Vec<Name> = self
+            .heads()
+            .flat_map(|(bucket, head)| {
+                head.segments.into_iter().map(move |segment| Name::Segment(bucket, segment.id))
+            })
+            .collect();
+        let unused = |name: &&Name| matches!(name, Name::Segment(..)) && !used.contains(name);
+        self.values.keys().filter(unused).copied().collect()
+    }
 }
