Keep virtual times when an owner rebuilds, and test owners and several models

A new owner raised the customers of every router but the first heard to the floor that the first one had set, as if they had just begun to wait: after a rebuild all differences were forgotten, and a customer ahead by 80,000 units set everyone back. The example decision_cost showed it. Full reports now carry virtual times only if an owner told the router of them, and these are merged without raising; a restarted router's customers are raised to the floor as before.

Adds unit tests of the owner (collection, partition shares, repeated reports, lapse, preference, merged lead) and random fleets in which every other endpoint serves a second model.

--- a/siskin-sched/src/owner.rs
+++ b/siskin-sched/src/owner.rs
@@ -63,6 +63,8 @@
     leaving: bool,
     /// Slots held by all routers.
     held: u32,
+    /// Requests in flight, by the routers' reports.
+    busy: u32,
     /// Whether routers may keep slots.
     keep: bool,
 }
@@ -147,10 +149,8 @@
 
     /// Takes an endpoint's load report.
     pub fn load(&mut self, now: Instant, endpoint: id::Endpoint, load: pool::Load) -> Vec<Action> {
-        let own = self.peers.values().filter_map(|peer| peer.ledgers.get(&endpoint));
-        let own: u32 = own.map(Ledger::busy).sum();
         if let Some(site) = self.sites.get_mut(&endpoint) {
-            site.foreign = Some((now, load.running.saturating_sub(own)));
+            site.foreign = Some((now, load.running.saturating_sub(site.busy)));
             site.leaving = load.leaving;
         }
         self.step(now)
@@ -221,7 +221,7 @@
             // A router reported the endpoint before the configuration named it.
             let mut config = pool::Endpoint::new(endpoint, 0, Vec::new());
             config.leaving = true;
-            Site { config, foreign: None, leaving: false, held: 0, keep: true }
+            Site { config, foreign: None, leaving: false, held: 0, busy: 0, keep: true }
         })
     }
 
@@ -275,12 +275,13 @@
         }
         for (customer, queue) in std::mem::take(&mut peer.queues) {
             for (model, line) in queue.lines {
-                self.table.reported(customer, model, line.waiting, 0);
+                self.table.reported(customer, model, line.waiting, 0, false);
             }
         }
         for (endpoint, ledger) in std::mem::take(&mut peer.ledgers) {
             if let Some(site) = self.sites.get_mut(&endpoint) {
                 site.held -= ledger.held();
+                site.busy -= ledger.busy();
             }
         }
         peer.lapsed = true;
@@ -343,10 +344,9 @@
     fn update_queue(&mut self, node: id::Node, entry: &sched::Queue, first: bool) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let queue = peer.queues.entry(entry.customer).or_default();
+        let merged = first && entry.clock.is_some();
         match entry.clock {
-            Some(clock) if first => {
-                self.table.merge(entry.customer, clock);
-            }
+            Some(clock) if first => self.table.merge(entry.customer, clock),
             _ => self.table.charge(entry.customer, entry.charged - queue.charged),
         }
         queue.charged = entry.charged;
@@ -366,7 +366,7 @@
                 }
                 None => line.waiting = 0,
             }
-            self.table.reported(entry.customer, model, waited, line.waiting);
+            self.table.reported(entry.customer, model, waited, line.waiting, merged);
             self.table.wait(entry.customer, model, node, open, line.open());
             if line.waiting == 0 && line.promised == 0 {
                 queue.lines.remove(&model);
@@ -378,7 +378,7 @@
         self.site(entry.endpoint);
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let ledger = peer.ledgers.entry(entry.endpoint).or_default();
-        let before = ledger.held();
+        let (before, was_busy) = (ledger.held(), ledger.busy());
         ledger.report(entry);
         let after = ledger.held();
         if after > 0 && self.sites.get(&entry.endpoint).is_some_and(|site| !site.keep) {
@@ -387,6 +387,7 @@
         if let Some(site) = self.sites.get_mut(&entry.endpoint) {
             debug_assert!(site.held >= before, "slots are not conserved at {}", entry.endpoint);
             site.held = site.held - before + after;
+            site.busy = site.busy - was_busy + entry.busy;
         }
     }
 
@@ -495,8 +496,8 @@
             let sites: Vec<_> =
                 self.sites.values().filter(serves).map(|site| site.config.id).collect();
             for (node, peer) in &self.peers {
-                let holds = sites.iter().any(|endpoint| peer.held(*endpoint) > 0);
-                if holds && !peer.told.contains(&model) && self.table.elsewhere(model, *node) {
+                let untold = !peer.told.contains(&model) && self.table.elsewhere(model, *node);
+                if untold && sites.iter().any(|endpoint| peer.held(*endpoint) > 0) {
                     self.urgent.insert(*node);
                 }
             }
@@ -510,11 +511,14 @@
         let due = self.peers.iter().filter(|(_, peer)| late(peer)).map(|(node, _)| *node);
         let mut nodes = std::mem::take(&mut self.urgent);
         nodes.extend(due);
-        nodes.into_iter().filter_map(|to| self.write(now, to)).collect()
+        if nodes.is_empty() {
+            return Vec::new();
+        }
+        let reserve = self.reserve(now);
+        nodes.into_iter().filter_map(|to| self.write(reserve, to)).collect()
     }
 
-    fn write(&mut self, now: Instant, to: id::Node) -> Option<Action> {
-        let reserve = self.reserve(now);
+    fn write(&mut self, reserve: u32, to: id::Node) -> Option<Action> {
         let floors = self.floors(to);
         let peer = self.peers.get_mut(&to).filter(|peer| !peer.lapsed)?;
         peer.due = None;
@@ -556,8 +560,7 @@
     fn reserve(&self, now: Instant) -> u32 {
         let view = self.view(now);
         let total: u32 = self.sites.values().map(|site| site.usable(now, view)).sum();
-        let ledgers = self.peers.values().flat_map(|peer| peer.ledgers.values());
-        let busy: u32 = ledgers.map(Ledger::busy).sum();
+        let busy = self.sites.values().map(|site| site.busy).sum();
         let routers = u32::try_from(self.visible.len().max(1)).unwrap_or(u32::MAX);
         (total.saturating_sub(busy) / 2 / routers).max(1)
     }
--- a/siskin-sched/src/owner/demand.rs
+++ b/siskin-sched/src/owner/demand.rs
@@ -165,17 +165,18 @@
     }
 
     /// Applies a change of the number of requests that a router reports. A customer that begins to wait is
-    /// raised to the floor, because idleness gives no credit.
+    /// raised to the floor, because idleness gives no credit; one that waited under another owner is not.
     pub(super) fn reported(
         &mut self,
         customer: id::Customer,
         model: id::Model,
         before: u32,
         after: u32,
+        merged: bool,
     ) {
         let floor = self.floor(model);
         self.change(customer, |account| {
-            if account.reported == 0 && after > 0 {
+            if account.reported == 0 && after > 0 && !merged {
                 account.clock = account.clock.max(floor);
             }
             account.reported = account.reported - before + after;
--- a/siskin-sched/src/owner/peer.rs
+++ b/siskin-sched/src/owner/peer.rs
@@ -21,7 +21,7 @@
             u64::from(self.opening) + self.granted >= self.returned,
             "more slots returned than granted"
         );
-        let held = u64::from(self.opening) + self.granted - self.returned;
+        let held = (u64::from(self.opening) + self.granted).saturating_sub(self.returned);
         u32::try_from(held).unwrap_or(u32::MAX)
     }
 
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -671,7 +671,7 @@
     siskin_wire::sched::Queue {
         customer: queue.config.id,
         charged: queue.charged,
-        clock: full.then_some(queue.clock()),
+        clock: queue.remembered().filter(|_| full),
         lines,
     }
 }
--- a/siskin-sched/src/router/queue.rs
+++ b/siskin-sched/src/router/queue.rs
@@ -31,6 +31,8 @@
     pub(super) known: bool,
     /// Virtual time as last told by the owner or raised to the floor.
     told: Virtual,
+    /// Whether `told` rests on an owner's word. A restarted router knows nothing about its customers.
+    informed: bool,
     /// Charges that `told` includes.
     covered: i64,
     /// Routers at which the customer waits, by the owner's count.
@@ -71,6 +73,7 @@
             config,
             known: true,
             told: Virtual::ZERO,
+            informed: false,
             covered: 0,
             holders: 1,
             charged: 0,
@@ -138,6 +141,11 @@
         self.clock_with(1)
     }
 
+    /// The virtual time for a new owner; none if this router has never heard of it.
+    pub(super) fn remembered(&self) -> Option<Virtual> {
+        self.informed.then(|| self.clock())
+    }
+
     /// The virtual time to expect if half of the other routers at which the customer waits have served it as
     /// much as this one since the owner's last word. Counting none of them lets all routers serve the same
     /// customer until the owner's next word; counting all of them multiplies the random differences between
@@ -192,6 +200,7 @@
             _ => 0,
         };
         self.told = entry.clock;
+        self.informed = true;
         self.holders = entry.holders;
     }
 
--- a/siskin-sched/tests/main.rs
+++ b/siskin-sched/tests/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod harness;
 mod leaving;
+mod owner;
 mod rules;
--- a/siskin-wire/src/sched.rs
+++ b/siskin-wire/src/sched.rs
@@ -38,7 +38,7 @@
     pub customer: Customer,
     /// Units charged by this router in this account; corrections may take it below zero.
     pub charged: i64,
-    /// The customer's virtual time as the router knows it; only in full reports.
+    /// The customer's virtual time, in full reports of routers that an owner has told of it.
     pub clock: Option<Virtual>,
     /// Waiting requests by model; models without waiting requests are left out.
     pub lines: Vec<Line>,
