--- a/siskin-standin/src/application.rs
+++ b/siskin-standin/src/application.rs
@@ -43,7 +43,7 @@
     pub delay: Duration,
     /// Age of the reports of `GET /load`.
     pub load_lag: Duration,
-    /// Whether `POST /control` is served.
+    /// Whether `POST /control` takes faults and `GET /control` tells the true number of runs by call.
     pub control: bool,
 }
 
@@ -230,6 +230,9 @@
         match (&head.method, head.uri.path()) {
             (&Method::GET, "/load") => body::json(StatusCode::OK, &self.instance().load.reported()),
             (&Method::POST, "/control") if self.options.control => self.control(&bytes),
+            (&Method::GET, "/control") if self.options.control => {
+                body::json(StatusCode::OK, &self.history.counts())
+            }
             _ => self.call(&head, &String::from_utf8_lossy(&bytes)).await,
         }
     }
--- a/siskin-standin/src/engine/batch.rs
+++ b/siskin-standin/src/engine/batch.rs
@@ -182,6 +182,11 @@
         job.is_some()
     }
 
+    /// Whether the process has died.
+    pub(crate) fn is_dead(&self) -> bool {
+        self.slots.is_closed()
+    }
+
     /// Ends all jobs, as the death of the process does.
     pub(crate) fn kill(&self) {
         self.slots.close();
--- a/siskin-standin/src/engine/handler.rs
+++ b/siskin-standin/src/engine/handler.rs
@@ -114,6 +114,9 @@
             (&Method::GET, "/cache/events") => self.events(head.uri.query().unwrap_or_default()),
             (&Method::POST, "/orders") => orders::order(&self, &bytes),
             (&Method::POST, "/control") if self.options.control => self.control(&bytes),
+            (&Method::GET, "/control") if self.options.control => {
+                body::json(StatusCode::OK, &self.history.counts())
+            }
             (&Method::DELETE, path) => self.cancel(path),
             _ => body::error(StatusCode::NOT_FOUND, "no such call"),
         }
@@ -177,7 +180,7 @@
             (true, None) => chat::Answer { request: "crossed".to_owned(), ..job.answer.clone() },
             (false, _) => job.answer.clone(),
         };
-        let delivery = Delivery::new(job, answer, applied);
+        let delivery = Delivery::new(instance, job, answer, applied);
         if let Some(pause) = applied.crash {
             return self.die(delivery, pause).await;
         }
@@ -231,6 +234,7 @@
 
 /// Sends a job's answer on one connection; cancels the job if the connection closes first.
 struct Delivery {
+    instance: Arc<Instance>,
     job: Arc<Job>,
     number: u64,
     answer: chat::Answer,
@@ -245,10 +249,10 @@
 }
 
 impl Delivery {
-    fn new(job: Arc<Job>, answer: chat::Answer, applied: Applied) -> Self {
+    fn new(instance: Arc<Instance>, job: Arc<Job>, answer: chat::Answer, applied: Applied) -> Self {
         let number = job.deliver();
         let progress = job.progress.clone();
-        Self { job, number, answer, applied, progress }
+        Self { instance, job, number, answer, applied, progress }
     }
 
     /// Waits until `enough` holds or the job can make no more progress.
@@ -263,7 +267,7 @@
             std::future::pending::<()>().await;
         }
         let Some(progress) = self.wait(|progress| progress.ended).await else {
-            return self.cancelled();
+            return self.cancelled().await;
         };
         self.late().await;
         let usage = Usage { completion: self.answer.tokens, cached: progress.cached };
@@ -275,7 +279,7 @@
     /// The events after number `after`.
     async fn stream(mut self, after: u32) -> Response<Body> {
         if self.wait(|progress| progress.started || progress.ended).await.is_none() {
-            return self.cancelled();
+            return self.cancelled().await;
         }
         self.late().await;
         let mut response = Response::new(Body::default());
@@ -294,7 +298,11 @@
         }
     }
 
-    fn cancelled(&self) -> Response<Body> {
+    /// The answer to a cancelled request; none if the process has died.
+    async fn cancelled(&self) -> Response<Body> {
+        if self.instance.is_dead() {
+            return std::future::pending().await;
+        }
         self.named(body::error(StatusCode::CONFLICT, "the request was cancelled"))
     }
 
--- a/siskin-standin/src/engine/mod.rs
+++ b/siskin-standin/src/engine/mod.rs
@@ -61,7 +61,7 @@
     pub load_time: Duration,
     /// Whether orders with an old fencing number are rejected.
     pub check_fencing: bool,
-    /// Whether `POST /control` is served.
+    /// Whether `POST /control` takes faults and `GET /control` tells the true number of runs by request.
     pub control: bool,
 }
 
--- a/siskin-standin/src/kv/handler.rs
+++ b/siskin-standin/src/kv/handler.rs
@@ -171,6 +171,9 @@
         let bytes = collected.to_bytes();
         match (&head.method, head.uri.path()) {
             (&Method::POST, "/control") if self.options.control => self.control(&bytes),
+            (&Method::GET, "/control") if self.options.control => {
+                body::json(StatusCode::OK, &self.counters())
+            }
             (&Method::POST, path) => self.call(path, &bytes).await,
             _ => body::error(StatusCode::NOT_FOUND, "no such call"),
         }
--- a/siskin-standin/src/kv/mod.rs
+++ b/siskin-standin/src/kv/mod.rs
@@ -44,7 +44,7 @@
     pub reads_per_second: u32,
     /// Time to an answer.
     pub latency: Duration,
-    /// Whether `POST /control` is served.
+    /// Whether `POST /control` takes faults and `GET /control` tells the true number of calls by kind.
     pub control: bool,
 }
 
--- a/siskin-standin/tests/standin/engine.rs
+++ b/siskin-standin/tests/standin/engine.rs
@@ -251,6 +251,21 @@
     expect_that!(load.unwrap().json()["instance"].as_u64(), some(gt(before)));
 }
 
+/// Guards against an engine that still answers while it dies.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crash_gives_no_answer() {
+    for round in 0..20 {
+        let server = Server::start(quick()).unwrap();
+        let (address, request) = (server.address(), body("hello", 5_000, false));
+        let waiting =
+            tokio::spawn(async move { call(address, "POST", CHAT, &[], &request).await.is_none() });
+        until("start", || server.load().running == 1).await;
+        server.crash(Duration::ZERO);
+        expect_true!(waiting.await.unwrap(), "round {round}");
+    }
+}
+
 /// Guards against faults that do not happen, or that last longer than asked.
 #[gtest]
 #[tokio::test]
