Stop a writer at each store call with heads of each fill

Cause: the test of dying writers missed a takeover of a full head whose next segment was not named in advance. Change: the test varies the fill of the head that is taken over.

--- a/siskin-claim/tests/main/rules.rs
+++ b/siskin-claim/tests/main/rules.rs
@@ -231,10 +231,11 @@
     let options =
         |incarnation| Options { incarnation, head_bytes: 150, segment_bytes: 300, ..unlimited() };
     let mut spills = 0;
-    for stop in 0..60 {
+    for case in 0..120 {
         let mut first = Bench::new(options(1));
-        // Whether the last head is full when the next writer takes over depends on the number of claims.
-        let mut held: Vec<u16> = (0..20 + stop % 5).collect();
+        // The head that the next writer takes over has one, two or three entries; three fill it.
+        let (stop, claims) = (case / 3, 20 + case % 3);
+        let mut held: Vec<u16> = (0..claims).collect();
         for number in &held {
             first.claim(in_first_bucket(*number), BODY, token(u64::from(*number)));
         }
--- a/siskin-outcome/src/life.rs
+++ b/siskin-outcome/src/life.rs
@@ -59,7 +59,9 @@
 /// What is to be done for the request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Queue the request for an endpoint that is not excluded, and report [`Life::dispatched`].
+    /// Queue the request for an endpoint that is not excluded, and report [`Life::dispatched`]. Before each
+    /// dispatch the poison detector has to admit the request: if the last attempt ended with a crash, the
+    /// request has become a suspect.
     Dispatch {
         /// Number for the events of this attempt.
         attempt: Attempt,
