--- a/siskin-outcome/tests/main/fleet.rs
+++ b/siskin-outcome/tests/main/fleet.rs
@@ -26,27 +26,14 @@
     Accept,
     Dispatched,
     /// Connecting, to resume at an offset or to start.
-    Connect {
-        endpoint: u32,
-        offset: Option<u64>,
-    },
-    Arrive {
-        endpoint: u32,
-        offset: Option<u64>,
-    },
-    Start {
-        crossed: bool,
-    },
-    Chunk {
-        run: u32,
-        at: u64,
-    },
+    Connect(u32, Option<u64>),
+    Arrive(u32, Option<u64>),
+    Start(bool),
+    Chunk(u32, u64),
     End,
     Refused,
     Broken,
-    Silent {
-        endpoint: u32,
-    },
+    Silent(u32),
     Cancel,
     Tick,
 }
@@ -178,25 +165,25 @@
             Event::Tick => self.callers[index].life.tick(now),
             Event::Cancel => self.callers[index].life.cancelled(now),
             Event::Dispatched => self.dispatch(index, attempt),
-            Event::Connect { endpoint, offset } => {
+            Event::Connect(endpoint, offset) => {
                 if instance(self, endpoint).is_none() || self.fault(0.03) {
                     return self.callers[index].life.connect_failed(now, attempt, &mut self.budget);
                 }
                 if self.callers[index].life.bytes_sent(now, attempt).is_ok() {
-                    self.soon(index, attempt, Event::Arrive { endpoint, offset });
+                    self.soon(index, attempt, Event::Arrive(endpoint, offset));
                 }
                 Vec::new()
             }
-            Event::Arrive { endpoint, offset } => {
+            Event::Arrive(endpoint, offset) => {
                 self.arrive(index, attempt, endpoint, offset);
                 Vec::new()
             }
-            Event::Start { crossed } => {
+            Event::Start(crossed) => {
                 let id = self.callers[index].id;
                 let echoed = Request { sequence: id.sequence + u64::from(crossed), ..id };
                 self.callers[index].life.started(now, attempt, Some(echoed), &mut self.budget)
             }
-            Event::Chunk { run, at } => {
+            Event::Chunk(run, at) => {
                 let caller = &mut self.callers[index];
                 caller.pending = (run, at);
                 caller.life.chunk(now, attempt, at, 1, Units(at + 1), &mut self.budget)
@@ -210,7 +197,7 @@
                 self.callers[index].life.endpoint_refused(now, attempt, &mut self.budget)
             }
             Event::Broken => self.callers[index].life.broken(now, attempt, &mut self.budget),
-            Event::Silent { endpoint } => {
+            Event::Silent(endpoint) => {
                 let alive = instance(self, endpoint).is_some();
                 let probe = if alive { Probe::Answered } else { Probe::Failed };
                 self.callers[index].life.silent(now, attempt, probe, &mut self.budget)
@@ -232,7 +219,7 @@
         let endpoint = free[self.random.random_range(0..free.len())];
         let actions = self.callers[index].life.dispatched(now, attempt, Endpoint(endpoint));
         if actions.is_empty() {
-            self.soon(index, attempt, Event::Connect { endpoint, offset: None });
+            self.soon(index, attempt, Event::Connect(endpoint, None));
         }
         actions
     }
@@ -256,7 +243,7 @@
         };
         let mut at = self.now + MS;
         let crossed = self.fault(0.05);
-        self.push(at, index, attempt, Event::Start { crossed });
+        self.push(at, index, attempt, Event::Start(crossed));
         let ends_at = self.random.random_range(0..CHUNKS * 4);
         for position in offset.unwrap_or(0)..CHUNKS {
             at += self.random.random_range(1..20) * MS;
@@ -267,9 +254,9 @@
                 return self.push(at, index, attempt, Event::Broken);
             }
             if position == ends_at && self.fault(0.7) {
-                return self.push(at + 200 * MS, index, attempt, Event::Silent { endpoint });
+                return self.push(at + 200 * MS, index, attempt, Event::Silent(endpoint));
             }
-            self.push(at, index, attempt, Event::Chunk { run, at: position });
+            self.push(at, index, attempt, Event::Chunk(run, position));
         }
         self.push(at + MS, index, attempt, Event::End);
     }
@@ -282,7 +269,7 @@
                     self.soon(index, attempt, Event::Dispatched);
                 }
                 Action::Resume { attempt, endpoint, offset } => {
-                    let event = Event::Connect { endpoint: endpoint.0, offset: Some(offset) };
+                    let event = Event::Connect(endpoint.0, Some(offset));
                     self.soon(index, attempt, event);
                 }
                 Action::Deliver { skip } => {
--- a/siskin-outcome/tests/main/poison_fleet.rs
+++ b/siskin-outcome/tests/main/poison_fleet.rs
@@ -34,23 +34,12 @@
 enum Event {
     Send(u32),
     /// A run ends at an endpoint: completes, or crashes it.
-    RunEnds {
-        run: u64,
-    },
+    RunEnds(u64),
     /// A router notices the crash.
-    Noticed {
-        crash: Crash,
-        in_flight: Vec<InFlight>,
-        waiting: Vec<u32>,
-    },
-    Deliver {
-        from: Node,
-        message: Message,
-    },
+    Noticed(Crash, Vec<InFlight>, Vec<u32>),
+    Deliver(Node, Message),
     Tick,
-    Restart {
-        router: u32,
-    },
+    Restart(u32),
     EndpointUp(usize),
 }
 
@@ -135,7 +124,7 @@
             for _ in 0..5 {
                 let at = sim.random.random_range(2_000 * MS..12_000 * MS);
                 let router = sim.random.random_range(0..ROUTERS);
-                sim.push(at, None, Event::Restart { router });
+                sim.push(at, None, Event::Restart(router));
             }
         }
         sim
@@ -164,7 +153,7 @@
             match to {
                 Some((router, incarnation)) if self.routers[router as usize].1 != incarnation => {
                     // The router died; its callers see their connections break and send again.
-                    if let Event::Noticed { waiting, .. } = event {
+                    if let Event::Noticed(_, _, waiting) = event {
                         self.resend(waiting);
                     }
                 }
@@ -179,8 +168,8 @@
         let now = Instant::from_micros(self.now);
         let detector = &mut self.routers[router as usize].0;
         let actions = match event {
-            Event::Deliver { from, message } => detector.receive(now, from, &message),
-            Event::Noticed { crash, in_flight, waiting } => {
+            Event::Deliver(from, message) => detector.receive(now, from, &message),
+            Event::Noticed(crash, in_flight, waiting) => {
                 self.waiting.entry((router, crash)).or_default().extend(waiting);
                 detector.crashed(now, crash.endpoint, crash.instance, &in_flight)
             }
@@ -201,7 +190,7 @@
                     }
                     let at = self.now + self.random.random_range(MS / 2..MS);
                     let to = (to.0, self.routers[to.0 as usize].1);
-                    self.push(at, Some(to), Event::Deliver { from: Node(router), message });
+                    self.push(at, Some(to), Event::Deliver(Node(router), message));
                 }
                 Action::Confirmed(crash) => {
                     let callers = self.waiting.remove(&(router, crash)).unwrap_or_default();
@@ -229,13 +218,13 @@
     fn handle(&mut self, event: &Event) {
         match event {
             Event::Send(request) => self.send(*request),
-            Event::RunEnds { run } => self.run_ends(*run),
-            Event::Restart { router } => self.restart(*router),
+            Event::RunEnds(run) => self.run_ends(*run),
+            Event::Restart(router) => self.restart(*router),
             Event::EndpointUp(endpoint) => {
                 self.up[*endpoint] = true;
                 self.instances[*endpoint] += 1;
             }
-            Event::Deliver { .. } | Event::Tick | Event::Noticed { .. } => {
+            Event::Deliver(..) | Event::Tick | Event::Noticed(..) => {
                 unreachable!("have a router")
             }
         }
@@ -284,7 +273,7 @@
         self.runs.insert(self.next_run, run);
         let length = if request == CRASHING { 50 * MS } else { LONGEST_RUN };
         let at = self.now + self.random.random_range(length / 5..length);
-        self.push(at, None, Event::RunEnds { run: self.next_run });
+        self.push(at, None, Event::RunEnds(self.next_run));
     }
 
     fn run_ends(&mut self, number: u64) {
@@ -330,11 +319,7 @@
                 |run: &&Run| InFlight { fingerprint: fingerprint(run.request), alone: run.alone };
             let in_flight = known.map(flight).collect();
             let at = self.now + self.random.random_range(0..3 * MS);
-            self.push(
-                at,
-                Some((router, incarnation)),
-                Event::Noticed { crash, in_flight, waiting },
-            );
+            self.push(at, Some((router, incarnation)), Event::Noticed(crash, in_flight, waiting));
         }
         if self.faults.dies_with_endpoint && self.crashes == 1 {
             let router =
