Send orders to engines under a lease with fencing numbers

Cause: changes of an engine's models in the configuration had no effect. Change: the owner of a pool holds the lease for its orders, drains an engine before it unloads a model, spaces loads, and shows operators which change waits because it would take out the last ready engine of a model. The owner grants slots only for models that an engine has loaded. An endpoint that fails two probes in a row is taken out of use also if no request went there. Ruled out: an engine that reports no models counted as serving any model, also after it had unloaded all; it now counts so only if it never had an order. Measured: engines of both kinds (numbers checked and ignored) load and unload with no failed request; the last engine of a model keeps it for 12 s while the other is dead. Conclusion: orders follow the configuration.

--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        orders::Orders,
         pool::Pool,
         shared::{Shared, lock},
         view::View,
@@ -91,6 +92,11 @@
         }
     }
 
+    /// The client of the store.
+    pub(crate) const fn store(&self) -> &http::Client {
+        &self.store
+    }
+
     /// Reads from the follower.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&Follower) -> T) -> T {
         read(&lock(&self.follower))
@@ -368,12 +374,14 @@
     shared.set_pools(pools);
     for pool in started {
         shared.spawn(Arc::clone(pool.suspects()).run(Arc::clone(shared)));
+        shared.spawn(Orders::run(Arc::clone(shared), Arc::clone(&pool)));
         shared.spawn(Arc::clone(&pool).run(Arc::clone(shared)));
     }
     let customers = view.customers();
     for pool in shared.pools() {
         let endpoints = shared.scheduled_endpoints(&view, &pool);
-        pool.configure(shared, now, endpoints, Some(customers.clone()));
+        let granted = shared.granted_endpoints(&view, &endpoints);
+        pool.configure(shared, now, endpoints, granted, Some(customers.clone()));
     }
     shared.members_changed();
     log::info!(version = view.version(); "configuration is in force");
--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod exchange;
 pub mod metrics;
 mod operator;
+mod orders;
 pub mod pool;
 pub mod router;
 pub mod settings;
--- a/siskin-router/src/operator.rs
+++ b/siskin-router/src/operator.rs
@@ -209,7 +209,8 @@
         Some(pool) => {
             let usage = pool.usage();
             let own = usage.iter().find(|usage| usage.endpoint == endpoint.id);
-            (shared.probe(pool, endpoint.id).await, own.map_or(0, |usage| usage.in_flight))
+            let probe = shared.probe(pool, endpoint.id).await;
+            (probe.map(|probe| probe.report), own.map_or(0, |usage| usage.in_flight))
         }
         None => (None, 0),
     };
@@ -295,6 +296,9 @@
     let (version, freshness, alarms) = shared
         .config
         .read(|follower| (follower.version(), follower.freshness(now), follower.alarms(now)));
+    let view = shared.view();
+    let blocked = shared.pools().into_iter().flat_map(|pool| pool.orders().alarms(&view));
+    let alarms = alarms.into_iter().chain(blocked).collect();
     let status = Status {
         node: shared.settings.node.0,
         incarnation: shared.incarnation,
--- /dev/null
+++ b/siskin-router/src/orders.rs
@@ -0,0 +1,331 @@
+//! Orders to the engines of one pool: connects the lease holder and the planner to the store and the engines.
+//!
+//! The owner of a pool is also the candidate for its lease, so an engine that is drained for an order gets no more
+//! grants. While the store is down nobody holds the lease and engines keep the models that they have.
+
+use {
+    crate::{
+        pool::Pool,
+        shared::{Probe, Shared, lock},
+        view::View,
+    },
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request, StatusCode,
+        header::{CONTENT_TYPE, HOST},
+    },
+    serde_json::json,
+    siskin_config::document::{Endpoint as Configured, Fencing, Service},
+    siskin_lease::{
+        holder::{self, Answer, Entry, Holder, Operation, Unanswered},
+        orders::{self, Action, Engine, Planner, Report, Wanted},
+    },
+    siskin_store::{Error, LeaseId, Store, Write},
+    siskin_types::{
+        id::{self, Endpoint, Node},
+        time::Instant,
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time,
+};
+
+/// Time between calls of the timers.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Age that a load report may have when it is read, because engines report their load late.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Time after which no router has a grant for an engine that is being drained.
+const GRANT_LAPSE: Duration = Duration::from_millis(3_300);
+
+/// Longest time for an engine to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The role of all engines; roles other than serving are not configured yet.
+const ROLE: &str = "serve";
+
+/// The orders of one pool.
+#[derive(Debug)]
+pub(crate) struct Orders {
+    holder: Mutex<Holder>,
+    planner: Mutex<Planner>,
+    /// Engines that are being drained for an order, and since when.
+    drains: Mutex<HashMap<Endpoint, Instant>>,
+}
+
+impl Orders {
+    pub(crate) fn new(
+        pool: id::Pool,
+        node: Node,
+        incarnation: u64,
+        load_spacing: Duration,
+    ) -> Self {
+        let options = orders::Options { load_spacing, ..orders::Options::default() };
+        Self {
+            holder: Mutex::new(Holder::new(holder::Options::new(pool, node, incarnation))),
+            planner: Mutex::new(Planner::new(options)),
+            drains: Mutex::default(),
+        }
+    }
+
+    /// Changes that wait because they would take out the last ready engine of a model, for operators.
+    pub(crate) fn alarms(&self, view: &View) -> Vec<String> {
+        let name = |name: Option<&str>| name.unwrap_or("?").to_owned();
+        let planner = lock(&self.planner);
+        let blocked = planner.blocked().iter().map(|blocked| {
+            let endpoint = name(view.index().endpoint(blocked.endpoint));
+            let model = name(view.index().model(blocked.model));
+            format!(
+                "{endpoint} is the last ready engine of model {model} and is not changed; \
+                 load the model on another engine first"
+            )
+        });
+        blocked.collect()
+    }
+
+    /// Whether an engine is being drained for an order.
+    pub(crate) fn drains(&self, endpoint: Endpoint) -> bool {
+        lock(&self.drains).contains_key(&endpoint)
+    }
+
+    /// Takes what an engine said of itself when it was asked at `asked`.
+    pub(crate) fn reported(
+        &self,
+        shared: &Shared,
+        asked: Instant,
+        endpoint: Endpoint,
+        probe: &Probe,
+    ) {
+        let view = shared.view();
+        let models = |names: &[String]| names.iter().filter_map(|name| view.model(name)).collect();
+        let report = Report {
+            // An engine that serves any model takes no orders.
+            ready: match &probe.models {
+                Some(names) => models(names),
+                None => wanted_models(&view, endpoint),
+            },
+            loading: models(&probe.loading),
+            role: ROLE.to_owned(),
+            leaving: probe.report.leaving,
+            instance: probe.report.instance,
+        };
+        let as_of = Instant::from_micros(asked.as_micros().saturating_sub(lag_micros()));
+        lock(&self.planner).reported(endpoint, as_of, &report);
+        let drained_since = lock(&self.drains).get(&endpoint).copied();
+        let idle = probe.report.running + probe.report.waiting == 0;
+        if drained_since.is_some_and(|since| idle && asked - since > GRANT_LAPSE + REPORT_LAG) {
+            lock(&self.planner).drained(endpoint);
+        }
+    }
+
+    /// Holds the lease and plans orders until the router ends.
+    pub(crate) async fn run(shared: Arc<Shared>, pool: Arc<Pool>) {
+        let mut interval = time::interval(TICK);
+        let mut configured = 0;
+        loop {
+            interval.tick().await;
+            let orders = pool.orders();
+            let view = shared.view();
+            let now = shared.clock.now();
+            if view.version() != configured {
+                configured = view.version();
+                let actions = lock(&orders.planner).configure(&engines(&view, &pool));
+                perform(&shared, &pool, actions);
+            }
+            let candidate = pool.owned() && view.endpoints(pool.name()).any(is_engine);
+            let actions = lock(&orders.holder).set_candidate(now, candidate);
+            hold(&shared, &pool, actions);
+            let tenure = lock(&orders.holder).tenure(now);
+            let actions = lock(&orders.planner).tick(now, tenure);
+            perform(&shared, &pool, actions);
+        }
+    }
+}
+
+fn lag_micros() -> u64 {
+    u64::try_from(REPORT_LAG.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn is_engine(endpoint: &Configured) -> bool {
+    endpoint.kind == Service::Engine
+}
+
+/// What the configuration wants of the engines of a pool. Engines that are leaving get no orders.
+fn engines(view: &View, pool: &Pool) -> Vec<Engine> {
+    view.endpoints(pool.name())
+        .filter(|endpoint| is_engine(endpoint) && !endpoint.leaving)
+        .map(|endpoint| Engine {
+            endpoint: endpoint.id,
+            models: endpoint.models.iter().filter_map(|name| view.model(name)).collect(),
+            role: ROLE.to_owned(),
+            checks_fencing: endpoint.fencing == Fencing::Checked,
+        })
+        .collect()
+}
+
+fn wanted_models(view: &View, endpoint: Endpoint) -> std::collections::BTreeSet<id::Model> {
+    let endpoints = view.document().endpoints.iter();
+    let mut endpoints = endpoints.map(|(_, endpoint)| endpoint);
+    let configured = endpoints.find(|configured| configured.id == endpoint);
+    let names = configured.into_iter().flat_map(|configured| &configured.models);
+    names.filter_map(|name| view.model(name)).collect()
+}
+
+/// Carries out what the holder decided.
+fn hold(shared: &Arc<Shared>, pool: &Arc<Pool>, actions: Vec<holder::Action>) {
+    for action in actions {
+        match action {
+            holder::Action::Store { call, operation } => {
+                let task = call_store(Arc::clone(shared), Arc::clone(pool), call, operation);
+                shared.spawn(task);
+            }
+            holder::Action::Acquired { fencing } => {
+                log::info!(pool = pool.name(), fencing; "lease for orders is held");
+            }
+            holder::Action::Lost { reason } => {
+                log::info!(pool = pool.name(), reason:? = reason; "lease for orders is no longer held");
+            }
+        }
+    }
+}
+
+/// Carries out what the planner decided.
+fn perform(shared: &Arc<Shared>, pool: &Arc<Pool>, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Order { endpoint, fencing, wanted } => {
+                let task = order(Arc::clone(shared), Arc::clone(pool), endpoint, fencing, wanted);
+                shared.spawn(task);
+            }
+            Action::Drain { endpoint } => {
+                log::info!(pool = pool.name(), endpoint:% = endpoint; "engine is drained for an order");
+                lock(&pool.orders().drains).insert(endpoint, shared.clock.now());
+                shared.refresh_endpoints();
+            }
+            Action::Undrain { endpoint } => {
+                lock(&pool.orders().drains).remove(&endpoint);
+                shared.refresh_endpoints();
+            }
+            Action::Read { endpoint } => {
+                let (shared, pool) = (Arc::clone(shared), Arc::clone(pool));
+                let task_shared = Arc::clone(&shared);
+                shared.spawn(async move { task_shared.poll_load(&pool, endpoint).await });
+            }
+            Action::Superseded => {
+                let actions = lock(&pool.orders().holder).superseded(shared.clock.now());
+                hold(shared, pool, actions);
+            }
+        }
+    }
+}
+
+/// Sends one order, if the lease is still held, and reports the answer.
+async fn order(
+    shared: Arc<Shared>,
+    pool: Arc<Pool>,
+    endpoint: Endpoint,
+    fencing: u64,
+    wanted: Wanted,
+) {
+    let orders = pool.orders();
+    let tenure = lock(&orders.holder).tenure(shared.clock.now());
+    let answer = match tenure.filter(|tenure| tenure.fencing == fencing) {
+        Some(_) => {
+            let sending = send(&shared, endpoint, fencing, &wanted);
+            time::timeout(ORDER_TIMEOUT, sending).await.ok().flatten()
+        }
+        None => return,
+    };
+    let answer = answer.unwrap_or(orders::Answer::Unanswered);
+    log::info!(pool = pool.name(), endpoint:% = endpoint, fencing, answer:? = answer; "order was sent");
+    let now = shared.clock.now();
+    let actions = lock(&orders.planner).order_answered(now, endpoint, fencing, answer);
+    perform(&shared, &pool, actions);
+}
+
+async fn send(
+    shared: &Shared,
+    endpoint: Endpoint,
+    fencing: u64,
+    wanted: &Wanted,
+) -> Option<orders::Answer> {
+    let view = shared.view();
+    let address = view.address(endpoint)?;
+    let models: Vec<_> =
+        wanted.models.iter().filter_map(|model| view.index().model(*model)).collect();
+    let body = json!({ "fencing": fencing, "models": models }).to_string();
+    let request = Request::post("/orders")
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
+    let mut connection = shared.upstream.open(address).await.ok()?;
+    let response = connection.send(request).await.ok()?;
+    let status = response.status();
+    // The answer is read to its end so that the engine does not see a broken connection.
+    drop(response.into_body().collect().await);
+    Some(match status {
+        StatusCode::CONFLICT => orders::Answer::Stale,
+        status if status.is_success() => orders::Answer::Accepted,
+        _ => orders::Answer::Failed,
+    })
+}
+
+/// Makes one store call of the holder and passes its answer on.
+async fn call_store(shared: Arc<Shared>, pool: Arc<Pool>, call: u64, operation: Operation) {
+    let store = shared.config.store();
+    shared.metrics.store_calls.with_label_values(&["lease"]).inc();
+    let answer = match operation {
+        Operation::Read { key } => store.get(&key).await.map(|found| {
+            Answer::Value(found.entry.map(|entry| Entry {
+                token: String::from_utf8_lossy(&entry.value).into_owned(),
+                revision: entry.revision.0,
+            }))
+        }),
+        Operation::Grant { lease_time } => {
+            store.grant(lease_time).await.map(|lease| Answer::Granted { lease: signed(lease.id) })
+        }
+        Operation::Create { key, token, lease } => {
+            let created = store.create(&key, token.as_bytes(), Some(unsigned(lease))).await;
+            lapsed(created.map(|write| match write {
+                Write::Applied { revision } => Answer::Created { revision: revision.0 },
+                Write::Conflict { .. } => Answer::Exists,
+            }))
+        }
+        Operation::KeepAlive { lease } => {
+            lapsed(store.keep_alive(unsigned(lease)).await.map(|_| Answer::Extended))
+        }
+        Operation::Revoke { lease } => {
+            lapsed(store.revoke(unsigned(lease)).await.map(|()| Answer::Lapsed))
+        }
+    };
+    let answer = answer.map_err(|error| {
+        shared.metrics.store_errors.with_label_values(&["lease"]).inc();
+        log::debug!(pool = pool.name(); "store call failed: {error}");
+        Unanswered
+    });
+    let actions = lock(&pool.orders().holder).stored(shared.clock.now(), call, answer);
+    hold(&shared, &pool, actions);
+}
+
+/// A lease that is gone is an answer, not a failure.
+fn lapsed(answer: Result<Answer, Error>) -> Result<Answer, Error> {
+    match answer {
+        Err(Error::LeaseGone { .. }) => Ok(Answer::Lapsed),
+        answer => answer,
+    }
+}
+
+/// The store numbers leases with signed integers that are never negative.
+fn signed(lease: LeaseId) -> i64 {
+    i64::try_from(lease.0).unwrap_or(i64::MAX)
+}
+
+fn unsigned(lease: i64) -> LeaseId {
+    LeaseId(u64::try_from(lease).unwrap_or_default())
+}
--- a/siskin-router/src/pool.rs
+++ b/siskin-router/src/pool.rs
@@ -4,7 +4,7 @@
 //! messages to other routers are sent after the lock is released.
 
 use {
-    crate::{shared::Shared, suspect::Suspects},
+    crate::{orders::Orders, shared::Shared, suspect::Suspects},
     indexmap::IndexMap,
     siskin_config::document::{self, Unit},
     siskin_outcome::{
@@ -51,6 +51,7 @@
     options: pool::Options,
     budget: Mutex<Budget>,
     suspects: Arc<Suspects>,
+    orders: Orders,
     state: Mutex<State>,
     wake: Notify,
 }
@@ -59,7 +60,10 @@
     scheduler: Scheduler,
     owner: Option<Owner>,
     waiting: IndexMap<Request, oneshot::Sender<Assignment>>,
+    /// Endpoints as the scheduler knows them.
     endpoints: Vec<pool::Endpoint>,
+    /// Endpoints as the owner knows them.
+    granted: Vec<pool::Endpoint>,
     customers: Vec<pool::Customer>,
     visible: Vec<Node>,
     known: usize,
@@ -92,6 +96,7 @@
             owner: None,
             waiting: IndexMap::new(),
             endpoints: Vec::new(),
+            granted: Vec::new(),
             customers: Vec::new(),
             visible: Vec::new(),
             known: 0,
@@ -102,6 +107,7 @@
             options,
             budget: Mutex::new(Budget::new(retries)),
             suspects: Arc::new(Suspects::new(config.id, node, fleet.poison_expiry())),
+            orders: Orders::new(config.id, node, incarnation, fleet.load_spacing()),
             state: Mutex::new(state),
             wake: Notify::new(),
         }
@@ -145,6 +151,11 @@
         &self.suspects
     }
 
+    /// Orders to this pool's engines.
+    pub(crate) const fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
     /// Queues a request. The receiver gets its assignment.
     ///
     /// # Errors
@@ -226,7 +237,7 @@
             let options = pool::Options { start: now.as_micros(), ..self.options.clone() };
             let mut owner = Owner::new(options);
             // A new owner sends nothing before it has heard from the routers.
-            owner.endpoints(now, &state.endpoints);
+            owner.endpoints(now, &state.granted);
             owner.customers(now, &state.customers);
             state.owner = Some(owner);
         }
@@ -242,6 +253,7 @@
         shared: &Shared,
         now: Instant,
         endpoints: Vec<pool::Endpoint>,
+        granted: Vec<pool::Endpoint>,
         customers: Option<Vec<pool::Customer>>,
     ) {
         let mut state = self.lock();
@@ -256,10 +268,13 @@
         }
         if endpoints != state.endpoints {
             actions.extend(state.scheduler.endpoints(now, &endpoints));
+            state.endpoints = endpoints;
+        }
+        if granted != state.granted {
             if let Some(owner) = &mut state.owner {
-                replies.extend(owner.endpoints(now, &endpoints));
+                replies.extend(owner.endpoints(now, &granted));
             }
-            state.endpoints = endpoints;
+            state.granted = granted;
         }
         let outgoing = state.apply(now, self.options.node, actions, replies);
         self.after(shared, state, outgoing);
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -83,6 +83,7 @@
         shared.spawn(receive(Arc::clone(&shared), received));
         shared.spawn(membership(Arc::clone(&shared)));
         shared.spawn(loads(Arc::clone(&shared)));
+        shared.spawn(Arc::clone(&shared).refresh_endpoints_when_changed());
         shared.spawn(Claims::run(Arc::clone(&shared)));
         shared.spawn(configure::run(Arc::clone(&shared)));
         shared.spawn(operator::run(Arc::clone(&shared), operator_listener));
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -39,6 +39,7 @@
     },
     siskin_wire::Message,
     std::{
+        collections::HashMap,
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -46,7 +47,10 @@
         },
         time::Duration,
     },
-    tokio::{sync::watch, time},
+    tokio::{
+        sync::{Notify, watch},
+        time,
+    },
 };
 
 /// Largest answer to a probe.
@@ -68,6 +72,9 @@
     pub(crate) estimator: Mutex<Estimator>,
     pub(crate) prefixes: Mutex<Table>,
     health: Mutex<Tracker>,
+    /// Models that engines said they have loaded, by name; `None` for an engine that serves any.
+    loaded: Mutex<HashMap<Endpoint, Option<Vec<String>>>>,
+    refresh: Notify,
     view: RwLock<Arc<View>>,
     pools: RwLock<IndexMap<id::Pool, Arc<Pool>>>,
     stopping: AtomicBool,
@@ -78,7 +85,7 @@
 }
 
 /// What `GET /load` of an endpoint says.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 struct LoadReport {
     #[serde(default)]
     running: u32,
@@ -90,6 +97,23 @@
     leaving: bool,
     #[serde(default)]
     instance: u64,
+    #[serde(default)]
+    models: Vec<String>,
+    #[serde(default)]
+    loading: Vec<String>,
+    #[serde(default)]
+    fencing: u64,
+}
+
+/// What an endpoint said of itself.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Probe {
+    /// Its load.
+    pub(crate) report: health::Report,
+    /// Models that it can serve; `None` if it serves any.
+    pub(crate) models: Option<Vec<String>>,
+    /// Models that it is loading.
+    pub(crate) loading: Vec<String>,
 }
 
 /// Blocks of prompt text remembered by the prefix table, about 32 bytes each.
@@ -124,6 +148,8 @@
             estimator: Mutex::new(Estimator::new(ESTIMATES, DEFAULT_OUTPUT)),
             prefixes: Mutex::new(Table::new(PREFIX_BLOCKS)),
             health: Mutex::new(Tracker::new(health::Options::default())),
+            loaded: Mutex::default(),
+            refresh: Notify::new(),
             view: RwLock::new(Arc::new(View::new(Arc::clone(
                 Follower::new(Options::default()).state(),
             )))),
@@ -232,7 +258,8 @@
         let now = self.clock.now();
         view.endpoints(pool.name())
             .map(|endpoint| {
-                let mut scheduled = view.scheduled(endpoint, !self.usable(now, endpoint.id));
+                let unusable = !self.usable(now, endpoint.id) || pool.orders().drains(endpoint.id);
+                let mut scheduled = view.scheduled(endpoint, unusable);
                 if self.settings.scheduling == Scheduling::Isolated {
                     scheduled.limit = isolated_slots(&self.settings, scheduled.limit);
                 }
@@ -241,6 +268,22 @@
             .collect()
     }
 
+    /// The endpoints of a pool for its owner, which grants slots only for models that an engine has loaded.
+    pub(crate) fn granted_endpoints(
+        &self,
+        view: &View,
+        scheduled: &[scheduled::Endpoint],
+    ) -> Vec<scheduled::Endpoint> {
+        let loaded = lock(&self.loaded);
+        let mut endpoints = scheduled.to_vec();
+        for endpoint in &mut endpoints {
+            let Some(Some(names)) = loaded.get(&endpoint.id) else { continue };
+            let ready: Vec<_> = names.iter().filter_map(|name| view.model(name)).collect();
+            endpoint.models.retain(|model| ready.contains(model));
+        }
+        endpoints
+    }
+
     /// The metrics page, with gauges read just now.
     pub(crate) fn metrics_page(&self) -> String {
         for pool in self.pools() {
@@ -348,11 +391,12 @@
     }
 
     /// Asks an endpoint for its load on a fresh connection, so that a dead path of another connection does not matter.
-    pub(crate) async fn probe(&self, pool: &Pool, endpoint: Endpoint) -> Option<health::Report> {
+    pub(crate) async fn probe(&self, pool: &Pool, endpoint: Endpoint) -> Option<Probe> {
         let view = self.view();
         let address = view.address(endpoint)?;
         let timeout = view.document().fleet.probe_timeout();
-        let report = time::timeout(timeout, self.ask_load(address)).await.ok().flatten()?;
+        let probe = time::timeout(timeout, self.ask_load(address)).await.ok().flatten()?;
+        let report = probe.report;
         let before = lock(&self.health).instance(endpoint);
         let change = lock(&self.health).reported(self.clock.now(), endpoint, report);
         if let (Change::Restarted, Some(before)) = (change, before) {
@@ -361,27 +405,31 @@
             lock(&self.prefixes).forget(endpoint);
             pool.suspects().crashed(self, endpoint, before).await;
         }
-        Some(report)
+        Some(probe)
     }
 
-    async fn ask_load(&self, address: SocketAddr) -> Option<health::Report> {
+    async fn ask_load(&self, address: SocketAddr) -> Option<Probe> {
         let mut connection = self.upstream.open(address).await.ok()?;
         let request = HttpRequest::get("/load").header(HOST, address.to_string());
         let request = request.body(Full::new(Bytes::new())).ok()?;
         let response = connection.send(request).await.ok()?;
         if response.status() != StatusCode::OK {
             // A plain service that has no load report is alive all the same.
-            return Some(health::Report::default());
+            return Some(Probe::default());
         }
         let body = Limited::new(response.into_body(), PROBE_BYTES).collect().await.ok()?.to_bytes();
         let load = serde_json::from_slice::<LoadReport>(&body).unwrap_or_default();
-        Some(health::Report {
+        let report = health::Report {
             running: load.running,
             waiting: load.waiting,
             slots: load.slots,
             leaving: load.leaving,
             instance: load.instance,
-        })
+        };
+        // An engine that names no models and has never had an order serves any model.
+        let any = load.models.is_empty() && load.loading.is_empty() && load.fencing == 0;
+        let models = (!any).then_some(load.models);
+        Some(Probe { report, models, loading: load.loading })
     }
 
     /// Tells an engine to stop a run that nobody follows any more.
@@ -402,22 +450,39 @@
         let now = self.clock.now();
         for pool in self.pools() {
             let endpoints = self.scheduled_endpoints(&view, &pool);
-            pool.configure(self, now, endpoints, None);
+            let granted = self.granted_endpoints(&view, &endpoints);
+            pool.configure(self, now, endpoints, granted, None);
         }
     }
 
     /// Asks an endpoint for its load and passes it to the pool that this router owns.
-    pub(crate) async fn poll_load(&self, pool: &Pool, endpoint: Endpoint) {
-        let report = self.probe(pool, endpoint).await;
-        let load = match report {
-            Some(report) => {
-                Load { running: report.running + report.waiting, leaving: report.leaving }
+    pub(crate) async fn poll_load(self: &Arc<Self>, pool: &Pool, endpoint: Endpoint) {
+        let asked = self.clock.now();
+        let Some(probe) = self.probe(pool, endpoint).await else {
+            // One lost probe does not make an endpoint dead.
+            if self.probe(pool, endpoint).await.is_none() {
+                self.endpoint_failed(pool, endpoint);
             }
-            None => return,
+            return;
         };
+        pool.orders().reported(self, asked, endpoint, &probe);
+        let before = lock(&self.loaded).insert(endpoint, probe.models.clone());
+        if before.as_ref() != Some(&probe.models) {
+            self.refresh.notify_one();
+        }
+        let report = probe.report;
+        let load = Load { running: report.running + report.waiting, leaving: report.leaving };
         pool.load(self, self.clock.now(), endpoint, load);
     }
 
+    /// Passes changes of the endpoints' health and models to the schedulers until the router ends.
+    pub(crate) async fn refresh_endpoints_when_changed(self: Arc<Self>) {
+        loop {
+            self.refresh.notified().await;
+            self.refresh_endpoints();
+        }
+    }
+
     /// Counts a finished request and learns from it.
     pub(crate) fn finished(&self, call: &Call, outcome: Outcome, elapsed: Duration) {
         self.metrics.requests.with_label_values(&[outcome.label()]).inc();
--- a/siskin-site/tests/site/main.rs
+++ b/siskin-site/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod operators;
+mod orders;
 mod outcomes;
 mod poison;
 mod stop;
--- a/siskin-site/tests/site/operators.rs
+++ b/siskin-site/tests/site/operators.rs
@@ -1,13 +1,13 @@
 //! Operators' patches: accepted once, in force everywhere, refused when stale, and never undone by failures.
 
 use {
-    crate::support::{options, runs, start},
+    crate::support::{get, operator_call, options, patch, runs, start},
     googletest::prelude::*,
     hyper::Method,
     serde_json::{Value, json},
     siskin_site::{
-        Customer, OPERATOR_TOKEN, Options, Site,
-        client::{Answer, Call, send},
+        Customer, Options, Site,
+        client::{Call, send},
     },
     siskin_standin::kv,
     siskin_types::id::Node,
@@ -21,23 +21,6 @@
 /// Time after which a leaving endpoint gets no new work from any router.
 const LEAVING: Duration = Duration::from_secs(3);
 
-fn call(site: &Site, router: usize, method: Method, path: &str, body: &str) -> Call {
-    let address = site.router(router).operators();
-    Call { method, ..Call::post(address, path, OPERATOR_TOKEN, body) }
-        .header("content-type", "application/json")
-}
-
-async fn get(site: &Site, router: usize, path: &str) -> Value {
-    let answer = send(&call(site, router, Method::GET, path, "")).await.expect("an answer");
-    serde_json::from_str(&answer.body).unwrap_or_else(|_| panic!("{path} gave {answer:?}"))
-}
-
-async fn patch(site: &Site, router: usize, id: &str, base: u64, changes: &Value) -> Answer {
-    let body = json!({ "id": id, "base": base, "author": "test", "changes": changes });
-    let path = "/v1/config/patches";
-    send(&call(site, router, Method::POST, path, &body.to_string())).await.expect("an answer")
-}
-
 /// Waits until all running routers have a version in force.
 async fn in_force(site: &Site, version: u64) -> bool {
     let everywhere = async {
@@ -99,7 +82,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_without_the_token_are_refused() {
     let site = start(options()).await;
-    let wrong = Call { key: "wrong".to_owned(), ..call(&site, 0, Method::GET, "/v1/config", "") };
+    let wrong =
+        Call { key: "wrong".to_owned(), ..operator_call(&site, 0, Method::GET, "/v1/config", "") };
     let answer = send(&wrong).await.unwrap();
     expect_that!(answer.status.as_u16(), eq(401), "{answer:?}");
     expect_that!(answer.body, not(contains_substring("customers")));
--- /dev/null
+++ b/siskin-site/tests/site/orders.rs
@@ -0,0 +1,134 @@
+//! Orders that follow from the configuration: engines load and unload models without a request failing.
+
+use {
+    crate::support::{get, options, patch, start},
+    googletest::prelude::*,
+    serde_json::json,
+    siskin_site::{
+        Customer, Options, Site,
+        client::{CHAT_PATH, Call, send},
+    },
+    std::time::Duration,
+    tokio::time,
+};
+
+/// Longest wait for an order to be carried out: a lease time for engines that ignore fencing numbers, a drain and
+/// the load itself.
+const CARRIED_OUT: Duration = Duration::from_secs(60);
+
+/// Time for which nothing must be ordered; longer than orders take in the other tests.
+const OBSERVED: Duration = Duration::from_secs(12);
+
+fn site_options(check_fencing: bool) -> Options {
+    let mut options = options();
+    for engine in &mut options.engines {
+        engine.models = vec!["small".to_owned()];
+        engine.check_fencing = check_fencing;
+        engine.load_time = Duration::from_millis(100);
+    }
+    options.fleet = json!({ "load_spacing_ms": 100 });
+    options
+}
+
+fn loaded(site: &Site, engine: usize) -> Vec<String> {
+    let mut models = site.engines[engine].load().models;
+    models.sort();
+    models
+}
+
+async fn wait_for(site: &Site, engine: usize, models: &[&str]) -> bool {
+    let carried_out = async {
+        while loaded(site, engine) != models {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    time::timeout(CARRIED_OUT, carried_out).await.is_ok()
+}
+
+async fn ask(site: &Site, model: &str) -> siskin_site::client::Answer {
+    let body = json!({
+        "model": model, "max_tokens": 3, "messages": [{ "role": "user", "content": "x" }]
+    });
+    let key = Customer::new("agency").key();
+    let router = site.router(0).callers();
+    send(&Call::post(router, CHAT_PATH, &key, &body.to_string())).await.expect("an answer")
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_load_and_unload_what_the_configuration_says() {
+    struct Case {
+        name: &'static str,
+        check_fencing: bool,
+    }
+    let cases = [
+        Case { name: "engines that check fencing numbers", check_fencing: true },
+        Case { name: "engines that ignore fencing numbers", check_fencing: false },
+    ];
+    let checks = cases.map(|case| async move {
+        let site = start(site_options(case.check_fencing)).await;
+        let load = json!({
+            "models": { "large": { "id": 2, "pool": "chat" } },
+            "endpoints": {
+                "engine-1": { "models": ["small", "large"] },
+                "engine-2": { "models": ["small", "large"] }
+            }
+        });
+        expect_that!(patch(&site, 0, "load", 1, &load).await.status.as_u16(), eq(200));
+        for engine in 0..2 {
+            expect_true!(wait_for(&site, engine, &["large", "small"]).await, "{}", case.name);
+        }
+        let answer = ask(&site, "large").await;
+        expect_that!(answer.outcome(), eq("completed"), "{}: {answer:?}", case.name);
+        let unload = json!({ "endpoints": { "engine-1": { "models": ["large"] } } });
+        expect_that!(patch(&site, 1, "unload", 2, &unload).await.status.as_u16(), eq(200));
+        let mut failed = Vec::new();
+        let unloaded = async {
+            while loaded(&site, 0) != ["large"] {
+                let answer = ask(&site, "small").await;
+                if answer.outcome() != "completed" {
+                    failed.push(answer);
+                }
+            }
+        };
+        let unloaded = time::timeout(CARRIED_OUT, unloaded).await.is_ok();
+        expect_true!(unloaded, "{}", case.name);
+        expect_that!(failed, is_empty(), "{}", case.name);
+        expect_that!(loaded(&site, 1), eq(&["large", "small"]), "{}", case.name);
+        site.stop().await;
+    });
+    let [checked, ignored] = checks;
+    tokio::join!(checked, ignored);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_engine_of_a_model_keeps_it() {
+    let site = start(site_options(true)).await;
+    site.engines[1].stop();
+    let unload = json!({
+        "models": { "large": { "id": 2, "pool": "chat" } },
+        "endpoints": { "engine-1": { "models": ["large"] } }
+    });
+    expect_that!(patch(&site, 0, "unload", 1, &unload).await.status.as_u16(), eq(200));
+    let lost = async {
+        while loaded(&site, 0).contains(&"small".to_owned()) {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let lost = time::timeout(OBSERVED, lost).await.is_ok();
+    expect_false!(lost, "no engine serves the model any more");
+    let told = async {
+        loop {
+            for router in 0..2 {
+                let alarms = get(&site, router, "/v1/status").await["alarms"].to_string();
+                if alarms.contains("last ready engine") {
+                    return;
+                }
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    expect_true!(time::timeout(CARRIED_OUT, told).await.is_ok(), "operators are told");
+    site.stop().await;
+}
--- a/siskin-site/tests/site/support.rs
+++ b/siskin-site/tests/site/support.rs
@@ -1,8 +1,12 @@
 //! Helpers that several topics use.
 
 use {
+    hyper::Method,
     serde_json::{Value, json},
-    siskin_site::{Application, Options, Site, client::Answer},
+    siskin_site::{
+        Application, OPERATOR_TOKEN, Options, Site,
+        client::{Answer, Call, send},
+    },
     siskin_standin::{application, engine, fault::Command},
     std::time::Duration,
 };
@@ -33,8 +37,11 @@
     }
 }
 
-/// Starts a site and waits until it is ready.
+/// Starts a site and waits until it is ready. `SISKIN_LOG` shows the log of a failing test.
 pub(crate) async fn start(options: Options) -> Site {
+    if let Ok(filter) = std::env::var("SISKIN_LOG") {
+        siskin_settings::logging::start(&filter);
+    }
     let site = Site::start(options).await.expect("the site starts");
     site.ready().await.expect("the site becomes ready");
     site
@@ -75,3 +82,38 @@
         .map(|chunk| content(&chunk, "delta"))
         .collect()
 }
+
+/// A call of the operators' interface.
+pub(crate) fn operator_call(
+    site: &Site,
+    router: usize,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> Call {
+    let address = site.router(router).operators();
+    Call { method, ..Call::post(address, path, OPERATOR_TOKEN, body) }
+        .header("content-type", "application/json")
+}
+
+/// Reads from the operators' interface.
+pub(crate) async fn get(site: &Site, router: usize, path: &str) -> Value {
+    let answer =
+        send(&operator_call(site, router, Method::GET, path, "")).await.expect("an answer");
+    serde_json::from_str(&answer.body).unwrap_or_else(|_| panic!("{path} gave {answer:?}"))
+}
+
+/// Submits a patch.
+pub(crate) async fn patch(
+    site: &Site,
+    router: usize,
+    id: &str,
+    base: u64,
+    changes: &Value,
+) -> Answer {
+    let body = json!({ "id": id, "base": base, "author": "test", "changes": changes });
+    let path = "/v1/config/patches";
+    send(&operator_call(site, router, Method::POST, path, &body.to_string()))
+        .await
+        .expect("an answer")
+}
