Shift routers' turns, fix a stale index, keep slots while the owner is silent

Opening a new slot account changed a customer's place in the order of service without moving its entry in the index.

With 120 routers, a customer that waits at all of them was served by all at once between two words of the owner. Turns are now shifted at random over 0.3 of a round of requests; the reuse rule compares the virtual time without shift.

--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -4,6 +4,7 @@
     crate::{pool, refusal::Refusal, ticket::Ticket},
     outbox::Outbox,
     queue::{Place, Queue},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
     siskin_types::{
         cost::{Units, Virtual},
         id,
@@ -11,7 +12,10 @@
     },
     siskin_wire::sched::{Clock, Floor, Grant, Line, Report, Term},
     slots::Slots,
-    std::collections::{BTreeMap, BTreeSet, HashMap},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        ops::Range,
+    },
 };
 
 mod outbox;
@@ -22,6 +26,10 @@
 /// granted one report after the other.
 const KNOWN_WAITING: u32 = 4;
 
+/// Shifts of a router's turn, in thousandths of a round. Without shifts the gap was 23,106 at 120 routers, against
+/// 1,595 of the global queue; wider ones add to the gap of small fleets.
+const PHASES: Range<i32> = -150..150;
+
 /// What the runtime has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -96,6 +104,7 @@
     deadlines: BTreeSet<(Instant, id::Request)>,
     flights: HashMap<id::Request, Flight>,
     outbox: Outbox,
+    rng: SmallRng,
 }
 
 /// Where a ticket waits.
@@ -119,7 +128,7 @@
 /// A ticket that can run now.
 #[derive(Clone, Copy, Debug)]
 struct Choice {
-    clock: Virtual,
+    turn: Virtual,
     customer: id::Customer,
     place: Place,
     endpoint: id::Endpoint,
@@ -129,6 +138,7 @@
     /// A scheduler without owner, endpoints and customers.
     #[must_use]
     pub fn new(options: pool::Options) -> Self {
+        let rng = SmallRng::seed_from_u64(options.seed ^ u64::from(options.node.0));
         Self {
             account: options.incarnation,
             options,
@@ -148,6 +158,7 @@
             deadlines: BTreeSet::new(),
             flights: HashMap::new(),
             outbox: Outbox::default(),
+            rng,
         }
     }
 
@@ -203,6 +214,8 @@
             let customer = flight.customer;
             if more > Units(0) {
                 self.change(customer, |queue| queue.charge(more));
+                // The estimate was too low, so the owner orders customers by wrong virtual times.
+                self.outbox.soon();
             }
         }
         self.report(now, &mut actions);
@@ -215,6 +228,7 @@
         if let Some(flight) = self.flights.remove(&request) {
             self.change(flight.customer, |queue| {
                 queue.in_flight -= 1;
+                queue.typical = units;
                 queue.charge(units - flight.charged);
                 queue.refund(flight.charged - units);
             });
@@ -365,7 +379,8 @@
         for model in queue.models() {
             let waiting = queue.waiting(model);
             if let Some(ready) = self.ready.get_mut(&model).filter(|_| waiting > 0) {
-                ready.remove(&(queue.expected(), customer));
+                let removed = ready.remove(&(queue.turn(), customer));
+                debug_assert!(removed, "{customer} waits under an old virtual time");
                 *self.waiting.entry(model).or_default() -= waiting;
             }
         }
@@ -373,7 +388,7 @@
         for model in queue.models() {
             let waiting = queue.waiting(model);
             if waiting > 0 {
-                self.ready.entry(model).or_default().insert((queue.expected(), customer));
+                self.ready.entry(model).or_default().insert((queue.turn(), customer));
                 *self.waiting.entry(model).or_default() += waiting;
             }
         }
@@ -446,7 +461,8 @@
 
     fn apply_clocks(&mut self, answers: u64, clocks: &[Clock]) {
         for entry in clocks {
-            self.reorder(entry.customer, |queue| queue.told(answers, entry));
+            let phase = self.rng.random_range(PHASES);
+            self.reorder(entry.customer, |queue| queue.told(answers, entry, phase));
         }
     }
 
@@ -476,20 +492,21 @@
         for endpoint in endpoints {
             self.change_slots(endpoint, |slots| slots.reopen(lapsed));
         }
-        for (customer, queue) in &mut self.queues {
-            queue.reopen();
-            self.outbox.customer(*customer);
+        let customers: Vec<_> = self.queues.keys().copied().collect();
+        for customer in customers {
+            self.change(customer, Queue::reopen);
         }
     }
 
     /// Dispatches what may run and returns the slots that may not be kept.
     fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let silent = self.owner_is_silent(now);
         if now < self.valid_until {
-            while let Some(choice) = self.choose() {
+            while let Some(choice) = self.choose(silent) {
                 actions.push(self.dispatch(choice));
             }
         }
-        self.release(now);
+        self.release(now, silent);
         for (model, waiting) in &self.waiting {
             let known = self.announced.get(model).copied().unwrap_or(0);
             if known < (*waiting).min(KNOWN_WAITING) {
@@ -498,14 +515,21 @@
         }
     }
 
+    /// Whether the owner leaves reports unanswered. Slots returned to it would be lost until it lapses or is
+    /// replaced, so the router reuses what it holds.
+    fn owner_is_silent(&self, now: Instant) -> bool {
+        let patience = self.options.report_interval * 2;
+        self.outbox.unanswered().is_some_and(|since| now - since > patience)
+    }
+
     /// The ticket of the lowest customer that an idle slot may run.
-    fn choose(&self) -> Option<Choice> {
+    fn choose(&self, silent: bool) -> Option<Choice> {
         let open = || self.idle.iter().filter_map(|id| self.slots.get(id)).filter(|s| s.open());
         let models: BTreeSet<_> = open().flat_map(|slots| &slots.config.models).collect();
         let mut best: Option<Choice> = None;
         for model in models {
-            let candidate = self.first_of(*model);
-            let key = |choice: &Choice| (choice.clock, choice.customer, choice.place);
+            let candidate = self.first_of(*model, silent);
+            let key = |choice: &Choice| (choice.turn, choice.customer, choice.place);
             if let Some(found) = candidate
                 && best.as_ref().is_none_or(|best| key(&found) < key(best))
             {
@@ -516,21 +540,22 @@
     }
 
     /// The first ticket for `model` that has an idle slot.
-    fn first_of(&self, model: id::Model) -> Option<Choice> {
-        for (clock, customer) in self.ready.get(&model)? {
+    fn first_of(&self, model: id::Model, silent: bool) -> Option<Choice> {
+        for (turn, customer) in self.ready.get(&model)? {
+            let queue = self.queues.get(customer)?;
             let usable: Vec<_> = self
                 .idle
                 .iter()
                 .filter_map(|id| self.slots.get(id))
                 .filter(|slots| slots.open() && slots.config.models.contains(&model))
-                .filter(|slots| self.may_reuse(slots, *clock))
+                .filter(|slots| silent || self.may_reuse(slots, queue.clock()))
                 .collect();
             if usable.is_empty() {
                 return None;
             }
-            for (place, ticket) in self.queues.get(customer)?.lane(model) {
+            for (place, ticket) in queue.lane(model) {
                 if let Some(endpoint) = pick_endpoint(&usable, ticket) {
-                    return Some(Choice { clock: *clock, customer: *customer, place, endpoint });
+                    return Some(Choice { turn: *turn, customer: *customer, place, endpoint });
                 }
             }
         }
@@ -583,13 +608,13 @@
     }
 
     /// Returns idle slots that lapsed, are unwanted here, or are needed elsewhere.
-    fn release(&mut self, now: Instant) {
+    fn release(&mut self, now: Instant, silent: bool) {
         let lapsed = now >= self.valid_until;
-        let mut reserve = self.reserve;
+        let mut reserve = if silent { u32::MAX } else { self.reserve };
         let idle: Vec<_> = self.idle.iter().copied().collect();
         for endpoint in idle {
             let Some(slots) = self.slots.get(&endpoint) else { continue };
-            let contested = self.contested(slots).next().is_some();
+            let contested = !silent && self.contested(slots).next().is_some();
             let keep =
                 if lapsed || !slots.open() || contested { 0 } else { slots.idle().min(reserve) };
             reserve -= keep;
--- a/siskin-sched/src/router/outbox.rs
+++ b/siskin-sched/src/router/outbox.rs
@@ -101,6 +101,11 @@
         sent
     }
 
+    /// Since when a report has been without an answer.
+    pub(super) fn unanswered(&self) -> Option<Instant> {
+        self.sent.front().map(|(_, at)| *at)
+    }
+
     /// Starts a new account, whose first report is due at once.
     pub(super) fn reopen(&mut self) {
         *self = Self { last: self.last, urgent: true, ..Self::default() };
--- a/siskin-sched/src/router/queue.rs
+++ b/siskin-sched/src/router/queue.rs
@@ -37,6 +37,10 @@
     covered: i64,
     /// Routers at which the customer waits, by the owner's count.
     holders: u32,
+    /// Shift of this router's turn, in thousandths of a round of all routers at which the customer waits.
+    phase: i32,
+    /// Cost of the request that ended last.
+    pub(super) typical: Units,
     /// Units charged in the present account.
     pub(super) charged: i64,
     pub(super) in_flight: u32,
@@ -76,6 +80,8 @@
             informed: false,
             covered: 0,
             holders: 1,
+            phase: 0,
+            typical: Units(0),
             charged: 0,
             in_flight: 0,
             queued: 0,
@@ -154,6 +160,19 @@
         self.clock_with(1 + self.holders.saturating_sub(1) / 2)
     }
 
+    /// The place in the order of service. Routers that hear the same virtual time would serve the same customer
+    /// at the same moment, each with a whole request; shifting their turns at random over one round of
+    /// requests keeps the sum close to what one router would do.
+    pub(super) fn turn(&self) -> Virtual {
+        let round = self.typical.0.saturating_mul(u64::from(self.holders.saturating_sub(1)));
+        let shift = Units(round.saturating_mul(u64::from(self.phase.unsigned_abs())) / 1_000);
+        if self.phase < 0 {
+            self.expected().reduced(shift, self.config.weight)
+        } else {
+            self.expected().advanced(shift, self.config.weight)
+        }
+    }
+
     fn clock_with(&self, times: u32) -> Virtual {
         let since = self.charged - self.covered;
         let units = Units(since.unsigned_abs().saturating_mul(u64::from(times)));
@@ -191,7 +210,8 @@
     }
 
     /// Takes the owner's word, which covers the charges up to report `answered`.
-    pub(super) fn told(&mut self, answered: u64, entry: &sched::Clock) {
+    pub(super) fn told(&mut self, answered: u64, entry: &sched::Clock, phase: i32) {
+        self.phase = phase;
         while self.sent.get(1).is_some_and(|(sequence, _)| *sequence <= answered) {
             self.sent.pop_front();
         }
--- a/siskin-sched/tests/faults.rs
+++ b/siskin-sched/tests/faults.rs
@@ -1,6 +1,6 @@
 //! Death of owners and routers, partitions, and pairs of them.
 
-use crate::harness::{Arrivals, Fleet, Net, SECOND, Setup, Source, seeds};
+use crate::harness::{Arrivals, CI_SEEDS, Fleet, Net, SECOND, Setup, Source, seeds};
 
 /// Time that membership takes to see a death or a partition.
 const DETECTION: u64 = 2_500_000;
@@ -114,7 +114,7 @@
 /// Guards against lost, doubled or stuck requests, slots used twice, and capacity lost for good.
 #[test]
 fn faults_lose_no_request_and_no_slot() {
-    for seed in seeds() {
+    for seed in seeds(CI_SEEDS) {
         for (case, drift) in CASES.iter().flat_map(|case| [(case, 0), (case, 25_000)]) {
             let name = format!("{} (seed {seed}, drift {drift})", case.name);
             let mut fleet = Fleet::new(setup(seed, drift));
--- a/siskin-sched/tests/fleet.rs
+++ b/siskin-sched/tests/fleet.rs
@@ -4,15 +4,15 @@
 #![allow(clippy::cast_precision_loss)]
 
 use {
-    crate::harness::{Arrivals, Figures, Fleet, Net, SECOND, Setup, Source, seeds},
+    crate::harness::{
+        Arrivals, CI_SEEDS, CI_SEEDS_SLOW, Figures, Fleet, Net, SECOND, Setup, Source, seeds,
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
 /// Longest idle time of a slot while work waits, without message loss: report spacing and four trips.
 const IDLE_LIMIT: u64 = 7_000;
 const WARM_UP: u64 = 10 * SECOND;
-/// Runs of the global queue are slow.
-const DIFFERENTIAL_SEEDS: usize = 2;
 const END: u64 = 40 * SECOND;
 
 /// The design's bound on the gap: `2 * M / w + R * I / w + T`.
@@ -75,7 +75,8 @@
 
 #[test]
 fn random_fleets_keep_the_bounds() {
-    let setups = seeds().into_iter().flat_map(|seed| [random(seed), random_with_models(seed)]);
+    let setups =
+        seeds(CI_SEEDS).into_iter().flat_map(|seed| [random(seed), random_with_models(seed)]);
     for setup in setups {
         let seed = setup.seed;
         let (bound, fleet) = (bound(&setup), run(Fleet::new(setup.clone())));
@@ -99,7 +100,7 @@
 
 #[test]
 fn lossy_networks_lose_and_double_nothing() {
-    for seed in seeds() {
+    for seed in seeds(CI_SEEDS) {
         let mut setup = random(seed);
         setup.net = Net { delay: 500, jitter: 20_000, loss: 0.1, repeat: 0.1 };
         setup.drift = 25_000;
@@ -167,8 +168,8 @@
 #[test]
 fn fleets_match_the_global_queue() {
     let mut failures = Vec::new();
-    let seeds = seeds().into_iter().take(DIFFERENTIAL_SEEDS);
-    let runs = seeds.flat_map(|seed| cases().into_iter().map(move |case| (seed, case)));
+    let seeds = seeds(CI_SEEDS_SLOW);
+    let runs = seeds.into_iter().flat_map(|seed| cases().into_iter().map(move |case| (seed, case)));
     for (seed, Case { name, mut setup }) in runs {
         setup.seed = seed;
         let (fleet, global) = (run(Fleet::new(setup.clone())), run(Fleet::global(setup)));
--- a/siskin-sched/tests/harness.rs
+++ b/siskin-sched/tests/harness.rs
@@ -36,8 +36,9 @@
 const SAMPLE: u64 = 20_000;
 /// Customers compared pairwise.
 const PAIRED: usize = 40;
-/// Seeds run in CI.
-const CI_SEEDS: u64 = 8;
+/// Seeds run in CI, and where runs are slow.
+pub const CI_SEEDS: u64 = 8;
+pub const CI_SEEDS_SLOW: u64 = 2;
 const LOAD_EVERY: u64 = 500_000;
 /// Bytes of IP, UDP and frame headers per message.
 const HEADER: usize = 60;
@@ -156,13 +157,13 @@
     }
 }
 
-/// The seeds to run: `SISKIN_SEED`, or the numbers up to `SISKIN_SEEDS`.
-pub fn seeds() -> Vec<u64> {
+/// The seeds to run: `SISKIN_SEED`, or the numbers up to `SISKIN_SEEDS` or `default`.
+pub fn seeds(default: u64) -> Vec<u64> {
     let number =
         |name| std::env::var(name).ok().map(|text| text.parse().expect("a seed is a number"));
     match number("SISKIN_SEED") {
         Some(seed) => vec![seed],
-        None => (1..=number("SISKIN_SEEDS").unwrap_or(CI_SEEDS)).collect(),
+        None => (1..=number("SISKIN_SEEDS").unwrap_or(default)).collect(),
     }
 }
 
--- a/siskin-sched/tests/leaving.rs
+++ b/siskin-sched/tests/leaving.rs
@@ -1,6 +1,6 @@
 //! Endpoints that leave get no new work and run dry undisturbed.
 
-use crate::harness::{Arrivals, Fleet, SECOND, Setup, Source, seeds};
+use crate::harness::{Arrivals, CI_SEEDS, Fleet, SECOND, Setup, Source, seeds};
 
 /// Time within which every router stops sending work.
 const LIMIT: u64 = 3 * SECOND;
@@ -28,7 +28,7 @@
 /// Guards against work sent to an endpoint more than 3 s after it began to leave.
 #[test]
 fn leaving_endpoint_gets_nothing() {
-    for seed in seeds() {
+    for seed in seeds(CI_SEEDS) {
         for case in CASES {
             let mut setup = Setup::new(6, &[4; 4], 6);
             setup.seed = seed;
