--- a/siskin-config/src/follower.rs
+++ b/siskin-config/src/follower.rs
@@ -284,7 +284,7 @@
     }
 
     /// Time since it was last confirmed, by the store or by a peer that had confirmed it, that there was
-    /// no version newer than the one in force. It leaves out the time that a peer's message took.
+    /// no version newer than the one in force. For a message of a peer 500 ms are added.
     #[must_use]
     pub fn freshness(&self, now: Instant) -> Option<Duration> {
         self.confirmed.map(|confirmed| now - confirmed)
--- a/siskin-config/src/follower/maintain.rs
+++ b/siskin-config/src/follower/maintain.rs
@@ -49,6 +49,7 @@
 
     pub(super) fn maintain(&mut self, now: Instant) -> Action {
         self.store.maintain_at = None;
+        self.store.check_shards = false;
         self.call(now, Task::MaintainHead, Request::read(HEAD_KEY))
     }
 
@@ -57,12 +58,43 @@
         let base = head.as_ref().map_or(0, |head| head.version);
         self.store.base = Some(base);
         if self.version() >= base + self.snapshot_interval {
-            let (head, bytes) = self.encode_snapshot(now)?;
-            let writing = Writing { head, bytes, revision, repair: false };
-            return Some(self.write(now, writing, 0));
+            return self.write_snapshot(now, revision);
         }
-        // Another router wrote it. It may have stopped before it deleted the old entries.
-        head.map(|head| self.clean_shards(now, &head))
+        // This router or another one wrote it, and may not have deleted the old entries.
+        head.map(|head| self.check_shard(now, head, revision, 0))
+    }
+
+    fn write_snapshot(&mut self, now: Instant, revision: u64) -> Option<Action> {
+        let (head, bytes) = self.encode_snapshot(now)?;
+        let writing = Writing { head, bytes, revision, repair: false };
+        Some(self.write(now, writing, 0))
+    }
+
+    /// Looks for all shards before anything that they replace is deleted. If the store lost its latest
+    /// state between the writing of the shards and of the head, the head names shards that are gone.
+    fn check_shard(&mut self, now: Instant, head: Head, revision: u64, shard: u32) -> Action {
+        if shard >= head.shards {
+            return self.clean_shards(now, &head);
+        }
+        let request = Request::read(&head.shard_key(shard));
+        self.call(now, Task::CheckShard { head, revision, shard }, request)
+    }
+
+    pub(super) fn shard_checked(
+        &mut self,
+        now: Instant,
+        head: Head,
+        revision: u64,
+        shard: u32,
+        pairs: &[Pair],
+    ) -> Option<Action> {
+        if !pairs.is_empty() {
+            return Some(self.check_shard(now, head, revision, shard + 1));
+        }
+        if head.version > self.version() {
+            return None;
+        }
+        self.write_snapshot(now, revision)
     }
 
     pub(super) fn encode_snapshot(&mut self, now: Instant) -> Option<(Head, Arc<[u8]>)> {
@@ -103,7 +135,7 @@
         if writing.repair {
             return Some(self.repair_from(now, writing.head.version.max(self.history.first())));
         }
-        Some(self.clean_shards(now, &writing.head))
+        Some(self.maintain(now))
     }
 
     fn clean_shards(&mut self, now: Instant, head: &Head) -> Action {
--- a/siskin-config/src/follower/peers.rs
+++ b/siskin-config/src/follower/peers.rs
@@ -13,6 +13,11 @@
 /// Time for a peer to answer before another is asked.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that is added to an age for the message that brought it. A router keeps the youngest age it
+/// hears of and passes it on, so without this the ages would fall behind the clocks with every message,
+/// and during an outage of the store the configuration would look ever more recent than it is.
+const TRANSIT_ALLOWANCE_MS: u32 = 500;
+
 /// Routers that are remembered because they announced a higher version.
 const MAX_CANDIDATES: usize = 4;
 
@@ -164,7 +169,7 @@
             return;
         }
         if let Some(age) = announcement.confirmed_ms_ago {
-            self.confirm(instant_ago(now, age));
+            self.confirm(instant_ago(now, age.saturating_add(TRANSIT_ALLOWANCE_MS)));
         }
         self.loaded(now, actions);
     }
--- a/siskin-config/src/follower/repair.rs
+++ b/siskin-config/src/follower/repair.rs
@@ -29,6 +29,7 @@
         let (base, revision) = self.read_head(now, pairs).ok()?;
         let version = self.version();
         let base_version = base.as_ref().map_or(0, |head| head.version);
+        self.store.base = Some(base_version);
         if base_version > version {
             return Some(self.load(now, false));
         }
@@ -40,6 +41,7 @@
         if base_version >= missing.version {
             return self.covered(now, missing, actions);
         }
+        self.store.check_shards = true;
         if base_version + 1 < first {
             return self.write_base(now, revision);
         }
--- a/siskin-config/src/follower/task.rs
+++ b/siskin-config/src/follower/task.rs
@@ -50,6 +50,8 @@
     WriteShard(Writing, u32),
     /// Writes the head of a new snapshot.
     WriteHead(Writing),
+    /// Reads a shard, to see whether it is still there.
+    CheckShard { head: Head, revision: u64, shard: u32 },
     /// Deletes the shards of earlier snapshots.
     CleanShards { base: u64 },
     /// Looks for the oldest entry in the log.
@@ -79,23 +81,10 @@
 
 impl Task {
     /// Whether the call is repeated after a lost answer. Without that, a long repair over a lossy path
-    /// would begin anew each time. Reads of the newest state are better made anew, and after the head
-    /// was written, only reading it tells whether that took effect.
+    /// would begin anew each time. Every repetition is harmless: creations and swaps take effect once.
+    /// A read of the log is made anew, because the version in force may have changed.
     const fn is_repeated(&self) -> bool {
-        match self {
-            Self::Confirm { .. }
-            | Self::LoadHead { .. }
-            | Self::RepairHead(_)
-            | Self::MaintainHead
-            | Self::WriteHead(_) => false,
-            Self::LoadShard { .. }
-            | Self::RepairRead { .. }
-            | Self::RepairCreate { .. }
-            | Self::WriteShard(..)
-            | Self::CleanShards { .. }
-            | Self::CleanOldest { .. }
-            | Self::CleanLog { .. } => true,
-        }
+        !matches!(self, Self::Confirm { .. })
     }
 }
 
@@ -115,6 +104,8 @@
     recheck_passed: bool,
     /// Whether the running repair has created an entry.
     pub(super) created: bool,
+    /// Whether the shards of the snapshot must be looked for, because the store lost entries.
+    pub(super) check_shards: bool,
     /// Version of the latest snapshot in the store, if known.
     pub(super) base: Option<u64>,
     pub(super) maintain_at: Option<Instant>,
@@ -205,7 +196,7 @@
             actions.push(self.confirm_by_store(now));
             return;
         }
-        if self.maintenance_due(now) {
+        if self.store.check_shards || self.maintenance_due(now) {
             actions.push(self.maintain(now));
         }
     }
@@ -302,6 +293,9 @@
             (Task::CleanOldest { base }, Answer::Range { pairs, .. }) => {
                 self.clean_log(now, base, &pairs)
             }
+            (Task::CheckShard { head, revision, shard }, Answer::Range { pairs, .. }) => {
+                self.shard_checked(now, head, revision, shard, &pairs)
+            }
             (Task::CleanShards { base } | Task::CleanLog { base }, Answer::Deleted) => {
                 Some(self.clean_oldest(now, base))
             }
