Ping a member before believing others that it is unreachable

Change: a member that only heard of a suspicion pings the suspect once before it takes it for unreachable.

--- a/siskin-member/src/member.rs
+++ b/siskin-member/src/member.rs
@@ -424,13 +424,19 @@
             };
             let decides = suspicion.own || suspicion.verdict;
             let grace = if decides { Duration::ZERO } else { self.timing.hearsay_grace };
-            if now - suspicion.since >= self.timing.suspicion + grace {
+            let over = now - suspicion.since >= self.timing.suspicion + grace;
+            // A member that others suspect may have refuted without the news having come here.
+            let asked = *suspicion.last_chance.get_or_insert(now);
+            let first_asked = over && !suspicion.own && asked == now;
+            if !over {
+                suspicion.last_chance = None;
+            } else if suspicion.own || now - asked >= self.timing.probe_interval {
                 log::info!(node:%; "member did not refute the suspicion; it is unreachable");
                 self.table.give_up(node, now + self.timing.keep_unreachable);
                 self.queue.push(node);
                 continue;
             }
-            if suspicion.own && now >= suspicion.next_ping {
+            if first_asked || (suspicion.own && now >= suspicion.next_ping) {
                 suspicion.next_ping = now + self.timing.probe_interval;
                 let number = self.schedule.number();
                 actions.extend(self.send(now, node, Body::Ping { number }));
--- a/siskin-member/src/table.rs
+++ b/siskin-member/src/table.rs
@@ -44,6 +44,8 @@
     pub(crate) verdict: bool,
     /// When it is pinged again to give it a chance to refute.
     pub(crate) next_ping: Instant,
+    /// When it was pinged because the time for refuting was over, without an own probe having failed.
+    pub(crate) last_chance: Option<Instant>,
 }
 
 /// What a merge did.
@@ -160,7 +162,8 @@
         match &mut record.state {
             State::Alive { doubted } => {
                 let verdict = *doubted;
-                let suspicion = Suspicion { since: now, own: true, verdict, next_ping: now };
+                let suspicion =
+                    Suspicion { since: now, own: true, verdict, next_ping: now, last_chance: None };
                 let about = record.about.clone();
                 self.set(about, State::Suspect(suspicion));
                 true
@@ -288,7 +291,13 @@
 
 impl State {
     const fn hearsay(now: Instant, verdict: bool) -> Self {
-        Self::Suspect(Suspicion { since: now, own: false, verdict, next_ping: now })
+        Self::Suspect(Suspicion {
+            since: now,
+            own: false,
+            verdict,
+            next_ping: now,
+            last_chance: None,
+        })
     }
 
     pub(crate) const fn visible(&self) -> bool {
