--- a/siskin-member/src/member.rs
+++ b/siskin-member/src/member.rs
@@ -263,7 +263,7 @@
         targets.into_iter().filter_map(|node| self.send(now, node, Body::Leave)).collect()
     }
 
-    /// A message has arrived from `from`.
+    /// A message has arrived from `from`. The caller has checked that the frame's sender is the message's.
     pub fn receive(&mut self, now: Instant, from: SocketAddr, message: &Message) -> Vec<Action> {
         if self.leaving || message.updates.len() > MAX_UPDATES {
             return Vec::new();
@@ -619,7 +619,7 @@
         if !predecessor && !contradicts {
             return;
         }
-        self.me.incarnation = claimed + 1;
+        self.me.incarnation = claimed.saturating_add(1);
         if predecessor {
             log::warn!(incarnation = claimed; "an earlier process of this node had a later clock; continuing from its incarnation");
             self.sealed_as = self.me.incarnation;
