--- a/siskin-member/src/member.rs
+++ b/siskin-member/src/member.rs
@@ -263,7 +263,7 @@
         targets.into_iter().filter_map(|node| self.send(now, node, Body::Leave)).collect()
     }
 
-    /// A message has arrived from `from`.
+    /// A message has arrived from `from`. The caller has checked that the frame's sender is the message's.
     pub fn receive(&mut self, now: Instant, from: SocketAddr, message: &Message) -> Vec<Action> {
         if self.leaving || message.updates.len() > MAX_UPDATES {
             return Vec::new();
@@ -424,13 +424,19 @@
             };
             let decides = suspicion.own || suspicion.verdict;
             let grace = if decides { Duration::ZERO } else { self.timing.hearsay_grace };
-            if now - suspicion.since >= self.timing.suspicion + grace {
+            let over = now - suspicion.since >= self.timing.suspicion + grace;
+            // A member that others suspect may have refuted without the news having come here.
+            let asked = *suspicion.last_chance.get_or_insert(now);
+            let first_asked = over && !suspicion.own && asked == now;
+            if !over {
+                suspicion.last_chance = None;
+            } else if suspicion.own || now - asked >= self.timing.probe_interval {
                 log::info!(node:%; "member did not refute the suspicion; it is unreachable");
                 self.table.give_up(node, now + self.timing.keep_unreachable);
                 self.queue.push(node);
                 continue;
             }
-            if suspicion.own && now >= suspicion.next_ping {
+            if first_asked || (suspicion.own && now >= suspicion.next_ping) {
                 suspicion.next_ping = now + self.timing.probe_interval;
                 let number = self.schedule.number();
                 actions.extend(self.send(now, node, Body::Ping { number }));
@@ -613,7 +619,7 @@
         if !predecessor && !contradicts {
             return;
         }
-        self.me.incarnation = claimed + 1;
+        self.me.incarnation = claimed.saturating_add(1);
         if predecessor {
             log::warn!(incarnation = claimed; "an earlier process of this node had a later clock; continuing from its incarnation");
             self.sealed_as = self.me.incarnation;
