Report the busiest router's control traffic and the targets

Change: control bytes of the router that sends most; the targets that apply to a scenario, each met or missed, in the table and in JSON. A late watch of the store stand-in has a test.

--- a/siskin-measure/src/lib.rs
+++ b/siskin-measure/src/lib.rs
@@ -126,6 +126,7 @@
         faults: options.faults.iter().map(|fault| fault.name()).collect(),
         seed: options.seed,
         command: options.command(),
+        targets: report::targets(options.scenario, &options.faults, &modes),
         modes,
     })
 }
--- a/siskin-measure/src/page.rs
+++ b/siskin-measure/src/page.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    /// Adds the counters of another router.
+    pub fn merge(&mut self, other: &Self) {
+        for (name, value) in &other.0 {
+            *self.0.entry(name.clone()).or_default() += value;
+        }
+    }
+
     /// What has been added since `before`.
     #[must_use]
     pub fn since(&self, before: &Self) -> Self {
--- a/siskin-measure/src/report.rs
+++ b/siskin-measure/src/report.rs
@@ -1,7 +1,7 @@
 //! Figures of a run, as a table and as JSON.
 
 use {
-    crate::{mode::Mode, tally::Broken},
+    crate::{fault::Fault, mode::Mode, tally::Broken, workload::Scenario},
     hdrhistogram::Histogram,
     indexmap::IndexMap,
     serde::Serialize,
@@ -75,9 +75,11 @@
     pub late_starts_at_leaving: Option<usize>,
     /// Control bytes sent per second and router.
     pub control_bytes_per_second: f64,
+    /// Control bytes sent per second by the router that sends most.
+    pub control_bytes_per_second_busiest: f64,
     /// Control messages sent per second and router.
     pub control_messages_per_second: f64,
-    /// The same by kind of message.
+    /// Control bytes per second and router by kind of message.
     pub control_bytes_by_kind: IndexMap<String, f64>,
     /// Store calls per second of the whole fleet by kind.
     pub store_calls_per_second: IndexMap<String, f64>,
@@ -110,6 +112,63 @@
     pub command: String,
     /// One entry for each mode, the product first.
     pub modes: Vec<Figures>,
+    /// Targets of the design that apply to the scenario.
+    pub targets: Vec<Target>,
+}
+
+/// A target of the design. Missing one is reported, but breaks no promise.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Target {
+    /// What is limited.
+    pub name: &'static str,
+    /// The limit.
+    pub limit: f64,
+    /// The measured value.
+    pub value: f64,
+    /// Whether it was met.
+    pub met: bool,
+}
+
+/// Largest gap relative to that of the global queue.
+const GAP_RATIO_MAX: f64 = 2.0;
+
+/// Least utilisation relative to that of the global queue, in the absence of faults.
+const UTILISATION_RATIO_MIN: f64 = 0.98;
+
+/// Most control bytes per second and router at 41 requests per second and router.
+const CONTROL_BYTES_MAX: f64 = 5_000.0;
+
+/// The targets that apply to a scenario and could be measured.
+#[must_use]
+pub fn targets(scenario: Scenario, faults: &[Fault], modes: &[Figures]) -> Vec<Target> {
+    let of = |mode: Mode| modes.iter().find(|figures| figures.mode == mode.name());
+    let mut targets = Vec::new();
+    let Some(fleet) = of(Mode::Fleet) else { return targets };
+    targets.push(at_most(
+        "largest gap, at most its bound",
+        fleet.fairness.bound,
+        fleet.fairness.largest,
+    ));
+    if scenario == Scenario::Paced {
+        let bytes = fleet.control_bytes_per_second;
+        targets.push(at_most("control B/s per router, at most", CONTROL_BYTES_MAX, bytes));
+    }
+    let Some(global) = of(Mode::Global).filter(|_| faults.is_empty()) else { return targets };
+    if global.fairness.largest > 0.0 {
+        let ratio = fleet.fairness.largest / global.fairness.largest;
+        targets.push(at_most("gap relative to the global queue, at most", GAP_RATIO_MAX, ratio));
+    }
+    let used = (fleet.utilisation_while_waiting, global.utilisation_while_waiting);
+    if let (Some(own), Some(other)) = used {
+        let (limit, value) = (UTILISATION_RATIO_MIN, own / other);
+        let name = "utilisation relative to the global queue, at least";
+        targets.push(Target { name, limit, value, met: value >= limit });
+    }
+    targets
+}
+
+fn at_most(name: &'static str, limit: f64, value: f64) -> Target {
+    Target { name, limit, value, met: value <= limit }
 }
 
 /// A line of the table: a name and its text for a mode.
@@ -128,10 +187,13 @@
     ("tokens/s", |figures| Some(figures.tokens_per_second), 0),
 ];
 
-const LINES: [Line; 11] = [
+const LINES: [Line; 12] = [
     ("gap, bound", |figures| format!("{:.0}", figures.fairness.bound)),
     ("gap, samples", |figures| figures.fairness.samples.to_string()),
     ("control B/s per router", |figures| format!("{:.0}", figures.control_bytes_per_second)),
+    ("control B/s of the busiest router", |figures| {
+        format!("{:.0}", figures.control_bytes_per_second_busiest)
+    }),
     ("control messages/s per router", |figures| {
         format!("{:.1}", figures.control_messages_per_second)
     }),
@@ -208,6 +270,10 @@
                 let _ = writeln!(table.text, "BROKEN in {}: {kind}: {case}", figures.mode);
             }
         }
+        for Target { name, limit, value, met } in &self.targets {
+            let verdict = if *met { "met" } else { "MISSED" };
+            let _ = writeln!(table.text, "target: {name} {limit:.2}: {value:.3}, {verdict}");
+        }
         let _ = writeln!(table.text, "repeat with: {}", self.command);
         table.text
     }
--- a/siskin-measure/src/run.rs
+++ b/siskin-measure/src/run.rs
@@ -39,7 +39,8 @@
 
 /// Counters at one time.
 struct Snapshot {
-    page: Page,
+    /// Counters of each router.
+    pages: Vec<Page>,
     store: Counters,
     units: u64,
 }
@@ -166,7 +167,7 @@
             engine.service().values().map(|service| service.units).sum::<u64>()
         };
         Self {
-            page: site.page(),
+            pages: site.pages(),
             store: site.store.counters(),
             units: site.engines.iter().map(units).sum(),
         }
@@ -187,8 +188,15 @@
         let seconds = self.options.duration.as_secs_f64();
         let routers = self.mode.routers(self.options.routers);
         let each = seconds * f64::from(routers);
-        let page = after.page.since(&before.page);
+        let pages: Vec<_> = after.pages.iter().zip(&before.pages).collect();
+        let pages: Vec<_> = pages.into_iter().map(|(after, before)| after.since(before)).collect();
+        let mut page = Page::default();
+        for own in &pages {
+            page.merge(own);
+        }
         let sent = [("direction", "sent")];
+        let bytes = |page: &Page| page.sum("siskin_control_bytes_total", &sent);
+        let busiest = pages.iter().map(bytes).fold(0.0, f64::max);
         let by_kind = page.by("siskin_control_bytes_total", "kind");
         let tokens_per_second = double(after.units - before.units) / seconds;
         let ended: u64 = sheet.ends.values().sum();
@@ -206,7 +214,8 @@
             tokens_per_second,
             engine_excess: self.observer.excess,
             late_starts_at_leaving: self.observer.late_starts(self.site),
-            control_bytes_per_second: page.sum("siskin_control_bytes_total", &sent) / each,
+            control_bytes_per_second: bytes(&page) / each,
+            control_bytes_per_second_busiest: busiest / seconds,
             control_messages_per_second: page.sum("siskin_control_messages_total", &sent) / each,
             control_bytes_by_kind: per(by_kind, 2.0 * each),
             store_calls_per_second: per(store_calls(&before.store, &after.store), seconds),
--- a/siskin-measure/src/site.rs
+++ b/siskin-measure/src/site.rs
@@ -55,8 +55,6 @@
     _vms: vms::Server,
     seats: Mutex<Vec<Seat>>,
     callers: Vec<SocketAddr>,
-    /// Counters of routers that have been killed.
-    lost: Mutex<Page>,
 }
 
 /// A router with what is needed to start it again.
@@ -66,6 +64,19 @@
     router: Option<Router>,
     /// Starts of this router.
     starts: u32,
+    /// Counters of its killed predecessors.
+    lost: Page,
+}
+
+impl Seat {
+    /// Counters of the router, those of its killed predecessors included.
+    fn page(&self) -> Page {
+        let mut page = self.lost.clone();
+        if let Some(router) = &self.router {
+            page.add(&router.metrics().page());
+        }
+        page
+    }
 }
 
 /// What a router says about itself.
@@ -111,11 +122,11 @@
             settings.listen = router.callers();
             settings.control = router.control();
             settings.operator = router.operators();
-            seats.push(Seat { settings, router: Some(router), starts: 1 });
+            seats.push(Seat { settings, router: Some(router), starts: 1, lost: Page::default() });
         }
         let callers = seats.iter().map(|seat| seat.settings.listen).collect();
-        let (seats, lost) = (Mutex::new(seats), Mutex::default());
-        Ok(Self { engines, bookings, store, _vms: vms, seats, callers, lost })
+        let seats = Mutex::new(seats);
+        Ok(Self { engines, bookings, store, _vms: vms, seats, callers })
     }
 
     /// Waits until all routers take requests and see each other.
@@ -140,15 +151,9 @@
         &self.callers
     }
 
-    /// Counters of all routers, those of killed ones included.
-    pub(crate) fn page(&self) -> Page {
-        let mut page = crate::lock(&self.lost).clone();
-        for seat in self.lock().iter() {
-            if let Some(router) = &seat.router {
-                page.add(&router.metrics().page());
-            }
-        }
-        page
+    /// Counters of each router.
+    pub(crate) fn pages(&self) -> Vec<Page> {
+        self.lock().iter().map(Seat::page).collect()
     }
 
     /// Configuration versions in force.
@@ -165,8 +170,9 @@
     pub(crate) fn kill_router(&self) {
         let mut seats = self.lock();
         let index = VICTIM.min(seats.len() - 1);
-        if let Some(router) = seats[index].router.take() {
-            crate::lock(&self.lost).add(&router.metrics().page());
+        let seat = &mut seats[index];
+        seat.lost = seat.page();
+        if let Some(router) = seat.router.take() {
             router.kill();
         }
     }
--- a/siskin-measure/tests/measure/run.rs
+++ b/siskin-measure/tests/measure/run.rs
@@ -25,5 +25,7 @@
     }
     expect_true!(report.kept());
     expect_that!(report.table(), contains_substring("fleet/global"));
+    let targets: Vec<_> = report.targets.iter().map(|target| target.name).collect();
+    expect_that!(targets, contains(eq(&"control B/s per router, at most")));
     expect_that!(report.json().unwrap(), contains_substring("\"control_bytes_per_second\""));
 }
--- a/siskin-standin/tests/standin/kv.rs
+++ b/siskin-standin/tests/standin/kv.rs
@@ -173,6 +173,22 @@
     until("end of the watch", || server.counters().waiting == 0).await;
 }
 
+/// Guards against a late watch that is on time or that loses changes.
+#[gtest]
+#[tokio::test]
+async fn late_watch() {
+    let server = Server::start(quick()).unwrap();
+    let delay_ms = 100;
+    server.command(&Command::LateWatch { delay_ms }).unwrap();
+    let create = json!({"create_request": {"key": A}}).to_string();
+    let stream = open(server.address(), "POST", "/v3/watch", &[], &create).await.unwrap();
+    let written = std::time::Instant::now();
+    answer(&server, "/v3/kv/put", json!({"key": A, "value": ONE})).await;
+    let lines = tokio::time::timeout(PATIENCE, read_lines(stream, 2)).await.unwrap();
+    expect_that!(written.elapsed(), ge(Duration::from_millis(delay_ms)));
+    expect_that!(lines[1]["result"]["events"][0]["kv"]["value"], eq(&json!(ONE)));
+}
+
 async fn read_lines(response: Response<Incoming>, count: usize) -> Vec<Value> {
     let mut body = response.into_body();
     let mut text = String::new();
