Inject lost answers of the store and of the application

Cause: calls that must not run twice are at risk when an answer is lost after the effect, and no scenario did that. Change: the faults store-lossy (20 writes without an answer) and lost-replies (20 answers that break off after the run); callers send such confirmations again with the same key.

--- a/siskin-measure/src/fault.rs
+++ b/siskin-measure/src/fault.rs
@@ -22,6 +22,10 @@
     StoreOutage,
     /// The key-value service takes half a second longer.
     StoreSlow,
+    /// Writes of the key-value service take effect, but their answers are lost.
+    StoreLossy,
+    /// Answers of the application break off after the call has run.
+    LostReplies,
     /// A router dies and starts again a second later, without memory.
     Restart,
     /// Two data centres lose sight of the other two.
@@ -37,6 +41,9 @@
 /// Added time of a slow store.
 const STORE_DELAY_MS: u64 = 500;
 
+/// Writes to the store, and answers of the application, that are lost.
+const LOST: u32 = 20;
+
 /// Time until a killed router starts again.
 const ROUTER_RESTART: Duration = Duration::from_secs(1);
 
@@ -54,10 +61,12 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 10] = [
         Self::Flood,
         Self::StoreOutage,
         Self::StoreSlow,
+        Self::StoreLossy,
+        Self::LostReplies,
         Self::Restart,
         Self::Partition,
         Self::Silent,
@@ -72,6 +81,8 @@
             Self::Flood => "flood",
             Self::StoreOutage => "store-outage",
             Self::StoreSlow => "store-slow",
+            Self::StoreLossy => "store-lossy",
+            Self::LostReplies => "lost-replies",
             Self::Restart => "restart",
             Self::Partition => "partition",
             Self::Silent => "silent",
@@ -87,6 +98,8 @@
             Self::Flood => "a small customer sends three times the capacity",
             Self::StoreOutage => "the key-value service does not answer",
             Self::StoreSlow => "the key-value service takes 500 ms longer",
+            Self::StoreLossy => "20 writes to the store take effect without an answer",
+            Self::LostReplies => "20 answers of the application break off after the call has run",
             Self::Restart => "a router dies and starts again a second later, without memory",
             Self::Partition => "two of four data centres lose sight of the other two",
             Self::Silent => "three streams of each engine go silent on open connections",
@@ -128,6 +141,12 @@
         Fault::Flood | Fault::Restart => {}
         Fault::StoreOutage => store(site, &kv::Command::Hang),
         Fault::StoreSlow => store(site, &kv::Command::Slow { delay_ms: STORE_DELAY_MS }),
+        Fault::StoreLossy => store(site, &kv::Command::LoseAnswers { times: LOST }),
+        Fault::LostReplies => {
+            let fault = Endpoint::Cut { after_events: 0 };
+            let command = Command { times: Some(u64::from(LOST)), ..Command::always(fault) };
+            site.bookings.command(command);
+        }
         Fault::Partition => site.partition(),
         Fault::Silent => {
             let fault = Endpoint::Silence { after_events: SILENT_AFTER_EVENTS };
@@ -145,7 +164,8 @@
 fn finish(site: &Site, fault: Fault) {
     match fault {
         Fault::Flood | Fault::Restart | Fault::Crash | Fault::Leaving => {}
-        Fault::StoreOutage | Fault::StoreSlow => store(site, &kv::Command::Up),
+        Fault::StoreOutage | Fault::StoreSlow | Fault::StoreLossy => store(site, &kv::Command::Up),
+        Fault::LostReplies => site.bookings.command(Command::always(Endpoint::Clear)),
         Fault::Partition => site.heal(),
         Fault::Silent => engines(site, &Command::always(Endpoint::Clear)),
     }
