Follow the platform's list of VMs

Cause: an endpoint that the platform listed as leaving still got work. Change: routers read the list; what is listed as leaving gets no grants, and members that it dropped and that are unreachable are forgotten. Owners of pools read it each second, other routers each 30 s, so that its load does not grow with the fleet. A membership message that speaks for another router than its frame is dropped. Conclusion: all three sources of leaving are followed.

--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -16,3 +16,4 @@
 mod suspect;
 pub mod upstream;
 pub mod view;
+mod vms;
--- a/siskin-router/src/operator.rs
+++ b/siskin-router/src/operator.rs
@@ -216,7 +216,9 @@
     };
     let reported = report.map_or(0, |report| report.running + report.waiting);
     let in_flight = reported.max(own);
-    let leaving = endpoint.leaving || report.is_some_and(|report| report.leaving);
+    let leaving = endpoint.leaving
+        || shared.is_listed_leaving(endpoint.address)
+        || report.is_some_and(|report| report.leaving);
     Endpoint {
         name,
         kind: endpoint.kind,
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -10,7 +10,7 @@
         operator,
         settings::Settings,
         shared::{Shared, lock},
-        suspect,
+        suspect, vms,
     },
     anyhow::Context,
     siskin_member::{Action, Member, Options},
@@ -85,6 +85,7 @@
         shared.spawn(loads(Arc::clone(&shared)));
         shared.spawn(Arc::clone(&shared).refresh_endpoints_when_changed());
         shared.spawn(Claims::run(Arc::clone(&shared)));
+        shared.spawn(vms::run(Arc::clone(&shared)));
         shared.spawn(configure::run(Arc::clone(&shared)));
         shared.spawn(operator::run(Arc::clone(&shared), operator_listener));
         log::info!(
@@ -186,6 +187,10 @@
     while let Some(Received { from, opened }) = received.recv().await {
         let now = shared.clock.now();
         match opened.message {
+            // A member speaks only for itself; the frame says who sent it.
+            Message::Member(message) if message.from.node != opened.node => {
+                shared.metrics.frames_rejected.with_label_values(&["wrong_sender"]).inc();
+            }
             Message::Member(message) => {
                 let actions = lock(&shared.member).receive(now, from, &message);
                 perform(&shared, actions);
@@ -222,7 +227,7 @@
 }
 
 /// Carries out what the membership decided.
-fn perform(shared: &Arc<Shared>, actions: Vec<Action>) {
+pub(crate) fn perform(shared: &Arc<Shared>, actions: Vec<Action>) {
     let mut changed = false;
     for action in actions {
         match action {
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -15,6 +15,7 @@
         settings::{Scheduling, Settings},
         upstream::{self, Connection},
         view::View,
+        vms,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
@@ -75,6 +76,8 @@
     /// Models that engines said they have loaded, by name; `None` for an engine that serves any.
     loaded: Mutex<HashMap<Endpoint, Option<Vec<String>>>>,
     refresh: Notify,
+    /// VMs that the platform lists as leaving.
+    listed_leaving: Mutex<Vec<vms::Address>>,
     view: RwLock<Arc<View>>,
     pools: RwLock<IndexMap<id::Pool, Arc<Pool>>>,
     stopping: AtomicBool,
@@ -150,6 +153,7 @@
             health: Mutex::new(Tracker::new(health::Options::default())),
             loaded: Mutex::default(),
             refresh: Notify::new(),
+            listed_leaving: Mutex::default(),
             view: RwLock::new(Arc::new(View::new(Arc::clone(
                 Follower::new(Options::default()).state(),
             )))),
@@ -258,7 +262,9 @@
         let now = self.clock.now();
         view.endpoints(pool.name())
             .map(|endpoint| {
-                let unusable = !self.usable(now, endpoint.id) || pool.orders().drains(endpoint.id);
+                let unusable = !self.usable(now, endpoint.id)
+                    || pool.orders().drains(endpoint.id)
+                    || self.is_listed_leaving(endpoint.address);
                 let mut scheduled = view.scheduled(endpoint, unusable);
                 if self.settings.scheduling == Scheduling::Isolated {
                     scheduled.limit = isolated_slots(&self.settings, scheduled.limit);
@@ -268,6 +274,20 @@
             .collect()
     }
 
+    /// Takes the VMs that the platform lists as leaving.
+    pub(crate) fn set_listed_leaving(&self, leaving: &[vms::Address]) {
+        let before = std::mem::replace(&mut *lock(&self.listed_leaving), leaving.to_vec());
+        if before != leaving {
+            log::info!(leaving = leaving.len(); "the platform's list of leaving VMs has changed");
+            self.refresh.notify_one();
+        }
+    }
+
+    /// Whether the platform says that what listens at `address` is leaving.
+    pub(crate) fn is_listed_leaving(&self, address: SocketAddr) -> bool {
+        lock(&self.listed_leaving).iter().any(|listed| listed.covers(address))
+    }
+
     /// The endpoints of a pool for its owner, which grants slots only for models that an engine has loaded.
     pub(crate) fn granted_endpoints(
         &self,
