Tell the owner which endpoints a request excludes

An owner that did not know the exclusions granted the excluded endpoint again and again if it had most free slots, and the router returned the slot each time. Lines of a report now carry the exclusions of the request that goes next, and the owner passes over a customer only if its next request excludes every free endpoint. An empty list adds one byte to a line.

--- a/siskin-sched/examples/decision_cost.rs
+++ b/siskin-sched/examples/decision_cost.rs
@@ -124,7 +124,13 @@
         customer: id::Customer(customer),
         charged,
         clock: None,
-        lines: vec![Line { model: MODEL, waiting: 2 * SLOTS, estimate: COST, prefer: None }],
+        lines: vec![Line {
+            model: MODEL,
+            waiting: 2 * SLOTS,
+            estimate: COST,
+            prefer: None,
+            exclude: vec![],
+        }],
     };
     let mut report = Report {
         pool: id::Pool(1),
--- a/siskin-sched/src/owner.rs
+++ b/siskin-sched/src/owner.rs
@@ -29,6 +29,8 @@
 
 /// Age beyond which a load report says nothing.
 const LOAD_VALID: Duration = Duration::from_secs(2);
+/// Customers tried for one slot. One is passed over only if its next request excludes all free endpoints.
+const CANDIDATES: usize = 16;
 /// Virtual times of customers just reported or granted to, at most per grant.
 const MENTIONS: usize = 16;
 /// Virtual times told in turn, at most per grant.
@@ -363,6 +365,7 @@
                     line.waiting = news.waiting;
                     line.estimate = news.estimate.min(self.options.max_request);
                     line.prefer = news.prefer;
+                    line.exclude.clone_from(&news.exclude);
                 }
                 None => line.waiting = 0,
             }
@@ -444,14 +447,28 @@
         let sites = free.keys().filter_map(|endpoint| self.sites.get(endpoint));
         let models: BTreeSet<_> = sites.flat_map(|site| &site.config.models).copied().collect();
         let firsts = models.iter().filter_map(|model| {
-            let (clock, customer) = self.table.first(*model)?;
-            Some((clock, customer, *model))
+            let mut order = self.table.order(*model).take(CANDIDATES);
+            order.find_map(|(clock, customer)| {
+                Some((clock, customer, self.pick_for(customer, *model, free)?))
+            })
         });
-        let (_, customer, model) = firsts.min()?;
+        firsts.min_by_key(|(clock, customer, _)| (*clock, *customer)).map(|(_, _, pick)| pick)
+    }
+
+    /// The router and the endpoint for a customer: where most of its requests wait, and the preferred
+    /// endpoint if it is free.
+    fn pick_for(
+        &self,
+        customer: id::Customer,
+        model: id::Model,
+        free: &BTreeMap<id::Endpoint, u32>,
+    ) -> Option<Pick> {
         let node = self.table.holder(customer, model)?;
         let line = self.peers.get(&node)?.queues.get(&customer)?.lines.get(&model)?;
         let serves = |endpoint: &id::Endpoint| {
-            self.sites.get(endpoint).is_some_and(|site| site.config.models.contains(&model))
+            let site = self.sites.get(endpoint);
+            site.is_some_and(|site| site.config.models.contains(&model))
+                && !line.exclude.contains(endpoint)
         };
         let preferred = line.prefer.filter(|endpoint| free.contains_key(endpoint));
         let endpoint = preferred.filter(serves).or_else(|| {
--- a/siskin-sched/src/owner/demand.rs
+++ b/siskin-sched/src/owner/demand.rs
@@ -74,6 +74,14 @@
         nodes.is_some_and(|nodes| nodes.keys().any(|other| *other != node))
     }
 
+    /// Customers that wait for `model`, in the order of service.
+    pub(super) fn order(
+        &self,
+        model: id::Model,
+    ) -> impl Iterator<Item = (Virtual, id::Customer)> + '_ {
+        self.ready.get(&model).into_iter().flatten().copied()
+    }
+
     /// The customer served next for `model`.
     pub(super) fn first(&self, model: id::Model) -> Option<(Virtual, id::Customer)> {
         self.ready.get(&model)?.first().copied()
--- a/siskin-sched/src/owner/peer.rs
+++ b/siskin-sched/src/owner/peer.rs
@@ -53,6 +53,7 @@
     pub(super) promised: u32,
     pub(super) estimate: Units,
     pub(super) prefer: Option<id::Endpoint>,
+    pub(super) exclude: Vec<id::Endpoint>,
 }
 
 impl Line {
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -690,6 +690,7 @@
                 waiting,
                 estimate: next.estimate,
                 prefer: next.prefer.first().copied(),
+                exclude: next.exclude.clone(),
             });
         }
     }
--- a/siskin-sched/tests/owner.rs
+++ b/siskin-sched/tests/owner.rs
@@ -30,7 +30,8 @@
 
 /// A full report with one customer's queue.
 fn report(customer: u32, waiting: u32) -> Report {
-    let line = Line { model: Model(1), waiting, estimate: Units(10), prefer: None };
+    let line =
+        Line { model: Model(1), waiting, estimate: Units(10), prefer: None, exclude: vec![] };
     let queue = Queue {
         customer: id::Customer(customer),
         charged: 0,
@@ -147,6 +148,16 @@
     }
 }
 
+/// Guards against an endlessly repeated grant of a slot that the router cannot use.
+#[test]
+fn excluded_endpoint_is_not_granted() {
+    let mut owner = owner(&[ROUTER], 1);
+    let mut report = report(1, 20);
+    report.queues[0].lines[0].prefer = Some(id::Endpoint(2));
+    report.queues[0].lines[0].exclude = vec![id::Endpoint(2)];
+    assert_eq!(granted(owner.receive(NOW, ROUTER, &report), ROUTER), [8, 0]);
+}
+
 /// Guards against a customer that catches up after a partition for longer than the options allow.
 #[test]
 fn merged_lead_is_limited() {
--- a/siskin-wire/src/sched.rs
+++ b/siskin-wire/src/sched.rs
@@ -55,6 +55,8 @@
     pub estimate: Units,
     /// The endpoint that likely holds the prefix of the request that goes next.
     pub prefer: Option<Endpoint>,
+    /// Endpoints that must not get the request that goes next.
+    pub exclude: Vec<Endpoint>,
 }
 
 /// What a router says about its slots at one endpoint.
