Exclude endpoints that run a suspect from grants for another suspect

A suspect that may not run at an endpoint because another one is in flight there reported itself as waiting, and the owner granted and got back the same slot every few milliseconds. The report now counts such endpoints among the exclusions.

--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -644,7 +644,7 @@
                 continue;
             }
             queue.reported(sequence);
-            queues.push(entry(queue, full));
+            queues.push(entry(queue, full, &self.slots));
         }
         let slots = self
             .outbox
@@ -680,7 +680,16 @@
     usable.iter().filter(fits).min_by_key(rank).map(|slots| slots.config.id)
 }
 
-fn entry(queue: &Queue, full: bool) -> siskin_wire::sched::Queue {
+/// What a report says about a customer. A suspect excludes the endpoints that run another one.
+fn entry(
+    queue: &Queue,
+    full: bool,
+    slots: &BTreeMap<id::Endpoint, Slots>,
+) -> siskin_wire::sched::Queue {
+    let suspected = |alone: bool| {
+        let busy = slots.values().filter(move |slots| alone && slots.suspects > 0);
+        busy.map(|slots| slots.config.id)
+    };
     let mut lines = Vec::new();
     for model in queue.models() {
         let waiting = queue.waiting(model);
@@ -690,7 +699,7 @@
                 waiting,
                 estimate: next.estimate,
                 prefer: next.prefer.first().copied(),
-                exclude: next.exclude.clone(),
+                exclude: next.exclude.iter().copied().chain(suspected(next.alone)).collect(),
             });
         }
     }
