List the service of each customer in the JSON report

Cause: a large gap did not tell which customer was behind. Change: tokens per unit of weight by customer.

--- a/siskin-measure/src/observe.rs
+++ b/siskin-measure/src/observe.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{caller, gap::Gap, site::Site, tally::Tally, workload::Customer},
+    indexmap::IndexMap,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -36,6 +37,8 @@
     pub(crate) excess: u32,
     leaving_since: Option<Instant>,
     waiting: u32,
+    /// Service of each customer per unit of weight.
+    service: Vec<f64>,
 }
 
 impl Observer {
@@ -53,6 +56,7 @@
             excess: 0,
             leaving_since: None,
             waiting: 0,
+            service: vec![0.0; customers.len()],
         }
     }
 
@@ -74,6 +78,7 @@
         let waiting = waiting(now, tally, &running);
         let backlogged: Vec<_> = waiting.iter().map(|count| *count > 0).collect();
         self.gap.sample(&service, &backlogged);
+        self.service = service;
         self.waiting = waiting.iter().sum();
         let free = f64::from(slots.saturating_sub(busy));
         self.total += f64::from(slots) * elapsed;
@@ -95,6 +100,11 @@
         if self.total > 0.0 { self.used / self.total } else { 0.0 }
     }
 
+    /// Service per unit of weight, by customer.
+    pub(crate) fn by_customer(&self) -> IndexMap<String, f64> {
+        self.users.iter().cloned().zip(self.service.iter().copied()).collect()
+    }
+
     /// Requests that wait now.
     pub(crate) const fn waiting(&self) -> u32 {
         self.waiting
--- a/siskin-measure/src/report.rs
+++ b/siskin-measure/src/report.rs
@@ -69,6 +69,8 @@
     pub utilisation: f64,
     /// Tokens per second that engines served.
     pub tokens_per_second: f64,
+    /// Tokens per unit of weight that each customer got.
+    pub service_by_customer: IndexMap<String, f64>,
     /// Most requests that waited at one engine, which is what exceeds its slots.
     pub engine_excess: u32,
     /// Runs that began at a leaving engine later than 3 s after it reported that.
--- a/siskin-measure/src/run.rs
+++ b/siskin-measure/src/run.rs
@@ -212,6 +212,7 @@
             utilisation_while_waiting: self.observer.utilisation_while_waiting(),
             utilisation: self.observer.utilisation(),
             tokens_per_second,
+            service_by_customer: self.observer.by_customer(),
             engine_excess: self.observer.excess,
             late_starts_at_leaving: self.observer.late_starts(self.site),
             control_bytes_per_second: bytes(&page) / each,
