Start the router with all its settings

Cause: the table of settings lacked stop-notice-ms, so siskin-router ended with code 2 whatever it was given; no test started the program itself. How long claims are kept was a flag of each router, although the whole fleet must agree, and the configuration's connect_timeout_ms had no effect. Change: the setting is in the table; retention, longest deadline and connect timeout come from the configuration; two tests start the program, read its metrics, stop it by SIGTERM and check bad usage. Conclusion: the program starts with the settings that its help names.

--- a/siskin-claim/src/remote.rs
+++ b/siskin-claim/src/remote.rs
@@ -121,6 +121,11 @@
         Self { options, writer, wanted: IndexMap::new() }
     }
 
+    /// Changes how long claims are kept and how long a call may last.
+    pub fn set_limits(&mut self, retention: Duration, longest_deadline: Duration) {
+        self.writer.set_limits(retention, longest_deadline);
+    }
+
     /// Claims a key through the writer of its bucket; `None` or this router for its own writer.
     pub fn claim(
         &mut self,
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -305,6 +305,12 @@
         }
     }
 
+    /// Changes how long claims are kept and how long a call may last. All writers of a fleet must agree.
+    pub const fn set_limits(&mut self, retention: Duration, longest_deadline: Duration) {
+        self.options.retention = retention;
+        self.options.longest_deadline = longest_deadline;
+    }
+
     /// Claims a key for an attempt. Repeating it is harmless.
     pub fn claim(
         &mut self,
--- a/siskin-router/src/claims.rs
+++ b/siskin-router/src/claims.rs
@@ -64,7 +64,6 @@
             node: settings.node,
             incarnation,
             unix_at_zero_ms: u64::try_from(unix_at_zero.as_millis()).unwrap_or(u64::MAX),
-            retention: settings.claim_retention,
             seed: incarnation,
             ..writer::Options::default()
         };
@@ -88,6 +87,11 @@
         }
     }
 
+    /// Takes how long claims are kept and how long a call may last, which the whole fleet agrees on.
+    pub(crate) fn set_limits(&self, retention: Duration, longest_deadline: Duration) {
+        lock(&self.service).set_limits(retention, longest_deadline);
+    }
+
     /// Names the claim of a call.
     pub(crate) fn name(
         &self,
--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -357,6 +357,9 @@
     if !shared.set_view(Arc::clone(&view)) {
         return;
     }
+    let fleet = &view.document().fleet;
+    shared.claims.set_limits(fleet.claim_retention(), fleet.request_timeout());
+    shared.upstream.set_connect_timeout(fleet.connect_timeout());
     shared.metrics.config_version.set(i64::try_from(view.version()).unwrap_or(i64::MAX));
     let mut pools = IndexMap::new();
     let mut started = Vec::new();
--- a/siskin-router/src/settings.rs
+++ b/siskin-router/src/settings.rs
@@ -77,8 +77,6 @@
     /// Secret under which idempotency keys and request contents are hashed. It must stay the same for as long as
     /// claims are kept.
     pub hash_key: Secret,
-    /// How long claims on idempotency keys are kept.
-    pub claim_retention: Duration,
     /// Token of the operators' interface.
     pub operator_token: Secret,
     /// Log filter.
@@ -155,11 +153,11 @@
         "longest time to finish requests in flight at a stop, 0 to 600000",
     ),
     Setting::new(
-        "claim-retention-ms",
-        "SISKIN_CLAIM_RETENTION_MS",
-        Some("86400000"),
+        "stop-notice-ms",
+        "SISKIN_STOP_NOTICE_MS",
+        Some("3000"),
         "MS",
-        "how long claims on idempotency keys are kept, 60000 to 604800000",
+        "time between failing readiness and closing the listener at a stop, 0 to 600000",
     ),
     Setting::new(
         "scheduling",
@@ -233,7 +231,6 @@
                 .map(|_| secret(values, "SISKIN_FLEET_KEY_NEXT"))
                 .transpose()?,
             hash_key: secret(values, "SISKIN_HASH_KEY")?,
-            claim_retention: values.millis("claim-retention-ms", 60_000..=604_800_000)?,
             operator_token: secret(values, "SISKIN_OPERATOR_TOKEN")?,
             log: values.required("log")?.to_owned(),
         })
--- a/siskin-router/src/upstream/pool.rs
+++ b/siskin-router/src/upstream/pool.rs
@@ -5,8 +5,11 @@
     indexmap::IndexMap,
     std::{
         net::SocketAddr,
-        sync::{Mutex, PoisonError},
-        time::Instant,
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
     },
 };
 
@@ -14,6 +17,7 @@
 #[derive(Debug)]
 pub struct Pool {
     options: Options,
+    connect_timeout_ms: AtomicU64,
     idle: Mutex<IndexMap<SocketAddr, Vec<Idle>>>,
 }
 
@@ -27,7 +31,15 @@
     /// Makes an empty pool.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        Self { options, idle: Mutex::default() }
+        let pool = Self { options, connect_timeout_ms: AtomicU64::new(0), idle: Mutex::default() };
+        pool.set_connect_timeout(options.connect_timeout);
+        pool
+    }
+
+    /// Changes the longest time to open a connection.
+    pub fn set_connect_timeout(&self, timeout: Duration) {
+        let millis = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        self.connect_timeout_ms.store(millis, Ordering::Relaxed);
     }
 
     /// Takes the most recently used idle connection, or opens a new one.
@@ -48,7 +60,9 @@
     ///
     /// Returns [`Error::Connect`] if it cannot be opened in time.
     pub async fn open(&self, address: SocketAddr) -> Result<Connection, Error> {
-        connect::open(address, &self.options).await
+        let timeout = Duration::from_millis(self.connect_timeout_ms.load(Ordering::Relaxed));
+        let options = Options { connect_timeout: timeout, ..self.options };
+        connect::open(address, &options).await
     }
 
     /// Gives back a connection whose last answer was read to its end. It is kept once the connection says that it
--- /dev/null
+++ b/siskin-router/tests/router/main.rs
@@ -0,0 +1,3 @@
+//! The program itself: its settings and its stop.
+
+mod program;
--- /dev/null
+++ b/siskin-router/tests/router/program.rs
@@ -0,0 +1,139 @@
+//! Guards against a program that does not start with the settings that its help names, takes bad ones, or does
+//! not end when it is told to.
+
+use {
+    googletest::prelude::*,
+    siskin_standin::kv,
+    std::{
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        process::Stdio,
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        process::{Child, Command},
+        time,
+    },
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const DOCUMENT: &str = r#"{
+    "customers": { "one": { "id": 1, "max_in_flight": 8, "max_queue": 8 } },
+    "pools": { "chat": { "id": 1, "unit": "tokens", "max_request": 1000 } },
+    "models": { "small": { "id": 1, "pool": "chat" } }
+}"#;
+
+fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_siskin-router"));
+    command
+        .args(arguments)
+        .env_clear()
+        .env("SISKIN_FLEET_KEY", "fleet-key-of-the-test")
+        .env("SISKIN_HASH_KEY", "hash-key-of-the-test")
+        .env("SISKIN_OPERATOR_TOKEN", "operator-token-of-the-test")
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true);
+    command
+}
+
+/// A port that was free a moment ago.
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+async fn get(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_with_its_settings_and_ends_on_a_signal() {
+    let store = kv::Server::start(kv::Options::default()).expect("the store starts");
+    let document = std::env::temp_dir().join(format!("siskin-{}.json", std::process::id()));
+    std::fs::write(&document, DOCUMENT).expect("the document is written");
+    let (listen, control, operator) = (free(), free(), free());
+    let settings = [
+        "--node",
+        "7",
+        "--listen",
+        &listen.to_string(),
+        "--control",
+        &control.to_string(),
+        "--operator",
+        &operator.to_string(),
+        "--store",
+        &store.address().to_string(),
+        "--bootstrap",
+        &document.display().to_string(),
+        "--stop-notice-ms",
+        "100",
+        "--stop-timeout-ms",
+        "1000",
+    ]
+    .map(str::to_owned);
+    let arguments: Vec<&str> = settings.iter().map(String::as_str).collect();
+    let mut router = command(&arguments).spawn().expect("the program starts");
+    let ready = async {
+        while !get(listen, "/readyz").await.is_ok_and(|answer| answer.contains("200 OK")) {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    expect_true!(time::timeout(PATIENCE, ready).await.is_ok(), "the router becomes ready");
+    let metrics = get(operator, "/metrics").await.unwrap_or_default();
+    expect_that!(metrics, contains_substring("siskin_config_version 1"));
+    expect_that!(stop(&mut router).await, some(eq(0)));
+    std::fs::remove_file(document).expect("the document is removed");
+}
+
+/// Sends SIGTERM with the shell's own `kill` and returns the exit code.
+async fn stop(router: &mut Child) -> Option<i32> {
+    let process = router.id()?.to_string();
+    let killed = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {process}")]).status();
+    expect_true!(killed.await.is_ok_and(|status| status.success()));
+    time::timeout(PATIENCE, router.wait()).await.ok()?.ok()?.code()
+}
+
+#[gtest]
+#[tokio::test]
+async fn bad_usage_ends_with_code_2_and_a_remedy() {
+    struct Case {
+        name: &'static str,
+        arguments: &'static [&'static str],
+        want: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "no node",
+            arguments: &["--store", "127.0.0.1:1"],
+            want: "--node (SISKIN_NODE) is missing",
+        },
+        Case { name: "no store", arguments: &["--node", "1"], want: "--store (SISKIN_STORE)" },
+        Case {
+            name: "range",
+            arguments: &["--node", "1", "--store", "127.0.0.1:1", "--stop-timeout-ms", "x"],
+            want: "use a number from 0 to 600000",
+        },
+        Case { name: "unknown flag", arguments: &["--nodes", "1"], want: "nodes" },
+    ];
+    for case in cases {
+        let output = command(case.arguments).output().await.expect(case.name);
+        expect_that!(output.status.code(), some(eq(2)), "{}", case.name);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(text, contains_substring(case.want), "{}", case.name);
+    }
+    let help = command(&["--help"]).stdout(Stdio::piped()).output().await.expect("the help");
+    expect_that!(help.status.code(), some(eq(0)));
+    let text = String::from_utf8_lossy(&help.stdout).into_owned();
+    for setting in siskin_router::settings::TABLE {
+        expect_that!(text, contains_substring(setting.variable));
+    }
+}
--- a/siskin-site/src/site.rs
+++ b/siskin-site/src/site.rs
@@ -24,9 +24,6 @@
 /// Token of the operators' interface of every router of a site.
 pub const OPERATOR_TOKEN: &str = "loopback-operator-token";
 
-/// How long claims are kept; longer than any test.
-const CLAIM_RETENTION: Duration = Duration::from_secs(3_600);
-
 /// Longest time for all routers to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -201,7 +198,6 @@
         fleet_key: Secret::new(FLEET_KEY),
         fleet_key_next: None,
         hash_key: Secret::new(HASH_KEY),
-        claim_retention: CLAIM_RETENTION,
         operator_token: Secret::new(OPERATOR_TOKEN),
         log: String::new(),
     }
