Keep wide cells of the report apart

Cause: two latency cells with five digits ran into each other. Change: a space in front of every cell. Conclusion: the table stays readable above 10 s of latency.

--- a/siskin-measure/src/report.rs
+++ b/siskin-measure/src/report.rs
@@ -304,7 +304,7 @@
     fn row(&mut self, name: &str, cells: impl Iterator<Item = String>, ratio: Option<String>) {
         let _ = write!(self.text, "{name:<NAME_WIDTH$}");
         for cell in cells.chain(ratio) {
-            let _ = write!(self.text, "{cell:>WIDTH$}");
+            let _ = write!(self.text, " {cell:>WIDTH$}");
         }
         self.text.push('\n');
     }
