--- a/siskin-ctl/src/arguments.rs
+++ b/siskin-ctl/src/arguments.rs
@@ -119,6 +119,7 @@
             return Ok(Request::Print(format!("siskinctl {}\n", env!("CARGO_PKG_VERSION"))));
         }
         let command = Command::from_matches(&matches)?;
+        refuse_unused(&command, &matches)?;
         let format = format(&matches)?;
         let author = author(&matches)?;
         let address = address(&matches)?;
@@ -159,6 +160,42 @@
     options
 }
 
+/// Flags that only some commands use.
+const SPECIAL_FLAGS: [&str; 10] = [
+    "base",
+    "patch-id",
+    "limit",
+    "number",
+    "weight",
+    "max-in-flight",
+    "max-queue",
+    "rate",
+    "key-hash",
+    "key-file",
+];
+
+/// Refuses flags that the command does not use, so that nobody relies on a `--base` that is not looked at.
+fn refuse_unused(command: &Command, matches: &Matches) -> Result<(), Error> {
+    let used: &[&str] = match command {
+        Command::Patch { .. } => &["base", "patch-id"],
+        Command::History { .. } => &["limit"],
+        Command::CustomerCreate { .. } | Command::CustomerSet { .. } => {
+            &["number", "weight", "max-in-flight", "max-queue", "rate", "key-hash", "key-file"]
+        }
+        _ => &[],
+    };
+    let unused =
+        SPECIAL_FLAGS.iter().find(|flag| !used.contains(flag) && matches.opt_present(flag));
+    match unused {
+        None => Ok(()),
+        Some(flag) => {
+            let message =
+                format!("this command does not use --{flag}; leave it out or use 'patch'");
+            Err(Error::Usage(message))
+        }
+    }
+}
+
 fn lower_first(text: &str) -> String {
     let mut characters = text.trim_end_matches('.').chars();
     characters
--- a/siskin-ctl/tests/main/commands.rs
+++ b/siskin-ctl/tests/main/commands.rs
@@ -58,6 +58,12 @@
         case("bad format", &["status", "--format", "xml"], 2, "use json or table"),
         case("bad address", &["status", "--address", "router:80"], 2, "IP:PORT"),
         case("bad number", &["history", "--limit", "ten"], 2, "--limit is 'ten'"),
+        case(
+            "unused flag",
+            &["customer", "set", "alpha", "--weight", "2", "--base", "1"],
+            2,
+            "--base",
+        ),
         case("bad fingerprint", &["suspects", "lift", "../x"], 2, "is not a fingerprint"),
         case("missing token file", &["status", "--token-file", "/no/such/file"], 2, "--token-file"),
         case("nobody listens", &["status", "--address", "127.0.0.1:1"], 1, "does not answer"),
--- a/siskin-router/src/operator.rs
+++ b/siskin-router/src/operator.rs
@@ -273,8 +273,7 @@
         log::info!(fingerprint; "suspicion was lifted");
         return StatusCode::NO_CONTENT.into_response();
     }
-    let error =
-        format!("there is no suspect '{fingerprint}'; list the suspects for those that are known");
+    let error = format!("there is no suspect '{fingerprint}'; copy one from the list of suspects");
     json(StatusCode::NOT_FOUND, &Failure { error })
 }
 
--- a/siskin-sched/src/refusal.rs
+++ b/siskin-sched/src/refusal.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
     /// The customer's queue is full.
-    #[error("the queue of {customer} is full at {limit} requests; retry later or raise max_queued")]
+    #[error("the queue of {customer} is full at {limit} requests; retry later or raise max_queue")]
     QueueFull {
         /// The customer.
         customer: id::Customer,
--- /dev/null
+++ b/siskin-site/examples/footprint.rs
@@ -0,0 +1,141 @@
+//! Prints the memory and processor time of one router at several numbers of customers, idle, with configuration
+//! changes, and with calls. Stand-ins run in the same process, so the processor figures are upper bounds.
+//!
+//! Run with `cargo run --release -p siskin-site --example footprint`. Reads `/proc`, so it needs Linux.
+
+use {
+    anyhow::Context,
+    hyper::Method,
+    serde_json::{Map, Value, json},
+    siskin_config::document::Hash,
+    siskin_site::{
+        Customer, OPERATOR_TOKEN, Options, Site,
+        client::{Call, Client},
+    },
+    std::{
+        fs,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Customers in all.
+const SIZES: [u32; 4] = [16, 870, 4_350, 8_700];
+
+/// Customers in one patch, which keeps it below the limit of 128 KB.
+const CUSTOMERS_PER_PATCH: u32 = 400;
+
+/// Configuration changes that are timed.
+const CHANGES: u32 = 50;
+
+/// Calls that are timed.
+const CALLS: u32 = 2_000;
+
+/// Time over which an idle router is watched.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Clock ticks in a second, as Linux counts processor time for programs.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+fn main() -> anyhow::Result<()> {
+    println!(
+        "customers  memory MB  idle % of a core  ms of processor per change  ms of processor per call"
+    );
+    for customers in SIZES {
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+        let figures = runtime.block_on(measure(customers))?;
+        println!(
+            "{customers:9}  {:9.1}  {:16.2}  {:26.2}  {:24.3}",
+            figures.memory_mb, figures.idle_percent, figures.change_ms, figures.call_ms
+        );
+    }
+    Ok(())
+}
+
+struct Figures {
+    memory_mb: f64,
+    idle_percent: f64,
+    change_ms: f64,
+    call_ms: f64,
+}
+
+async fn measure(customers: u32) -> anyhow::Result<Figures> {
+    let site = Site::start(Options { routers: 1, ..Options::default() }).await?;
+    site.ready().await?;
+    let client = Client::new();
+    let mut version = 1;
+    for first in (0..customers).step_by(CUSTOMERS_PER_PATCH as usize) {
+        let last = customers.min(first + CUSTOMERS_PER_PATCH);
+        let section: Map<String, Value> = (first..last).map(customer).collect();
+        version = patch(&site, &client, version, &json!({ "customers": section })).await?;
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    let before = processor_seconds()?;
+    time::sleep(IDLE).await;
+    let idle = processor_seconds()? - before;
+    let memory_mb = memory_mb()?;
+    let before = processor_seconds()?;
+    let started = Instant::now();
+    for change in 0..CHANGES {
+        let weight = json!({ "customers": { "extra-1": { "weight": change % 7 + 2 } } });
+        version = patch(&site, &client, version, &weight).await?;
+    }
+    let idle_meanwhile = idle / IDLE.as_secs_f64() * started.elapsed().as_secs_f64();
+    let change = (processor_seconds()? - before - idle_meanwhile) / f64::from(CHANGES);
+    let before = processor_seconds()?;
+    let started = Instant::now();
+    let key = Customer::new("agency").key();
+    let call = Call::chat(site.router(0).callers(), &key, "short", 2, false);
+    for _ in 0..CALLS {
+        client.send(&call).await?;
+    }
+    let idle_meanwhile = idle / IDLE.as_secs_f64() * started.elapsed().as_secs_f64();
+    let per_call = (processor_seconds()? - before - idle_meanwhile) / f64::from(CALLS);
+    site.stop().await;
+    Ok(Figures {
+        memory_mb,
+        idle_percent: idle / IDLE.as_secs_f64() * 100.0,
+        change_ms: change * 1_000.0,
+        call_ms: per_call * 1_000.0,
+    })
+}
+
+fn customer(number: u32) -> (String, Value) {
+    let name = format!("extra-{number}");
+    let value = json!({
+        "id": number + 1_000, "max_in_flight": 64, "max_queue": 100,
+        "key_hashes": [Hash::of(name.as_bytes())]
+    });
+    (name, value)
+}
+
+async fn patch(site: &Site, client: &Client, base: u64, changes: &Value) -> anyhow::Result<u64> {
+    let id = format!("footprint-{base}");
+    let body = json!({ "id": id, "base": base, "author": "footprint", "changes": changes });
+    let router = site.router(0).operators();
+    let path = "/v1/config/patches";
+    let call = Call {
+        method: Method::POST,
+        ..Call::post(router, path, OPERATOR_TOKEN, &body.to_string())
+    };
+    let answer = client.send(&call.header("content-type", "application/json")).await?;
+    let accepted: Value = serde_json::from_str(&answer.body)?;
+    accepted["version"].as_u64().with_context(|| format!("the patch was refused: {answer:?}"))
+}
+
+/// Processor time of this process so far.
+fn processor_seconds() -> anyhow::Result<f64> {
+    let stat = fs::read_to_string("/proc/self/stat")?;
+    let fields = stat.rsplit(')').next().context("malformed stat")?;
+    let ticks = fields.split_whitespace().skip(11).take(2).map(str::parse::<f64>);
+    Ok(ticks.sum::<Result<f64, _>>()? / TICKS_PER_SECOND)
+}
+
+/// Resident memory of this process.
+fn memory_mb() -> anyhow::Result<f64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).context("no VmRSS")?;
+    let kilobytes: f64 = line.split_whitespace().nth(1).context("malformed VmRSS")?.parse()?;
+    Ok(kilobytes / 1_024.0)
+}
