Give back slots of callers that leave the queue

Cause: a slot that the scheduler assigned in the moment in which the caller went away stayed taken for ever: the withdrawal found the request no longer queued, and nobody took notice of the assignment. Ruled out: the exchange polls the assignment first, which narrows the window but does not close it, because the scheduler runs on another thread. Change: a withdrawal also ends the request if it is in flight; a task that ends early gives back what it holds; a killed router sends nothing. A request without exclusions no longer reads all endpoints, and the patience for the first event applies only until something arrived. Conclusion: no slot stays taken.

--- a/siskin-router/src/control.rs
+++ b/siskin-router/src/control.rs
@@ -14,7 +14,10 @@
         collections::HashSet,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -56,6 +59,8 @@
     sealer: Mutex<Sealer>,
     opener: Mutex<Opener>,
     metrics: Metrics,
+    /// Whether the router was killed and must not send any more.
+    silenced: AtomicBool,
     /// Nodes cut off on purpose, in tests and measurements of partitions.
     blocked: RwLock<HashSet<Node>>,
 }
@@ -75,6 +80,7 @@
             sealer: Mutex::new(Sealer::new(settings.node, incarnation, key.clone())),
             opener: Mutex::new(Opener::new(key, next)),
             metrics,
+            silenced: AtomicBool::new(false),
             blocked: RwLock::default(),
         };
         Ok((control, listener))
@@ -90,6 +96,11 @@
         *self.blocked.write().unwrap_or_else(PoisonError::into_inner) = nodes.into_iter().collect();
     }
 
+    /// Sends nothing from now on, as a dead process.
+    pub(crate) fn silence(&self) {
+        self.silenced.store(true, Ordering::Relaxed);
+    }
+
     /// Raises the incarnation in frames, after another router knew a later one of this node.
     pub(crate) fn raise_incarnation(&self, incarnation: u64) {
         lock(&self.sealer).raise_incarnation(incarnation);
@@ -97,7 +108,8 @@
 
     /// Sends a message. A message that cannot be sent now is lost, as on the network.
     pub(crate) fn send(self: &Arc<Self>, node: Option<Node>, to: SocketAddr, message: &Message) {
-        if node.is_some_and(|node| self.is_blocked(node)) {
+        let blocked = node.is_some_and(|node| self.is_blocked(node));
+        if blocked || self.silenced.load(Ordering::Relaxed) {
             return;
         }
         let kind = kind(message);
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -209,8 +209,8 @@
         }
         let timeout = self.shared.view().document().fleet.progress_timeout();
         let patience = match &self.call.kind {
-            Kind::Chat { .. } if self.life.delivered() == 0 => timeout * FIRST_EVENT_FACTOR,
-            Kind::Application(_) if self.life.delivered() == 0 => {
+            Kind::Chat { .. } if self.delivery.received() == 0 => timeout * FIRST_EVENT_FACTOR,
+            Kind::Application(_) if self.delivery.received() == 0 => {
                 let allowed = self.shared.clock.deadline(self.call.deadline) - self.started_at;
                 timeout.max(allowed / APPLICATION_PATIENCE_DIVISOR)
             }
@@ -306,6 +306,9 @@
 
     /// The endpoints to avoid; none if no other endpoint serves the request, which would then wait for nothing.
     fn possible_exclusions(&self, exclude: Vec<Endpoint>) -> Vec<Endpoint> {
+        if exclude.is_empty() {
+            return exclude;
+        }
         let view = self.shared.view();
         let serves = |endpoint: &scheduled::Endpoint| {
             !endpoint.leaving && endpoint.models.contains(&self.call.model)
@@ -433,6 +436,16 @@
     }
 }
 
+impl Drop for Exchange {
+    /// Gives back what a task that ended early, by a panic or with its router, still holds.
+    fn drop(&mut self) {
+        if matches!(self.stage, Stage::Queued { .. }) {
+            self.call.pool.cancel(&self.shared, self.now(), self.call.request);
+        }
+        self.release();
+    }
+}
+
 /// Answer of an endpoint to an attempt: the head, or why there is none.
 type Answer = Result<Response<Incoming>, upstream::Error>;
 
--- a/siskin-router/src/pool.rs
+++ b/siskin-router/src/pool.rs
@@ -177,11 +177,14 @@
         Ok(receiver)
     }
 
-    /// Withdraws a request from its queue.
+    /// Withdraws a request from its queue. If a slot was assigned a moment ago and nobody has taken notice, the slot
+    /// is given back.
     pub(crate) fn cancel(&self, shared: &Shared, now: Instant, request: Request) {
         self.change(shared, now, |state| {
             state.waiting.swap_remove(&request);
-            state.scheduler.cancel(now, request)
+            let mut actions = state.scheduler.cancel(now, request);
+            actions.extend(state.scheduler.finish(now, request, Units(0)));
+            actions
         });
     }
 
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -165,6 +165,7 @@
 
     /// Ends at once without finishing anything, as a crash would. For tests and measurements.
     pub fn kill(self) {
+        self.shared.control.silence();
         self.server.abort();
         self.shared.end();
     }
--- a/siskin-site/examples/footprint.rs
+++ b/siskin-site/examples/footprint.rs
@@ -43,6 +43,9 @@
     );
     let wanted = std::env::args().nth(1).map(|text| text.parse()).transpose()?;
     let sizes = wanted.map_or(SIZES.to_vec(), |customers| vec![customers]);
+    if let Ok(filter) = std::env::var("SISKIN_LOG") {
+        siskin_settings::logging::start(&filter);
+    }
     for customers in sizes {
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
--- a/siskin-site/tests/site/stop.rs
+++ b/siskin-site/tests/site/stop.rs
@@ -1,7 +1,7 @@
 //! A router that is stopped finishes what is in flight; a caller that goes away frees its engine.
 
 use {
-    crate::support::{chat_text, options, start},
+    crate::support::{chat_text, get, options, start},
     googletest::prelude::*,
     siskin_site::{
         Customer,
@@ -49,6 +49,46 @@
     site.stop().await;
 }
 
+/// A slot that was assigned in the moment in which its caller went away used to stay taken for ever.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_leave_the_queue_leave_no_slot_taken() {
+    let mut setup = options();
+    setup.engines.truncate(1);
+    setup.engines[0].slots = 2;
+    let site = start(setup).await;
+    let key = Customer::new("agency").key();
+    let calls = (0..300_u64).map(|index| {
+        let router = site.router(usize::try_from(index % 2).unwrap_or(0)).callers();
+        let call = Call::chat(router, &key, "impatient", 2, false);
+        tokio::spawn(async move {
+            let patience = Duration::from_micros(500 + index * 137 % 40_000);
+            let _ = time::timeout(patience, Client::new().send(&call)).await;
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.expect("the caller ends");
+    }
+    let idle = async {
+        loop {
+            let mut taken = 0;
+            for router in 0..2 {
+                let listed = get(&site, router, "/v1/endpoints").await;
+                let endpoints = listed["endpoints"].as_array().expect("a list").clone();
+                taken += endpoints.iter().filter(|one| one["in_flight"] != 0).count();
+            }
+            if taken == 0 {
+                return;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    expect_true!(time::timeout(Duration::from_secs(10), idle).await.is_ok(), "a slot stays taken");
+    let call = Call::chat(site.router(0).callers(), &key, "patient", 2, false);
+    expect_that!(send(&call).await.unwrap().outcome(), eq("completed"));
+    site.stop().await;
+}
+
 /// A port that is free for UDP may be taken for TCP. Starting many routers at once used to fail on that.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
