--- a/siskin-claim/src/rate.rs
+++ b/siskin-claim/src/rate.rs
@@ -17,6 +17,11 @@
         Self { per_second, burst, level: burst, at: Instant::ZERO }
     }
 
+    pub(crate) fn set(&mut self, now: Instant, per_second: f64) {
+        self.refill(now);
+        self.per_second = per_second;
+    }
+
     fn refill(&mut self, now: Instant) {
         let gained = (now - self.at).as_secs_f64() * self.per_second;
         self.level = self.burst.min(self.level + gained);
--- a/siskin-claim/src/remote.rs
+++ b/siskin-claim/src/remote.rs
@@ -121,6 +121,11 @@
         Self { options, writer, wanted: IndexMap::new() }
     }
 
+    /// Changes how many writes the own writer may make per second.
+    pub fn set_write_rate(&mut self, now: Instant, writes_per_s: f64) {
+        self.writer.set_write_rate(now, writes_per_s);
+    }
+
     /// Changes how long claims are kept and how long a call may last.
     pub fn set_limits(&mut self, retention: Duration, longest_deadline: Duration) {
         self.writer.set_limits(retention, longest_deadline);
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -305,6 +305,11 @@
         }
     }
 
+    /// Changes how many writes are allowed per second, for example when the number of writers changes.
+    pub fn set_write_rate(&mut self, now: Instant, writes_per_s: f64) {
+        self.rate.set(now, writes_per_s);
+    }
+
     /// Changes how long claims are kept and how long a call may last. All writers of a fleet must agree.
     pub const fn set_limits(&mut self, retention: Duration, longest_deadline: Duration) {
         self.options.retention = retention;
--- a/siskin-router/src/claims.rs
+++ b/siskin-router/src/claims.rs
@@ -30,9 +30,16 @@
     },
 };
 
-/// Store calls per second that a router's claims may take. Eight routers stay below the store's several hundred
-/// writes; the writer itself allows fewer.
-const STORE_CALLS_PER_SECOND: u32 = 60;
+/// Writes per second that the claims of the whole fleet may take, of the several hundred that the store sustains. The
+/// routers share them equally.
+const FLEET_WRITES_PER_SECOND: f64 = 300.0;
+
+/// Fewest writes per second of one router, so that it makes progress in any fleet.
+const WRITES_PER_SECOND_MIN: f64 = 1.0;
+
+/// Store calls per second that a router's claims may take. It only stops a fault from flooding the store; the writer's
+/// share of the fleet's writes is the limit in normal times.
+const STORE_CALLS_PER_SECOND: u32 = 400;
 
 /// Longest time between two calls of the service's timer.
 const IDLE_TICK: Duration = Duration::from_secs(1);
@@ -71,7 +78,7 @@
         let store = http::Client::new(http::Options {
             addresses: settings.store.clone(),
             calls_per_second: STORE_CALLS_PER_SECOND,
-            burst: STORE_CALLS_PER_SECOND,
+            burst: STORE_CALLS_PER_SECOND / 4,
             // The writer settles failed calls itself.
             read_attempts: 1,
             seed: incarnation,
@@ -148,12 +155,20 @@
 
     /// Places the writers of the buckets among the members that this router sees.
     pub(crate) fn members_changed(&self, shared: &Arc<Shared>) {
-        let owned: Vec<u8> = {
+        let (owned, known): (Vec<u8>, usize) = {
             let member = lock(&shared.member);
             let own = |index: &u8| member.owner(&placement(*index)) == shared.settings.node;
-            (0..self.buckets).filter(own).collect()
+            ((0..self.buckets).filter(own).collect(), member.known())
+        };
+        // Unreachable routers may still write, so they keep their share.
+        let routers = f64::from(u32::try_from(known).unwrap_or(u32::MAX).max(1));
+        let writes_per_s = (FLEET_WRITES_PER_SECOND / routers).max(WRITES_PER_SECOND_MIN);
+        let now = shared.clock.now();
+        let actions = {
+            let mut service = lock(&self.service);
+            service.set_write_rate(now, writes_per_s);
+            service.owned(now, &owned)
         };
-        let actions = lock(&self.service).owned(shared.clock.now(), &owned);
         self.perform(shared, actions);
     }
 
