Split the view of endpoints from the shared tables

Change: health, load reports, probes and what schedulers are told of endpoints stand in endpoints.rs; no behaviour changes. Conclusion: each file has one job.

--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 mod configure;
 mod control;
+mod endpoints;
 pub mod exchange;
 pub mod metrics;
 mod operator;
--- a/siskin-router/src/orders.rs
+++ b/siskin-router/src/orders.rs
@@ -5,8 +5,9 @@
 
 use {
     crate::{
+        endpoints::Probe,
         pool::Pool,
-        shared::{Probe, Shared, lock},
+        shared::{Shared, lock},
         view::View,
     },
     bytes::Bytes,
