Refuse a call that no endpoint will serve at once

Cause: with all endpoints of a model drained by the configuration, a call waited until its deadline, 300 s by default. Change: the view of the configuration knows which models and routes have an endpoint that stays; other calls end as not run with the reason no_endpoint. Conclusion: the final answer is given at once.

--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -269,6 +269,9 @@
     /// Queues the request for a slot.
     fn submit(&mut self, attempt: Attempt, exclude: Vec<Endpoint>) -> Vec<Action> {
         let now = self.now();
+        if !self.shared.view().is_served(self.call.model) {
+            return self.life.refused(now, Reason::NoEndpoint);
+        }
         let verdict = self.call.pool.suspects().admit(now, self.call.fingerprint);
         if let Verdict::Refuse { retry_after } = verdict {
             self.delivery.retry_after = Some(retry_after);
--- a/siskin-router/src/view.rs
+++ b/siskin-router/src/view.rs
@@ -8,7 +8,11 @@
     },
     siskin_sched::pool::{self, Rate},
     siskin_types::id::{self, Model},
-    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
 };
 
 /// Burst of a rate limit, as seconds of its rate.
@@ -22,6 +26,8 @@
 pub struct View {
     state: Arc<State>,
     addresses: HashMap<id::Endpoint, SocketAddr>,
+    /// Models and routes that an endpoint serves which is not leaving.
+    served: HashSet<Model>,
 }
 
 impl View {
@@ -30,7 +36,11 @@
     pub fn new(state: Arc<State>) -> Self {
         let endpoints = state.document.endpoints.iter();
         let addresses = endpoints.map(|(_, endpoint)| (endpoint.id, endpoint.address)).collect();
-        Self { state, addresses }
+        let mut view = Self { state, addresses, served: HashSet::new() };
+        let endpoints = view.document().endpoints.iter().map(|(_, endpoint)| endpoint.as_ref());
+        let staying = endpoints.filter(|endpoint| !endpoint.leaving);
+        view.served = staying.flat_map(|endpoint| view.models(endpoint)).collect();
+        view
     }
 
     /// Its number.
@@ -66,16 +76,26 @@
     /// What the scheduler knows of an endpoint.
     #[must_use]
     pub fn scheduled(&self, endpoint: &Endpoint, leaving: bool) -> pool::Endpoint {
-        let models = match endpoint.kind {
-            Service::Engine => endpoint.models.iter().filter_map(|name| self.model(name)).collect(),
-            Service::Application => endpoint.route.iter().map(|name| route_number(name)).collect(),
-        };
+        let models = self.models(endpoint);
         pool::Endpoint {
             leaving: endpoint.leaving || leaving,
             ..pool::Endpoint::new(endpoint.id, endpoint.slots, models)
         }
     }
 
+    /// Whether an endpoint serves a model or route that is not leaving by the configuration.
+    #[must_use]
+    pub fn is_served(&self, model: Model) -> bool {
+        self.served.contains(&model)
+    }
+
+    fn models(&self, endpoint: &Endpoint) -> Vec<Model> {
+        match endpoint.kind {
+            Service::Engine => endpoint.models.iter().filter_map(|name| self.model(name)).collect(),
+            Service::Application => endpoint.route.iter().map(|name| route_number(name)).collect(),
+        }
+    }
+
     /// What the scheduler knows of the customers.
     #[must_use]
     pub fn customers(&self) -> Vec<pool::Customer> {
--- a/siskin-site/tests/site/leaving.rs
+++ b/siskin-site/tests/site/leaving.rs
@@ -1,8 +1,9 @@
 //! An endpoint that leaves gets no new work from any router, whoever says that it leaves.
 
 use {
-    crate::support::options,
+    crate::support::{options, patch, start},
     googletest::prelude::*,
+    serde_json::json,
     siskin_site::{
         Customer, Options, Site,
         client::{Call, send},
@@ -58,6 +59,28 @@
     site.stop().await;
 }
 
+/// A call that no endpoint will serve used to wait until its deadline.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_of_a_model_without_endpoints_is_refused_at_once() {
+    let site = start(options()).await;
+    let drain = json!({ "endpoints": {
+        "engine-1": { "leaving": true }, "engine-2": { "leaving": true }
+    } });
+    expect_that!(patch(&site, 0, "drain", 1, &drain).await.status.as_u16(), eq(200));
+    let in_force = async {
+        while site.running().any(|router| router.config_version() < 2) {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    expect_true!(time::timeout(LEAVING, in_force).await.is_ok());
+    let call = Call::chat(site.router(1).callers(), &Customer::new("agency").key(), "x", 3, false);
+    let answer = time::timeout(LEAVING, send(&call)).await.expect("an answer at once").unwrap();
+    expect_that!((answer.outcome(), answer.reason()), eq(("not_run", "no_endpoint")), "{answer:?}");
+    expect_that!(answer.header("retry-after"), not(eq("")));
+    site.stop().await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn no_new_work_whoever_says_that_it_leaves() {
