Limit the answer in the first example of the quickstart

Cause: the printed curl line named no max_tokens, so the stand-in engine answered with the pool's limit of 8,000 tokens, which takes 80 s and looks like a hang. Ruled out: HTTP/2 and queueing; the requests were running at the engine. Change: the line asks for 20 tokens. Measured: a call and a stream with max_tokens over HTTP/2 end with status 200 and [DONE]. Conclusion: the example answers at once.

--- a/siskin-quickstart/src/main.rs
+++ b/siskin-quickstart/src/main.rs
@@ -78,7 +78,7 @@
     let chat = format!("http://{router}{CHAT_PATH} -H 'Authorization: Bearer {CUSTOMER_KEY}'");
     println!("\nTry:");
     println!(
-        "curl -i {chat} -d '{{\"model\": \"small\", \
+        "curl -i {chat} -d '{{\"model\": \"small\", \"max_tokens\": 20, \
          \"messages\": [{{\"role\": \"user\", \"content\": \"Plan a gala.\"}}]}}'"
     );
     println!(
