--- a/siskin-router/src/control.rs
+++ b/siskin-router/src/control.rs
@@ -4,7 +4,7 @@
 //! in front. Loss is made up for by the state machines, which repeat what was not acknowledged.
 
 use {
-    crate::{metrics::Metrics, settings::Settings},
+    crate::{metrics::Metrics, settings::Settings, shared::lock},
     siskin_types::id::Node,
     siskin_wire::{
         Message,
@@ -15,7 +15,7 @@
         io,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            Arc, Mutex, PoisonError, RwLock,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
@@ -254,7 +254,3 @@
         Message::Poison(_) => "poison",
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/siskin-router/src/orders.rs
+++ b/siskin-router/src/orders.rs
@@ -108,7 +108,10 @@
             // An engine that serves any model takes no orders.
             ready: match &probe.models {
                 Some(names) => models(names),
-                None => wanted_models(&view, endpoint),
+                None => view
+                    .endpoint(endpoint)
+                    .map(|endpoint| view.models(endpoint).into_iter().collect())
+                    .unwrap_or_default(),
             },
             loading: models(&probe.loading),
             role: ROLE.to_owned(),
@@ -162,21 +165,13 @@
         .filter(|endpoint| is_engine(endpoint) && !endpoint.leaving)
         .map(|endpoint| Engine {
             endpoint: endpoint.id,
-            models: endpoint.models.iter().filter_map(|name| view.model(name)).collect(),
+            models: view.models(endpoint).into_iter().collect(),
             role: ROLE.to_owned(),
             checks_fencing: endpoint.fencing == Fencing::Checked,
         })
         .collect()
 }
 
-fn wanted_models(view: &View, endpoint: Endpoint) -> std::collections::BTreeSet<id::Model> {
-    let endpoints = view.document().endpoints.iter();
-    let mut endpoints = endpoints.map(|(_, endpoint)| endpoint);
-    let configured = endpoints.find(|configured| configured.id == endpoint);
-    let names = configured.into_iter().flat_map(|configured| &configured.models);
-    names.filter_map(|name| view.model(name)).collect()
-}
-
 /// Carries out what the holder decided.
 fn hold(shared: &Arc<Shared>, pool: &Arc<Pool>, actions: Vec<holder::Action>) {
     for action in actions {
--- a/siskin-router/src/view.rs
+++ b/siskin-router/src/view.rs
@@ -89,7 +89,15 @@
         self.served.contains(&model)
     }
 
-    fn models(&self, endpoint: &Endpoint) -> Vec<Model> {
+    /// An endpoint as the configuration has it.
+    #[must_use]
+    pub fn endpoint(&self, id: id::Endpoint) -> Option<&Endpoint> {
+        self.document().endpoints.get(self.index().endpoint(id)?)
+    }
+
+    /// The models or the route that the configuration wants of an endpoint.
+    #[must_use]
+    pub fn models(&self, endpoint: &Endpoint) -> Vec<Model> {
         match endpoint.kind {
             Service::Engine => endpoint.models.iter().filter_map(|name| self.model(name)).collect(),
             Service::Application => endpoint.route.iter().map(|name| route_number(name)).collect(),
--- a/siskin-router/tests/router/program.rs
+++ b/siskin-router/tests/router/program.rs
@@ -51,8 +51,13 @@
 }
 
 async fn get(address: SocketAddr, path: &str) -> std::io::Result<String> {
-    let mut stream = TcpStream::connect(address).await?;
     let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+    exchange(address, &request).await
+}
+
+/// Sends a request on a connection of its own and returns the whole answer.
+async fn exchange(address: SocketAddr, request: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
     stream.write_all(request.as_bytes()).await?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).await?;
@@ -122,16 +127,12 @@
 async fn ask(router: SocketAddr) -> std::io::Result<String> {
     let body =
         r#"{"model": "small", "max_tokens": 2, "messages": [{"role": "user", "content": "x"}]}"#;
-    let mut stream = TcpStream::connect(router).await?;
     let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: test\r\nauthorization: Bearer one-key\r\n\
          x-siskin-timeout-ms: 15000\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    stream.write_all(request.as_bytes()).await?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await?;
-    Ok(answer)
+    exchange(router, &request).await
 }
 
 /// Guards against a fleet that depends on one process: each of two routers is frozen, woken and killed in turn, and the
