Give each test site its own loopback address and close its ports at once

Cause: site test outcomes::a_call_that_reached_no_endpoint_is_not_run failed in 3 of 15 runs beside other load. In two, the closed port of an endpoint had been given to a server of another site, which answered 401 or 404 in the endpoint's place; the address was reserved by a socket with SO_REUSEADDR, which does not keep the system from handing its port out again. In one, the stand-in accepted a connection after stop() and before its task had seen the change. Ruled out: the router. It reported what the other server answered.

Change: stand-ins, routers of a site and the ports of the program tests use an address of 127.64.0.0/10 per site; a listener that was told to close drops what it still accepts.

Conclusion: the failures came from the test set-up.

--- a/siskin-router/tests/router/program.rs
+++ b/siskin-router/tests/router/program.rs
@@ -5,9 +5,9 @@
     googletest::prelude::*,
     serde_json::json,
     siskin_config::document::Hash,
-    siskin_standin::{engine, kv},
+    siskin_standin::{engine, kv, loopback},
     std::{
-        net::{Ipv4Addr, SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener},
         process::Stdio,
         time::Duration,
     },
@@ -44,9 +44,9 @@
     command
 }
 
-/// A port that was free a moment ago.
+/// A port that nothing else uses, on an address of its own.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let listener = TcpListener::bind((loopback::address(), 0)).expect("a free port");
     listener.local_addr().expect("an address")
 }
 
--- a/siskin-site/src/site.rs
+++ b/siskin-site/src/site.rs
@@ -10,10 +10,7 @@
     },
     siskin_standin::{application, engine, kv},
     siskin_types::id::Node,
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        time::Duration,
-    },
+    std::{net::SocketAddr, time::Duration},
     tokio::time,
 };
 
@@ -172,7 +169,7 @@
     }
 }
 
-/// Settings of a router of a site on loopback.
+/// Settings of a router of a site on loopback, at the address of the store.
 #[must_use]
 pub fn settings(
     node: Node,
@@ -180,7 +177,7 @@
     store: SocketAddr,
     document: Document,
 ) -> Settings {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let any = SocketAddr::from((store.ip(), 0));
     Settings {
         node,
         data_centre: "loopback".to_owned(),
--- a/siskin-standin/src/application.rs
+++ b/siskin-standin/src/application.rs
@@ -15,6 +15,7 @@
         body::{self, Body},
         fault::{Applied, Command, Fault, Plan},
         load::{Lagged, Load},
+        loopback,
         run::{End, History, Number, Run, Service},
         server::Listener,
     },
@@ -25,7 +26,7 @@
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::{
-        net::{Ipv4Addr, SocketAddr},
+        net::SocketAddr,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
@@ -50,7 +51,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            address: SocketAddr::from((loopback::address(), 0)),
             slots: 8,
             delay: Duration::from_millis(10),
             load_lag: Duration::from_millis(100),
--- a/siskin-standin/src/engine/mod.rs
+++ b/siskin-standin/src/engine/mod.rs
@@ -22,16 +22,13 @@
         Error,
         fault::{Command, Fault},
         load::Load,
+        loopback,
         run::{Run, Service},
         server::Listener,
     },
     handler::Engine,
     indexmap::IndexMap,
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// How an engine behaves.
@@ -68,7 +65,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            address: SocketAddr::from((loopback::address(), 0)),
             slots: 8,
             token_interval: Duration::from_millis(10),
             prompt_token: Duration::from_micros(50),
--- a/siskin-standin/src/kv/mod.rs
+++ b/siskin-standin/src/kv/mod.rs
@@ -20,14 +20,10 @@
 mod table;
 
 use {
-    crate::{Error, server::Listener},
+    crate::{Error, loopback, server::Listener},
     handler::Service,
     serde::{Deserialize, Serialize},
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Largest value, as the platform's service has it.
@@ -51,7 +47,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            address: SocketAddr::from((loopback::address(), 0)),
             writes_per_second: 500,
             reads_per_second: 2_000,
             latency: Duration::from_millis(1),
--- a/siskin-standin/src/lib.rs
+++ b/siskin-standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fault;
 pub mod kv;
 pub mod load;
+pub mod loopback;
 pub mod run;
 pub mod vms;
 
--- a/siskin-standin/src/server.rs
+++ b/siskin-standin/src/server.rs
@@ -120,18 +120,23 @@
                 tokio::time::sleep(ACCEPT_RETRY).await;
                 continue;
             };
+            let seen = changes.clone();
             tokio::select! {
                 _ = changes.changed() => {}
-                () = accept(listener, &source, &handler) => {}
+                () = accept(listener, &source, &seen, &handler) => {}
             }
         }
         drop(holder);
     }
 }
 
-/// Accepts connections.
-async fn accept<H, F>(listener: &TcpListener, source: &watch::Sender<Phase>, handler: &H)
-where
+/// Accepts connections; `seen` is the phase in which the listener was opened.
+async fn accept<H, F>(
+    listener: &TcpListener,
+    source: &watch::Sender<Phase>,
+    seen: &watch::Receiver<Phase>,
+    handler: &H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -140,7 +145,13 @@
             Ok((stream, _)) => {
                 // A subscription made here sees only later changes, so that a connection opened
                 // after a command is not dropped by it.
-                tokio::spawn(connection(stream, source.subscribe(), handler.clone()));
+                let later = source.subscribe();
+                // A port that was told to close accepts until the listener is dropped.
+                let closing = seen.has_changed().unwrap_or(true)
+                    && !matches!(*later.borrow(), Phase::Serving);
+                if !closing {
+                    tokio::spawn(connection(stream, later, handler.clone()));
+                }
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
--- a/siskin-standin/src/vms.rs
+++ b/siskin-standin/src/vms.rs
@@ -17,16 +17,13 @@
         Error,
         body::{self, Body},
         load::Lagged,
+        loopback,
         server::Listener,
     },
     http_body_util::BodyExt,
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
     serde::{Deserialize, Serialize},
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// How the list behaves.
@@ -43,7 +40,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            address: SocketAddr::from((loopback::address(), 0)),
             lag: Duration::from_secs(1),
             control: false,
         }
