Place prompt prefixes on the same engines from every router

Cause: a router knew only the prefixes that it had sent itself, so with many routers a prefix was spread over all engines and evicted from their limited caches. Cache events were weighed: their block hashes are the engine's own, and reading them costs each router a poll of each engine (decision 0007).

Change: routers prefer the four engines that rendezvous hashing of the prompt's first block gives, then their own memory; a router that is alone in the fleet the other way round. The scheduler still keeps no slot idle for it. The view keeps the endpoints of each model, so a request does not search the whole configuration.

On a saturated fleet there is little choice and little gain.

--- a/siskin-route/src/prefix.rs
+++ b/siskin-route/src/prefix.rs
@@ -1,8 +1,8 @@
 //! Which endpoints likely hold the start of a prompt in their prefix cache.
 //!
 //! A prompt is cut into blocks, and each block's hash covers all blocks before it, so an equal hash means an
-//! equal prefix. The table learns from dispatches and forgets the blocks used longest ago. It is a hint: engines
-//! publish cache events late and with gaps, and a wrong hint costs only a slower first token.
+//! equal prefix. All routers of a fleet place a prefix on the same endpoints; the table also learns from a router's
+//! own dispatches and forgets the blocks used longest ago. Both are hints: a wrong one costs only a slower first token.
 
 use {
     indexmap::IndexMap,
@@ -22,6 +22,9 @@
 /// Endpoints remembered for one block.
 const ENDPOINTS_PER_BLOCK: usize = 4;
 
+/// Endpoints on which a prefix is placed.
+const CHOICES: usize = 4;
+
 /// Hashes of the blocks of one prompt, each covering all text up to its end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Chain(Vec<u64>);
@@ -71,6 +74,32 @@
     }
 }
 
+/// The endpoints on which all routers place a prefix, best first, by rendezvous hashing of the prompt's first block.
+///
+/// A router that only knew its own dispatches would spread each prefix over the endpoints by itself.
+///
+/// ```
+/// use {siskin_route::prefix::{Chain, place}, siskin_types::id::Endpoint};
+/// let engines = [Endpoint(1), Endpoint(2), Endpoint(3)];
+/// let shared = "s".repeat(512);
+/// let order = place(&Chain::new(1, &format!("{shared}{}", "a".repeat(512))), engines.into_iter());
+/// assert_eq!(order.len(), 3);
+/// assert_eq!(order, place(&Chain::new(1, &format!("{shared}{}", "b".repeat(512))), engines.into_iter()));
+/// assert!(place(&Chain::new(1, "short"), engines.into_iter()).is_empty());
+/// ```
+#[must_use]
+pub fn place(chain: &Chain, endpoints: impl Iterator<Item = Endpoint>) -> Vec<Endpoint> {
+    let Some(first) = chain.0.first() else { return Vec::new() };
+    let score = |endpoint: Endpoint| {
+        let mut hasher = DefaultHasher::new();
+        (first, endpoint).hash(&mut hasher);
+        (hasher.finish(), endpoint)
+    };
+    let mut scored: Vec<_> = endpoints.map(score).collect();
+    scored.sort_unstable_by(|left, right| right.cmp(left));
+    scored.into_iter().map(|(_, endpoint)| endpoint).take(CHOICES).collect()
+}
+
 /// Bounded memory of which endpoints have seen which blocks.
 #[derive(Debug)]
 pub struct Table {
--- a/siskin-route/tests/main.rs
+++ b/siskin-route/tests/main.rs
@@ -4,7 +4,7 @@
     googletest::prelude::*,
     siskin_route::{
         health::{Change, Options, Report, Tracker},
-        prefix::{Chain, Table},
+        prefix::{Chain, Table, place},
     },
     siskin_types::{id::Endpoint, time::Instant},
     std::time::Duration,
@@ -72,3 +72,25 @@
     table.forget(ENDPOINT);
     expect_that!(table.prefer(&kept), is_empty());
 }
+
+/// Guards against routers that spread one prefix over all endpoints, and against a lost endpoint that moves others.
+#[gtest]
+fn a_prefix_has_the_same_few_places_on_every_router() {
+    let engines = || (1..=40).map(Endpoint);
+    let mut used = Vec::new();
+    for pack in 0..200 {
+        let shared = format!("{pack:<512}");
+        let order = place(&Chain::new(1, &format!("{shared}{}", "a".repeat(512))), engines());
+        let again = place(&Chain::new(1, &format!("{shared}{}", "b".repeat(512))), engines());
+        expect_that!(again, eq(&order), "pack {pack}");
+        expect_that!(order.len(), eq(4), "pack {pack}");
+        let chain = Chain::new(1, &shared);
+        let lost = place(&chain, engines().filter(|&engine| engine != order[0]));
+        expect_that!(lost[..3], eq(&order[1..]), "pack {pack} without its first place");
+        used.push(order[0]);
+    }
+    used.sort_unstable();
+    used.dedup();
+    expect_that!(used.len(), ge(35), "prefixes are spread over the engines");
+    expect_true!(place(&Chain::new(1, "short"), engines()).is_empty());
+}
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -16,7 +16,7 @@
             respond::Responder,
         },
         pool::{Assignment, Pool},
-        shared::{Shared, lock},
+        shared::Shared,
         upstream,
     },
     bytes::Bytes,
@@ -279,7 +279,7 @@
         }
         self.alone = verdict == Verdict::RunAlone;
         let prefer = match &self.call.kind {
-            Kind::Chat { chain, .. } => lock(&self.shared.prefixes).prefer(chain),
+            Kind::Chat { chain, .. } => self.shared.preferred(self.call.model, chain),
             Kind::Application(_) => Vec::new(),
         };
         let ticket = Ticket {
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -27,9 +27,9 @@
     siskin_route::{
         estimate::Estimator,
         health::{self, Tracker},
-        prefix::Table,
+        prefix::{self, Chain, Table},
     },
-    siskin_types::id::{self, Endpoint, Node, Request},
+    siskin_types::id::{self, Endpoint, Model, Node, Request},
     siskin_wire::Message,
     std::{
         collections::HashMap,
@@ -256,6 +256,18 @@
         );
     }
 
+    /// The endpoints that likely hold the start of a prompt, best first.
+    ///
+    /// A router that is alone knows all dispatches. One of several knows few of them, so the place on which all
+    /// routers agree goes first.
+    pub(crate) fn preferred(&self, model: Model, chain: &Chain) -> Vec<Endpoint> {
+        let seen = lock(&self.prefixes).prefer(chain);
+        let view = self.view();
+        let placed = prefix::place(chain, view.servers(model).iter().copied());
+        let alone = lock(&self.member).visible() == 1;
+        if alone { [seen, placed].concat() } else { [placed, seen].concat() }
+    }
+
     /// Learns the output of a finished chat.
     pub(crate) fn learn(&self, call: &Call, endpoint: Endpoint, output: siskin_types::cost::Units) {
         lock(&self.estimator).observed(call.customer, call.model, output);
--- a/siskin-router/src/view.rs
+++ b/siskin-router/src/view.rs
@@ -8,11 +8,7 @@
     },
     siskin_sched::pool::{self, Rate},
     siskin_types::id::{self, Model},
-    std::{
-        collections::{HashMap, HashSet},
-        net::SocketAddr,
-        sync::Arc,
-    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
 /// Burst of a rate limit, as seconds of its rate.
@@ -26,8 +22,8 @@
 pub struct View {
     state: Arc<State>,
     addresses: HashMap<id::Endpoint, SocketAddr>,
-    /// Models and routes that an endpoint serves which is not leaving.
-    served: HashSet<Model>,
+    /// For each model and route, the endpoints that serve it and are not leaving.
+    servers: HashMap<Model, Vec<id::Endpoint>>,
 }
 
 impl View {
@@ -36,10 +32,15 @@
     pub fn new(state: Arc<State>) -> Self {
         let endpoints = state.document.endpoints.iter();
         let addresses = endpoints.map(|(_, endpoint)| (endpoint.id, endpoint.address)).collect();
-        let mut view = Self { state, addresses, served: HashSet::new() };
+        let mut view = Self { state, addresses, servers: HashMap::new() };
         let endpoints = view.document().endpoints.iter().map(|(_, endpoint)| endpoint.as_ref());
-        let staying = endpoints.filter(|endpoint| !endpoint.leaving);
-        view.served = staying.flat_map(|endpoint| view.models(endpoint)).collect();
+        let mut servers: HashMap<_, Vec<_>> = HashMap::new();
+        for endpoint in endpoints.filter(|endpoint| !endpoint.leaving) {
+            for model in view.models(endpoint) {
+                servers.entry(model).or_default().push(endpoint.id);
+            }
+        }
+        view.servers = servers;
         view
     }
 
@@ -86,7 +87,13 @@
     /// Whether an endpoint serves a model or route that is not leaving by the configuration.
     #[must_use]
     pub fn is_served(&self, model: Model) -> bool {
-        self.served.contains(&model)
+        !self.servers(model).is_empty()
+    }
+
+    /// The endpoints that serve a model or route and are not leaving.
+    #[must_use]
+    pub fn servers(&self, model: Model) -> &[id::Endpoint] {
+        self.servers.get(&model).map_or(&[], Vec::as_slice)
     }
 
     /// An endpoint as the configuration has it.
