Refuse a reused patch identifier and end siskinctl at a definite refusal

Cause: a patch with a known identifier was answered as accepted whatever it contained, so an operator who reused one believed that the change was applied. siskinctl sent a patch again after every 503 and then reported that the answers were lost, also if the router had refused it each time.

A known identifier with other changes is refused with 422 and the version that it belongs to; base and author may differ, because a command that is run again reads the base anew. The body of a 503 names the outcome, not_applied or unknown. siskinctl ends at not_applied unless an earlier answer was lost.

In the test of a divergence, a patch that is sent again now has the same changes as at first; its changes followed from the version before, which the new rule refuses.

Conclusion: an operator is told what became of a patch.

--- a/siskin-config/src/follower.rs
+++ b/siskin-config/src/follower.rs
@@ -432,7 +432,7 @@
         }
         let mut index = self.latest.index.clone();
         index.update(&changes);
-        self.history.push(&entry.patch, Arc::clone(bytes), changes);
+        self.history.push(&entry, Arc::clone(bytes), changes);
         self.install(State { version, hash, document, index });
         Ok(())
     }
--- a/siskin-config/src/history.rs
+++ b/siskin-config/src/history.rs
@@ -1,7 +1,12 @@
 //! The latest entries, kept in memory for peers, for the repair of the store and for operators.
 
 use {
-    crate::{document::Document, entry::Entry, patch::Changes, snapshot::Recent},
+    crate::{
+        document::Document,
+        entry::Entry,
+        patch::{self, Changes, Patch},
+        snapshot::Recent,
+    },
     serde_json::Value,
     std::{
         collections::{HashMap, VecDeque},
@@ -27,7 +32,23 @@
     bytes: usize,
     touched: usize,
     recent: VecDeque<Recent>,
-    versions: HashMap<String, u64>,
+    results: HashMap<String, Outcome>,
+}
+
+/// What became of a patch.
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    version: u64,
+    /// Start of the hash of its changes, if known.
+    changes: Option<u64>,
+}
+
+/// The identifier of a patch belongs to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the identifier belongs to the patch that led to version {version}")]
+pub struct Reused {
+    /// The version that the other patch led to.
+    pub version: u64,
 }
 
 #[derive(Debug)]
@@ -59,9 +80,13 @@
     }
 
     /// Adds the next entry.
-    pub(crate) fn push(&mut self, patch: &str, bytes: Arc<[u8]>, changes: Changes) {
+    pub(crate) fn push(&mut self, entry: &Entry, bytes: Arc<[u8]>, changes: Changes) {
         self.last += 1;
-        self.remember(Recent { patch: patch.to_owned(), version: self.last });
+        self.remember(Recent {
+            patch: entry.patch.clone(),
+            version: self.last,
+            changes: Some(patch::fingerprint(&entry.changes)),
+        });
         self.bytes += bytes.len();
         self.touched += changes.len();
         self.entries.push_back(Kept { bytes, changes: Some(changes) });
@@ -69,12 +94,13 @@
     }
 
     fn remember(&mut self, recent: Recent) {
-        self.versions.entry(recent.patch.clone()).or_insert(recent.version);
+        let result = Outcome { version: recent.version, changes: recent.changes };
+        self.results.entry(recent.patch.clone()).or_insert(result);
         self.recent.push_back(recent);
         if self.recent.len() > MAX_RECENT
             && let Some(oldest) = self.recent.pop_front()
         {
-            self.versions.remove(&oldest.patch);
+            self.results.remove(&oldest.patch);
         }
     }
 
@@ -121,7 +147,20 @@
     /// The version that a patch led to, if it is one of the latest.
     #[must_use]
     pub fn accepted(&self, patch: &str) -> Option<u64> {
-        self.versions.get(patch).copied()
+        Some(self.results.get(patch)?.version)
+    }
+
+    /// As [`History::accepted`], for a patch that is sent again. The base and the author may differ.
+    ///
+    /// # Errors
+    ///
+    /// Another patch with other changes has the identifier.
+    pub fn repeated(&self, patch: &Patch) -> Result<Option<u64>, Reused> {
+        let Some(Outcome { version, changes }) = self.results.get(&patch.id).copied() else {
+            return Ok(None);
+        };
+        let differs = |first| first != patch::fingerprint(&patch.changes);
+        if changes.is_some_and(differs) { Err(Reused { version }) } else { Ok(Some(version)) }
     }
 
     /// The latest entries, newest first.
@@ -153,10 +192,7 @@
         if from.min(to) < oldest || from.max(to) > self.last {
             return Err(Error { oldest, newest: self.last });
         }
-        Ok(crate::patch::difference(
-            &self.document_at(document, from),
-            &self.document_at(document, to),
-        ))
+        Ok(patch::difference(&self.document_at(document, from), &self.document_at(document, to)))
     }
 
     /// Takes back the entries after `version`, newest first.
--- a/siskin-config/src/operator.rs
+++ b/siskin-config/src/operator.rs
@@ -6,7 +6,7 @@
 //! | `GET /v1/config` | [`Config`] |
 //! | `GET /v1/config/history?limit=N` | [`History`] |
 //! | `GET /v1/config/diff?from=A&to=B` | [`Diff`] |
-//! | `POST /v1/config/patches` with a [`Patch`] | 200 [`Accepted`], 409 [`Stale`], 422 [`Invalid`], 503 [`Failure`] |
+//! | `POST /v1/config/patches` with a [`Patch`] | 200 [`Accepted`], 409 [`Stale`], 422 [`Invalid`], 503 [`Unavailable`] |
 //! | `GET /v1/endpoints` | [`Endpoints`] |
 //! | `GET /v1/suspects` | [`Suspects`] |
 //! | `DELETE /v1/suspects/<fingerprint>` | 204, or 404 [`Failure`] |
@@ -120,6 +120,25 @@
     pub error: String,
 }
 
+/// The patch cannot be accepted at the moment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unavailable {
+    /// Text for the operator, with the remedy.
+    pub error: String,
+    /// What became of the patch.
+    pub outcome: Outcome,
+}
+
+/// What became of a patch that was answered with 503.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// This attempt did not apply it. An earlier attempt whose answer was lost may have.
+    NotApplied,
+    /// It may be applied, or come to be. Sending it again with its identifier tells.
+    Unknown,
+}
+
 /// Answer to a patch that was not accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
@@ -129,7 +148,7 @@
     /// Status 422.
     Invalid(Invalid),
     /// Status 503.
-    Unavailable(Failure),
+    Unavailable(Unavailable),
 }
 
 impl Refused {
@@ -164,9 +183,12 @@
             | Refusal::CatchingUp
             | Refusal::Minority(_)
             | Refusal::Diverged(_)
-            | Refusal::Unconfirmed(_)
-            | Refusal::Pending { .. }
-            | Refusal::Unknown => Self::Unavailable(Failure { error }),
+            | Refusal::Unconfirmed(_) => {
+                Self::Unavailable(Unavailable { error, outcome: Outcome::NotApplied })
+            }
+            Refusal::Pending { .. } | Refusal::Unknown => {
+                Self::Unavailable(Unavailable { error, outcome: Outcome::Unknown })
+            }
         }
     }
 }
--- a/siskin-config/src/patch.rs
+++ b/siskin-config/src/patch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        document::{Customer, Document, Endpoint, Error, Fleet, Kind, Model, Pool, Route},
+        document::{Customer, Document, Endpoint, Error, Fleet, Hash, Kind, Model, Pool, Route},
         table::Table,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -59,6 +59,12 @@
     }
 }
 
+/// Start of the hash of the changes of a patch, by which a repeated patch is known. The order of the
+/// fields does not matter, since the JSON library sorts them.
+pub(crate) fn fingerprint(changes: &Value) -> u64 {
+    Hash::of(changes.to_string().as_bytes()).short()
+}
+
 fn check_text(field: &str, text: &str) -> Result<(), Error> {
     if !text.is_empty() && text.len() <= MAX_TEXT_BYTES && !text.chars().any(char::is_control) {
         return Ok(());
--- a/siskin-config/src/snapshot.rs
+++ b/siskin-config/src/snapshot.rs
@@ -49,6 +49,9 @@
     pub patch: String,
     /// The version that it led to.
     pub version: u64,
+    /// Start of the hash of its changes. Snapshots of earlier programs lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub changes: Option<u64>,
 }
 
 /// What the head of a snapshot in the store says. It is written after the shards.
--- a/siskin-config/src/submit.rs
+++ b/siskin-config/src/submit.rs
@@ -210,8 +210,8 @@
     }
 
     fn begin(&mut self, now: Instant, follower: &Follower, view: View) -> Vec<Action> {
-        if let Some(version) = follower.history().accepted(&self.options.patch.id) {
-            return self.confirm(follower, version);
+        if let Some(actions) = self.repeated(follower) {
+            return actions;
         }
         match permitted(now, follower, view) {
             Err(refusal) => vec![self.finish(Err(refusal))],
@@ -219,6 +219,19 @@
         }
     }
 
+    /// A patch whose identifier is in the history has its first result, unless its changes differ.
+    fn repeated(&mut self, follower: &Follower) -> Option<Vec<Action>> {
+        match follower.history().repeated(&self.options.patch) {
+            Ok(version) => Some(self.confirm(follower, version?)),
+            Err(reused) => {
+                let remedy = format!("{reused} with other changes; use a new identifier");
+                let id = &self.options.patch.id;
+                let error = document::Error::new(document::Kind::Duplicate, "id", id, remedy);
+                Some(vec![self.finish(Err(error.into()))])
+            }
+        }
+    }
+
     /// Ends once the entry is decided.
     fn confirm(&mut self, follower: &Follower, version: u64) -> Vec<Action> {
         if version <= follower.decided() {
@@ -357,10 +370,9 @@
 
     /// Decides with the newest version in force.
     fn decide(&mut self, now: Instant, follower: &Follower, view: View) -> Vec<Action> {
-        let patch = &self.options.patch;
         let current = follower.newest();
-        if let Some(version) = follower.history().accepted(&patch.id) {
-            return self.confirm(follower, version);
+        if let Some(actions) = self.repeated(follower) {
+            return actions;
         }
         if let Err(refusal) = permitted(now, follower, view) {
             return vec![self.give_up(refusal)];
@@ -372,6 +384,7 @@
             self.wait(now);
             return Vec::new();
         }
+        let patch = &self.options.patch;
         if patch.base != current {
             // If a call to create the entry was doubtful, its key is taken by another patch now.
             let (changes_since, truncated) = follower.history().since(patch.base);
--- a/siskin-config/tests/main/outage.rs
+++ b/siskin-config/tests/main/outage.rs
@@ -111,9 +111,19 @@
         }
     }
 
+    /// Submits a patch whose changes follow from its identifier, so that it can be sent again.
     fn submit(&mut self, id: &str) -> Result<submit::Accepted, submit::Refusal> {
+        let number: u64 = id[1..].parse().unwrap();
+        self.submit_changes(id, &serde_json::json!({ "fleet": { "poison_expiry_s": number } }))
+    }
+
+    fn submit_changes(
+        &mut self,
+        id: &str,
+        changes: &serde_json::Value,
+    ) -> Result<submit::Accepted, submit::Refusal> {
         let base = self.follower.version();
-        let changes = serde_json::json!({ "fleet": { "poison_expiry_s": base + 1 } });
+        let changes = changes.clone();
         let patch = Patch { id: id.to_owned(), base, author: "ann".to_owned(), changes };
         let options = submit::Options { patch, time_ms: 0 };
         let view = View { visible: 1, known: 1 };
@@ -192,5 +202,10 @@
         41,
         "a known patch returns its first result"
     );
+    let other = serde_json::json!({ "fleet": { "poison_expiry_s": 7 } });
+    let refusal = started.submit_changes("p41", &other).unwrap_err();
+    let told = "id is 'p41', which is refused; the identifier belongs to the patch that led to \
+                version 41 with other changes; use a new identifier";
+    assert_eq!(refusal.to_string(), told, "a patch of a snapshot is known by its changes");
     assert_eq!(started.submit("p42").unwrap().version, 42);
 }
--- a/siskin-ctl/src/client.rs
+++ b/siskin-ctl/src/client.rs
@@ -14,7 +14,7 @@
     serde::{Serialize, de::DeserializeOwned},
     siskin_config::{
         entry::Entry,
-        operator::{Accepted, Failure, Invalid, PATCHES_PATH, Patch, Stale},
+        operator::{Accepted, Failure, Invalid, Outcome, PATCHES_PATH, Patch, Stale, Unavailable},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -50,6 +50,9 @@
     /// The patch breaks a rule.
     #[error("{} is '{}', which is refused; {}", .0.field, .0.value, .0.remedy)]
     Invalid(Invalid),
+    /// The router did not apply the patch.
+    #[error("the patch was not applied: {0}")]
+    NotApplied(String),
     /// Another refusal.
     #[error("the router answers {status}: {error}")]
     Refused { status: StatusCode, error: String },
@@ -68,7 +71,7 @@
         matches!(self, Self::Stale(_))
     }
 
-    /// Whether the request may have taken effect, or the router asks to try again.
+    /// Whether the request may have taken effect.
     fn is_lost(&self) -> bool {
         match self {
             Self::Unreachable { .. } => true,
@@ -134,6 +137,8 @@
             let result = self.post(PATCHES_PATH, body.clone()).await;
             let error = match result {
                 Err(error) if error.is_lost() => error,
+                // An earlier attempt may have applied it, also through another router.
+                Err(error @ Error::NotApplied(_)) if attempt > 1 => error,
                 result => return result,
             };
             if attempt == ATTEMPTS {
@@ -215,6 +220,9 @@
         }
         _ => {}
     }
+    if let Ok(Unavailable { error, outcome: Outcome::NotApplied }) = serde_json::from_slice(body) {
+        return Error::NotApplied(error);
+    }
     let failure: Result<Failure, _> = serde_json::from_slice(body);
     let error = failure.map_or_else(|_| "no explanation".to_owned(), |failure| failure.error);
     Error::Refused { status, error }
--- a/siskin-ctl/tests/main/main.rs
+++ b/siskin-ctl/tests/main/main.rs
@@ -1,5 +1,6 @@
-//! Runs `siskinctl` against a stand-in for the operators' interface of a router.
+//! Runs `siskinctl` against a stand-in for the operators' interface of a router, and against routers.
 #![allow(missing_docs, reason = "tests describe themselves")]
 
 mod commands;
+mod router;
 mod standin;
--- a/siskin-site/tests/site/operators.rs
+++ b/siskin-site/tests/site/operators.rs
@@ -49,6 +49,9 @@
     expect_that!(told["changes_since"][0]["patch"], eq(&json!("one")), "{told}");
     let again = patch(&site, 2, "one", 1, &weight(3)).await;
     expect_that!(again.body, eq(&accepted.body), "a repeated patch returns its first result");
+    let reused = patch(&site, 2, "one", 2, &weight(9)).await;
+    expect_that!(reused.status.as_u16(), eq(422), "{reused:?}");
+    expect_that!(reused.body, contains_substring("use a new identifier"));
     let invalid = json!({ "customers": { "planner": { "max_queue": "many" } } });
     let invalid = patch(&site, 0, "three", 2, &invalid).await;
     expect_that!(invalid.status.as_u16(), eq(422), "{invalid:?}");
