Send a call that provably did not run to another endpoint

Cause: a non-idempotent call that an endpoint answered with X-Not-Started ended as not_run at the first such answer, although it provably did not run and other endpoints were free.

Change: such a call goes to another endpoint within the retry budget and the deadline, with its claim still held, if the answer echoes the request's identifier. Without the identifier it ends as not_run as before; with another identifier the answer is a crossed one and ends the call as unknown. The application stand-in echoes the identifier in refusals.

Conclusion: a refusal by one endpoint no longer reaches the caller while another endpoint can serve the call.

--- a/siskin-outcome/src/life.rs
+++ b/siskin-outcome/src/life.rs
@@ -365,20 +365,26 @@
     }
 
     /// The endpoint answered that it did not start the request, or does not have the stream to resume.
+    /// `echoed` is the request identifier in the answer, if it has one.
     pub fn endpoint_refused(
         &mut self,
         now: Instant,
         attempt: Attempt,
+        echoed: Option<Request>,
         budget: &mut Budget,
     ) -> Vec<Action> {
         if !self.sent(attempt) {
             return self.unasked(now, attempt, budget);
         }
+        if echoed.is_some_and(|echoed| echoed != self.options.request) {
+            return self.crossed(now, attempt, budget);
+        }
         match self.state {
             State::Sent(endpoint) if !self.answering => {
                 self.exposed -= 1;
-                // A request that must not be repeated is not sent again even though it did not start.
-                if !self.options.idempotent {
+                // Without the identifier, the answer may belong to another request. A second run would do
+                // harm then.
+                if !self.options.idempotent && echoed.is_none() {
                     return self.finish(Reason::EndpointRefused);
                 }
                 self.exclude(endpoint);
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -59,10 +59,11 @@
             Ok(response) => response,
             Err(error) => return self.unanswered(now, attempt, &error).await,
         };
+        let echoed = echoed(&response, self.call.request);
         if response.headers().get(NOT_STARTED).is_some_and(|value| value == "true") {
-            return self.life.endpoint_refused(now, attempt, &mut self.call.pool.budget());
+            let mut budget = self.call.pool.budget();
+            return self.life.endpoint_refused(now, attempt, echoed, &mut budget);
         }
-        let echoed = echoed(&response, self.call.request);
         let actions = self.life.started(now, attempt, echoed, &mut self.call.pool.budget());
         if !actions.is_empty() {
             return actions;
@@ -87,7 +88,8 @@
             // Nothing was written to any connection, which is what a refusal before the start means too.
             Error::Connect { .. } | Error::Unsent { .. } | Error::Unconfigured { .. } => {
                 self.endpoint_failed();
-                self.life.endpoint_refused(now, attempt, &mut self.call.pool.budget())
+                let own = Some(self.call.request);
+                self.life.endpoint_refused(now, attempt, own, &mut self.call.pool.budget())
             }
             Error::Broken { .. } => self.connection_lost(attempt).await,
         }
--- a/siskin-site/tests/site/outcomes.rs
+++ b/siskin-site/tests/site/outcomes.rs
@@ -99,6 +99,10 @@
             .ends("unknown", "broken"),
         Case::completed("endpoint dies while it runs a repeatable call", Search, 1..=2)
             .fault(One, CrashOn { text: "call 18".to_owned(), restart_ms: 100 }),
+        Case::completed("call refused once", Bookings, 1..=1).fault(One, Refuse),
+        Case::completed("call refused everywhere", Bookings, 0..=0)
+            .fault(Always, Refuse)
+            .ends("not_run", "endpoint_refused"),
     ]
 }
 
--- a/siskin-standin/src/application.rs
+++ b/siskin-standin/src/application.rs
@@ -251,7 +251,17 @@
     async fn call(self: Arc<Self>, head: &request::Parts, text: &str) -> Response<Body> {
         let applied = self.plan.take(text);
         if applied.refuse {
-            return body::not_started(StatusCode::SERVICE_UNAVAILABLE, "refused on command");
+            let text = "refused on command";
+            let mut response = body::not_started(StatusCode::SERVICE_UNAVAILABLE, text);
+            let id = if applied.crossed {
+                Some(header::HeaderValue::from_static("crossed"))
+            } else {
+                head.headers.get("x-request-id").cloned()
+            };
+            if let Some(id) = id {
+                response.headers_mut().insert("x-request-id", id);
+            }
+            return response;
         }
         let call = self.read(head, text);
         let running = tokio::spawn(Arc::clone(&self).run(call, applied));
