--- a/siskin-measure/src/caller.rs
+++ b/siskin-measure/src/caller.rs
@@ -4,7 +4,7 @@
     crate::{
         fault::CRASH_TEXT,
         tally::{NotRun, Tally, micros},
-        workload::{Call, Kind},
+        workload::{Call, Kind, model},
     },
     http_body_util::{BodyExt, Full},
     hyper::{
@@ -41,6 +41,7 @@
 pub(crate) struct Caller {
     client: Client<HttpConnector, Full<Bytes>>,
     routers: Arc<[SocketAddr]>,
+    models: u32,
     tally: Arc<Tally>,
 }
 
@@ -120,11 +121,11 @@
 }
 
 impl Caller {
-    pub(crate) fn new(routers: Vec<SocketAddr>, tally: Arc<Tally>) -> Self {
+    pub(crate) fn new(routers: Vec<SocketAddr>, models: u32, tally: Arc<Tally>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new()).build(connector);
-        Self { client, routers: routers.into(), tally }
+        Self { client, routers: routers.into(), models, tally }
     }
 
     /// Sends a call and records how it ended.
@@ -154,7 +155,7 @@
         let length = call.kind.shared_bytes();
         let system: String = shared.chars().cycle().take(length).collect();
         let body = json!({
-            "model": "small",
+            "model": model(u32::try_from(call.nonce % u64::from(self.models)).unwrap_or_default()),
             "stream": call.stream,
             // A rough hint, as real callers give.
             "max_tokens": (call.tokens * 2).next_power_of_two(),
@@ -176,19 +177,24 @@
         headers: &[(&str, &str)],
         body: String,
     ) -> Result<Response<Incoming>, End> {
-        let router = self.routers[(call.router + attempt as usize) % self.routers.len()];
-        let mut request = Request::post(format!("http://{router}{path}"))
-            .header("authorization", format!("Bearer {}", key(call.customer)));
-        for (name, value) in headers {
-            request = request.header(*name, *value);
+        let first = call.router + attempt as usize;
+        // Where a router refuses the connection, the balancer takes the next one: nothing has been sent.
+        for next in 0..self.routers.len() {
+            let router = self.routers[(first + next) % self.routers.len()];
+            let mut request = Request::post(format!("http://{router}{path}"))
+                .header("authorization", format!("Bearer {}", key(call.customer)));
+            for (name, value) in headers {
+                request = request.header(*name, *value);
+            }
+            let request = request.body(Full::new(Bytes::from(body.clone())));
+            let request = request.map_err(|_| End::new("caller_error", "malformed"))?;
+            match self.client.request(request).await {
+                Ok(response) => return Ok(response),
+                Err(error) if error.is_connect() => {}
+                Err(_) => return Err(End::new("no_answer", "connection_lost")),
+            }
         }
-        let request = request.body(Full::new(Bytes::from(body)));
-        let request = request.map_err(|_| End::new("caller_error", "malformed"))?;
-        let response = self.client.request(request).await;
-        response.map_err(|error| {
-            let reason = if error.is_connect() { "no_connection" } else { "connection_lost" };
-            End::new("no_answer", reason)
-        })
+        Err(End::new("no_answer", "no_connection"))
     }
 
     async fn read_whole(&self, outstanding: &Outstanding<'_>, response: Response<Incoming>) -> End {
--- a/siskin-measure/src/fault.rs
+++ b/siskin-measure/src/fault.rs
@@ -36,8 +36,23 @@
     Crash,
     /// An engine reports that it is leaving.
     Leaving,
+    /// All routers and engines of a data centre are lost at once and come back together.
+    DataCentre,
+    /// A quarter of the routers of a data centre is lost at once and comes back together.
+    Rack,
+    /// All routers die at once and start again at once, without memory.
+    SiteRestart,
 }
 
+/// Data centre that is lost, or has a rack that is lost. It is not the one of the application, so the confirmations go on.
+const LOST_DATA_CENTRE: &str = "dc2";
+
+/// Racks of a data centre.
+const RACKS: usize = 4;
+
+/// Router that [`Fault::Restart`] kills; not the only one, and seldom the owner of a pool.
+const VICTIM: usize = 1;
+
 /// Added time of a slow store.
 const STORE_DELAY_MS: u64 = 500;
 
@@ -61,7 +76,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 13] = [
         Self::Flood,
         Self::StoreOutage,
         Self::StoreSlow,
@@ -72,6 +87,9 @@
         Self::Silent,
         Self::Crash,
         Self::Leaving,
+        Self::DataCentre,
+        Self::Rack,
+        Self::SiteRestart,
     ];
 
     /// Its name in flags and reports.
@@ -88,6 +106,9 @@
             Self::Silent => "silent",
             Self::Crash => "crash",
             Self::Leaving => "leaving",
+            Self::DataCentre => "data-centre",
+            Self::Rack => "rack",
+            Self::SiteRestart => "site-restart",
         }
     }
 
@@ -105,6 +126,36 @@
             Self::Silent => "three streams of each engine go silent on open connections",
             Self::Crash => "a request that crashes engines is sent again and again",
             Self::Leaving => "an engine reports that it is leaving",
+            Self::DataCentre => {
+                "all routers and engines of one of four data centres are lost at once"
+            }
+            Self::Rack => "a quarter of the routers of a data centre is lost at once",
+            Self::SiteRestart => "all routers die and start again at once, without memory",
+        }
+    }
+
+    /// The routers that die.
+    fn victims(self, site: &Site) -> Vec<usize> {
+        let count = site.callers().len();
+        match self {
+            Self::Restart => vec![VICTIM.min(count - 1)],
+            Self::DataCentre => site.routers_of(LOST_DATA_CENTRE),
+            Self::Rack => {
+                let mut routers = site.routers_of(LOST_DATA_CENTRE);
+                routers.truncate(routers.len().div_ceil(RACKS));
+                routers
+            }
+            Self::SiteRestart => (0..count).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// When the routers that died start again.
+    fn back(self, start: Instant, end: Instant) -> Instant {
+        match self {
+            Self::Restart => start + ROUTER_RESTART,
+            Self::SiteRestart => start,
+            _ => end,
         }
     }
 }
@@ -121,13 +172,19 @@
 pub(crate) async fn inject(site: &Site, faults: &[Fault], start: Instant, end: Instant) {
     sleep_until(start).await;
     for fault in faults {
-        begin(site, *fault);
+        begin(site, *fault, end - start);
+    }
+    let mut dead = Vec::new();
+    for fault in faults {
+        let victims = fault.victims(site);
+        site.kill_routers(&victims).await;
+        dead.push((fault.back(start, end), victims));
     }
-    if faults.contains(&Fault::Restart) {
-        site.kill_router();
-        sleep_until(start + ROUTER_RESTART).await;
-        if let Err(error) = site.start_router().await {
-            log::error!("the router did not start again: {error:#}");
+    dead.sort();
+    for (back, victims) in dead {
+        sleep_until(back).await;
+        if let Err(error) = site.start_routers(&victims).await {
+            log::error!("a router did not start again: {error:#}");
         }
     }
     sleep_until(end).await;
@@ -136,9 +193,10 @@
     }
 }
 
-fn begin(site: &Site, fault: Fault) {
+fn begin(site: &Site, fault: Fault, lasts: Duration) {
     match fault {
-        Fault::Flood | Fault::Restart => {}
+        Fault::Flood | Fault::Restart | Fault::Rack | Fault::SiteRestart => {}
+        Fault::DataCentre => site.lose_engines(LOST_DATA_CENTRE, lasts),
         Fault::StoreOutage => store(site, &kv::Command::Hang),
         Fault::StoreSlow => store(site, &kv::Command::Slow { delay_ms: STORE_DELAY_MS }),
         Fault::StoreLossy => store(site, &kv::Command::LoseAnswers { times: LOST }),
@@ -163,7 +221,13 @@
 
 fn finish(site: &Site, fault: Fault) {
     match fault {
-        Fault::Flood | Fault::Restart | Fault::Crash | Fault::Leaving => {}
+        Fault::Flood
+        | Fault::Restart
+        | Fault::Rack
+        | Fault::SiteRestart
+        | Fault::Crash
+        | Fault::Leaving => {}
+        Fault::DataCentre => site.engines_return(),
         Fault::StoreOutage | Fault::StoreSlow | Fault::StoreLossy => store(site, &kv::Command::Up),
         Fault::LostReplies => site.bookings.command(Command::always(Endpoint::Clear)),
         Fault::Partition => site.heal(),
--- a/siskin-measure/src/lib.rs
+++ b/siskin-measure/src/lib.rs
@@ -1,13 +1,14 @@
 //! Load scenarios over the real sockets, with the three measures and the baselines.
 //!
 //! A scenario runs the same schedule of calls in several modes, one after the other: the product, routers
-//! that are each fair by themselves, and a single global queue. Everything runs in one process on
-//! loopback, so only figures of the same run can be compared.
+//! that are each fair by themselves, and a single global queue. Everything runs on one machine over loopback, in
+//! one process or with a process for each router, so only figures of the same run can be compared.
 
 pub mod fault;
 pub mod gap;
 pub mod mode;
 pub mod page;
+pub mod phase;
 pub mod report;
 pub mod tally;
 pub mod workload;
@@ -22,6 +23,7 @@
     mode::Mode,
     report::Report,
     std::{
+        path::PathBuf,
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -51,6 +53,16 @@
     pub engine_slots: u32,
     /// Time between two tokens of a stream.
     pub token_interval: Duration,
+    /// Models, each with a pool of its own that the engines are divided over.
+    pub models: u32,
+    /// Requests per second and router of [`Scenario::Paced`].
+    pub rate: f64,
+    /// Customers of the configuration that send nothing.
+    pub registered: u32,
+    /// Configuration changes per second.
+    pub changes: f64,
+    /// The program of which each router is a process; none: routers run in this process.
+    pub program: Option<PathBuf>,
 }
 
 impl Default for Options {
@@ -68,6 +80,11 @@
             engines: 4,
             engine_slots: 8,
             token_interval: Duration::from_millis(4),
+            models: 1,
+            rate: workload::PACED_RATE,
+            registered: 0,
+            changes: 0.0,
+            program: None,
         }
     }
 }
@@ -84,6 +101,7 @@
             customers: self.customers,
             slots: self.engines * self.engine_slots,
             token_interval: self.token_interval,
+            rate: self.rate,
         }
     }
 
@@ -102,6 +120,19 @@
             self.customers,
             self.engines,
         );
+        let defaults = Self::default();
+        let mut add = |flag: &str, value: String, changed: bool| {
+            if changed {
+                command.extend([" --", flag, " ", &value]);
+            }
+        };
+        add("models", self.models.to_string(), self.models != defaults.models);
+        add("rate", self.rate.to_string(), self.rate.total_cmp(&defaults.rate).is_ne());
+        add("registered", self.registered.to_string(), self.registered > 0);
+        add("changes", self.changes.to_string(), self.changes > 0.0);
+        if self.program.is_some() {
+            command.push_str(" --processes");
+        }
         if !self.faults.is_empty() {
             let faults = names(self.faults.iter().map(|fault| fault.name()).collect());
             command.push_str(" --fault ");
@@ -115,7 +146,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a stand-in or a router does not start, or the routers do not become ready.
+/// Returns an error if a stand-in or a router does not start, or the routers do not become ready. Processes that were
+/// started end with the returned future, whether it completes or is dropped.
 pub async fn run(options: &Options) -> anyhow::Result<Report> {
     let mut modes = Vec::new();
     for mode in &options.modes {
@@ -126,7 +158,7 @@
         faults: options.faults.iter().map(|fault| fault.name()).collect(),
         seed: options.seed,
         command: options.command(),
-        targets: report::targets(options.scenario, &options.faults, &modes),
+        targets: report::targets(options, &modes),
         modes,
     })
 }
--- a/siskin-measure/src/observe.rs
+++ b/siskin-measure/src/observe.rs
@@ -1,7 +1,7 @@
 //! Watches the stand-ins and routers while a run lasts.
 
 use {
-    crate::{caller, gap::Gap, site::Site, tally::Tally, workload::Customer},
+    crate::{caller, gap::Gap, phase::Phases, site::Site, tally::Tally, workload::Customer},
     indexmap::IndexMap,
     std::{
         collections::HashMap,
@@ -39,10 +39,16 @@
     waiting: u32,
     /// Service of each customer per unit of weight.
     service: Vec<f64>,
+    /// Backlogged customers in all samples, and samples.
+    backlogged: usize,
+    samples: u32,
+    pub(crate) phases: Phases,
+    /// Gap since the end of the faults.
+    pub(crate) gap_after: Gap,
 }
 
 impl Observer {
-    pub(crate) fn new(customers: &[Customer]) -> Self {
+    pub(crate) fn new(customers: &[Customer], phases: Phases) -> Self {
         Self {
             users: (0..customers.len()).map(caller::user).collect(),
             weights: customers.iter().map(|customer| f64::from(customer.weight)).collect(),
@@ -57,16 +63,28 @@
             leaving_since: None,
             waiting: 0,
             service: vec![0.0; customers.len()],
+            backlogged: 0,
+            samples: 0,
+            phases,
+            gap_after: Gap::new(customers.len()),
         }
     }
 
+    /// Customers that were backlogged at the same time, on average.
+    pub(crate) fn backlogged(&self) -> f64 {
+        // Samples times customers are far below the point where doubles lose whole numbers.
+        #[allow(clippy::cast_precision_loss)]
+        let sum = self.backlogged as f64;
+        sum / f64::from(self.samples.max(1))
+    }
+
     /// Takes a sample.
     pub(crate) fn sample(&mut self, site: &Site, tally: &Tally) {
         let now = Instant::now();
         let elapsed = self.last.replace(now).map_or(0.0, |last| (now - last).as_secs_f64());
         let (service, running) = self.service(site);
         let (mut slots, mut busy) = (0, 0);
-        for engine in &site.engines {
+        for engine in site.running_engines() {
             let load = engine.load();
             slots += load.slots;
             busy += load.running;
@@ -78,11 +96,21 @@
         let waiting = waiting(now, tally, &running);
         let backlogged: Vec<_> = waiting.iter().map(|count| *count > 0).collect();
         self.gap.sample(&service, &backlogged);
+        self.backlogged += backlogged.iter().filter(|waits| **waits).count();
+        self.samples += 1;
         self.service = service;
         self.waiting = waiting.iter().sum();
         let free = f64::from(slots.saturating_sub(busy));
         self.total += f64::from(slots) * elapsed;
         self.used += f64::from(busy) * elapsed;
+        self.phases.sample(
+            now,
+            site.store.counters(),
+            (f64::from(slots) * elapsed, f64::from(busy) * elapsed),
+        );
+        if self.phases.after_fault(now) {
+            self.gap_after.sample(&self.service, &backlogged);
+        }
         if self.waiting > 0 {
             self.offered += f64::from(slots) * elapsed;
             self.idle += free.min(f64::from(self.waiting)) * elapsed;
--- a/siskin-measure/src/report.rs
+++ b/siskin-measure/src/report.rs
@@ -1,7 +1,13 @@
 //! Figures of a run, as a table and as JSON.
 
 use {
-    crate::{fault::Fault, mode::Mode, tally::Broken, workload::Scenario},
+    crate::{
+        Options,
+        mode::Mode,
+        phase::Aftermath,
+        tally::Broken,
+        workload::{PACED_RATE, Scenario},
+    },
     hdrhistogram::Histogram,
     indexmap::IndexMap,
     serde::Serialize,
@@ -48,6 +54,29 @@
     pub samples: u64,
 }
 
+/// What one router used and sent for control.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Cost {
+    /// Index of the router.
+    pub router: u32,
+    /// Pools that it owned at the end.
+    pub owned_pools: f64,
+    /// Requests per second that it finished.
+    pub requests_per_second: f64,
+    /// Processor time in percent of a core, requests included; none for a router in the measuring process.
+    pub processor_percent: Option<f64>,
+    /// Resident memory at the end in MB of 1,048,576 bytes; none for a router in the measuring process.
+    pub resident_mb: Option<f64>,
+    /// Control bytes sent per second.
+    pub sent_bytes_per_second: f64,
+    /// Control messages sent per second.
+    pub sent_messages_per_second: f64,
+    /// Control bytes received per second.
+    pub received_bytes_per_second: f64,
+    /// Control messages received per second.
+    pub received_messages_per_second: f64,
+}
+
 /// Figures of one mode.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figures {
@@ -99,6 +128,27 @@
     pub retries: IndexMap<String, f64>,
     /// Broken promises.
     pub broken: Broken,
+    /// Configuration changes accepted.
+    pub changes: u32,
+    /// Customers that were backlogged at the same time, on average.
+    pub backlogged_customers: f64,
+    /// What the faults did; none without faults.
+    pub aftermath: Option<Aftermath>,
+    /// Load average of the machine at the end, if it tells one.
+    pub load_average: Option<f64>,
+    /// What each router used and sent for control.
+    pub cost_by_router: Vec<Cost>,
+}
+
+impl Figures {
+    /// Mean and largest value of a cost over the routers, if it is known of all.
+    #[must_use]
+    pub fn cost(&self, value: fn(&Cost) -> Option<f64>) -> Option<(f64, f64)> {
+        let values: Vec<f64> = self.cost_by_router.iter().map(value).collect::<Option<_>>()?;
+        let largest = values.iter().copied().reduce(f64::max)?;
+        let count = u32::try_from(values.len()).ok()?;
+        Some((values.iter().sum::<f64>() / f64::from(count), largest))
+    }
 }
 
 /// Figures of all modes of a scenario.
@@ -142,7 +192,7 @@
 
 /// The targets that apply to a scenario and could be measured.
 #[must_use]
-pub fn targets(scenario: Scenario, faults: &[Fault], modes: &[Figures]) -> Vec<Target> {
+pub fn targets(options: &Options, modes: &[Figures]) -> Vec<Target> {
     let of = |mode: Mode| modes.iter().find(|figures| figures.mode == mode.name());
     let mut targets = Vec::new();
     let Some(fleet) = of(Mode::Fleet) else { return targets };
@@ -151,11 +201,14 @@
         fleet.fairness.bound,
         fleet.fairness.largest,
     ));
-    if scenario == Scenario::Paced {
+    let limited = options.rate.total_cmp(&PACED_RATE).is_eq();
+    if options.scenario == Scenario::Paced && limited {
         let bytes = fleet.control_bytes_per_second;
         targets.push(at_most("control B/s per router, at most", CONTROL_BYTES_MAX, bytes));
     }
-    let Some(global) = of(Mode::Global).filter(|_| faults.is_empty()) else { return targets };
+    let Some(global) = of(Mode::Global).filter(|_| options.faults.is_empty()) else {
+        return targets;
+    };
     if global.fairness.largest > 0.0 {
         let ratio = fleet.fairness.largest / global.fairness.largest;
         targets.push(at_most("gap relative to the global queue, at most", GAP_RATIO_MAX, ratio));
@@ -189,7 +242,7 @@
     ("tokens/s", |figures| Some(figures.tokens_per_second), 0),
 ];
 
-const LINES: [Line; 12] = [
+const LINES: [Line; 17] = [
     ("gap, bound", |figures| format!("{:.0}", figures.fairness.bound)),
     ("gap, samples", |figures| figures.fairness.samples.to_string()),
     ("control B/s per router", |figures| format!("{:.0}", figures.control_bytes_per_second)),
@@ -199,6 +252,15 @@
     ("control messages/s per router", |figures| {
         format!("{:.1}", figures.control_messages_per_second)
     }),
+    ("processor % of a core, mean/largest", |figures| {
+        cost(figures.cost(|cost| cost.processor_percent), 2)
+    }),
+    ("resident memory MB, mean/largest", |figures| cost(figures.cost(|cost| cost.resident_mb), 1)),
+    ("backlogged customers, mean", |figures| format!("{:.1}", figures.backlogged_customers)),
+    ("configuration changes", |figures| figures.changes.to_string()),
+    ("load average of the machine", |figures| {
+        figures.load_average.map_or_else(|| "-".to_owned(), |load| format!("{load:.1}"))
+    }),
     ("first token p50/p95/p99 ms", |figures| times(&figures.first_token)),
     ("between tokens p50/p95/p99 ms", |figures| times(&figures.between_tokens)),
     ("calls sent", |figures| figures.sent.to_string()),
@@ -213,17 +275,18 @@
 /// A group of lines with names that differ from run to run.
 type Group = (&'static str, fn(&Figures) -> IndexMap<String, f64>);
 
-const GROUPS: [Group; 6] = [
+const GROUPS: [Group; 7] = [
     ("attempts", |figures| counts(&figures.outcomes)),
     ("confirmations that ran", |figures| counts(&figures.confirmation_runs)),
     ("refusals", |figures| figures.refusals.clone()),
     ("retries", |figures| figures.retries.clone()),
     ("store calls/s", |figures| figures.store_calls_per_second.clone()),
     ("control B/s per router", |figures| figures.control_bytes_by_kind.clone()),
+    ("fault", |figures| figures.aftermath.as_ref().map(aftermath).unwrap_or_default()),
 ];
 
 /// Width of the first column.
-const NAME_WIDTH: usize = 44;
+const NAME_WIDTH: usize = 52;
 
 /// Width of the other columns.
 const WIDTH: usize = 22;
@@ -267,6 +330,9 @@
         for (name, value) in GROUPS {
             table.group(name, &self.modes.iter().map(value).collect::<Vec<_>>());
         }
+        for figures in &self.modes {
+            table.costs(figures);
+        }
         for figures in &self.modes {
             for (kind, case) in figures.broken.all() {
                 let _ = writeln!(table.text, "BROKEN in {}: {kind}: {case}", figures.mode);
@@ -309,6 +375,34 @@
         self.text.push('\n');
     }
 
+    /// The cost of each router of a mode.
+    fn costs(&mut self, figures: &Figures) {
+        let _ = writeln!(
+            self.text,
+            "{} router: pools owned, requests/s, processor %, memory MB, sent B/s, messages/s, \
+             received B/s, messages/s",
+            figures.mode
+        );
+        for cost in &figures.cost_by_router {
+            let known = |value: Option<f64>, digits: usize| {
+                value.map_or_else(|| "-".to_owned(), |value| format!("{value:.digits$}"))
+            };
+            let _ = writeln!(
+                self.text,
+                "{:>8} {:>4} {:>8.1} {:>8} {:>8} {:>8.0} {:>8.1} {:>8.0} {:>8.1}",
+                cost.router,
+                cost.owned_pools,
+                cost.requests_per_second,
+                known(cost.processor_percent, 2),
+                known(cost.resident_mb, 1),
+                cost.sent_bytes_per_second,
+                cost.sent_messages_per_second,
+                cost.received_bytes_per_second,
+                cost.received_messages_per_second,
+            );
+        }
+    }
+
     fn group(&mut self, name: &str, modes: &[IndexMap<String, f64>]) {
         let mut keys: Vec<&String> = modes.iter().flat_map(IndexMap::keys).collect();
         keys.sort();
@@ -326,11 +420,35 @@
     }
 }
 
+fn cost(cost: Option<(f64, f64)>, digits: usize) -> String {
+    cost.map_or_else(
+        || "-".to_owned(),
+        |(mean, largest)| format!("{mean:.digits$}/{largest:.digits$}"),
+    )
+}
+
 fn times(percentiles: &Percentiles) -> String {
     let Percentiles { p50_ms, p95_ms, p99_ms, .. } = percentiles;
     format!("{p50_ms:.1}/{p95_ms:.1}/{p99_ms:.1}")
 }
 
+fn aftermath(aftermath: &Aftermath) -> IndexMap<String, f64> {
+    // Calls of one run are far below the point where doubles lose whole numbers.
+    #[allow(clippy::cast_precision_loss)]
+    let double = |count: u64| count as f64;
+    let lines = [
+        ("% of slots used before", aftermath.utilisation_before * 100.0),
+        ("seconds below 90% of that, from the begin", aftermath.below_after_begin_seconds),
+        ("seconds below 90% of that, from the end", aftermath.below_after_end_seconds),
+        ("store calls/s before", aftermath.store_calls_before),
+        ("most store calls in 1 s, begin", double(aftermath.store_calls_after_begin)),
+        ("most store calls in 1 s, end", double(aftermath.store_calls_after_end)),
+        ("store calls refused, end", double(aftermath.store_refused_after_end)),
+        ("largest gap from the end on", aftermath.gap_after_end),
+    ];
+    lines.into_iter().map(|(name, value)| (name.to_owned(), value)).collect()
+}
+
 fn counts(counts: &IndexMap<String, u64>) -> IndexMap<String, f64> {
     // Counts of calls are far below the point where doubles lose whole numbers.
     #[allow(clippy::cast_precision_loss)]
--- a/siskin-measure/src/run.rs
+++ b/siskin-measure/src/run.rs
@@ -8,12 +8,14 @@
         mode::Mode,
         observe::{Observer, SAMPLE},
         page::Page,
-        report::{Fairness, Figures, Percentiles},
+        phase::Phases,
+        report::{Cost, Fairness, Figures, Percentiles},
         site::{MAX_REQUEST, REUSE_SLACK, Site},
         tally::{Sheet, Tally},
         workload::{self, Call, Customer},
     },
     indexmap::IndexMap,
+    siskin_site::process::Usage,
     siskin_standin::{engine, kv::Counters},
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -37,10 +39,15 @@
 /// Report interval of the design.
 const REPORT_INTERVAL_SECONDS: f64 = 0.25;
 
+/// Bytes in a megabyte of the report.
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
 /// Counters at one time.
 struct Snapshot {
     /// Counters of each router.
     pages: Vec<Page>,
+    /// Usage of each router that runs as a process.
+    usage: Vec<Option<Usage>>,
     store: Counters,
     units: u64,
 }
@@ -52,24 +59,37 @@
     let calls = workload::schedule(&shape, &options.faults);
     let site = Site::start(options, mode, &customers).await?;
     site.ready().await?;
+    site.register(options.registered).await?;
+    site.ready().await?;
     let tally = Arc::new(Tally::new(customers.len()));
-    let before = Snapshot::of(&site);
+    let before = Snapshot::of(&site).await;
     let start = Instant::now();
     let third = options.duration / 3;
-    let mut observer = Observer::new(&customers);
+    let faults = (!options.faults.is_empty()).then_some((third, third * 2));
+    let mut observer = Observer::new(&customers, Phases::new(start.into_std(), faults));
     let mut calling = JoinSet::new();
-    tokio::join!(
-        send(&site, &tally, calls, start, &mut calling),
-        observe(options, mode, &site, &tally, &mut observer, start),
-        fault::inject(&site, &options.faults, start + third, start + third * 2),
-    );
-    let after = Snapshot::of(&site);
+    let work = async {
+        tokio::join!(
+            send(options, &site, &tally, calls, start, &mut calling),
+            observe(options, mode, &site, &tally, &mut observer, start),
+            fault::inject(&site, &options.faults, start + third, start + third * 2),
+            change(options, &site, start),
+        )
+    };
+    let (.., changes) = tokio::select! {
+        done = work => done,
+        () = site.follow_versions(), if options.program.is_some() => unreachable!("it never ends"),
+    };
+    let after = Snapshot::of(&site).await;
     drain(&mut calling).await;
     let figures = {
         let mut sheet = tally.lock();
         check_runs(&site, &mut sheet);
-        Run { options, mode, customers: &customers, site: &site, observer: &observer }
-            .figures(&sheet, &before, &after)
+        Run { options, mode, customers: &customers, site: &site, observer: &observer }.figures(
+            &sheet,
+            changes,
+            (&before, &after),
+        )
     };
     site.stop().await;
     Ok(figures)
@@ -77,13 +97,14 @@
 
 /// Sends the calls at their times, whatever has become of the earlier ones.
 async fn send(
+    options: &Options,
     site: &Site,
     tally: &Arc<Tally>,
     calls: Vec<Call>,
     start: Instant,
     calling: &mut JoinSet<()>,
 ) {
-    let caller = Caller::new(site.callers().to_vec(), Arc::clone(tally));
+    let caller = Caller::new(site.callers().to_vec(), options.models, Arc::clone(tally));
     for call in calls {
         sleep_until(start + call.at).await;
         calling.spawn(caller.clone().run(call));
@@ -91,6 +112,18 @@
     }
 }
 
+/// Changes the configuration until the end of the run, and returns how many changes were accepted.
+async fn change(options: &Options, site: &Site, start: Instant) -> u32 {
+    let count = options.changes * options.duration.as_secs_f64();
+    if count < 1.0 {
+        return 0;
+    }
+    // A run has at most some thousands of changes.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let count = count as u32;
+    site.change(count, start, options.duration / count).await
+}
+
 /// Samples until the end of the run.
 async fn observe(
     options: &Options,
@@ -162,12 +195,13 @@
 }
 
 impl Snapshot {
-    fn of(site: &Site) -> Self {
+    async fn of(site: &Site) -> Self {
         let units = |engine: &engine::Server| {
             engine.service().values().map(|service| service.units).sum::<u64>()
         };
         Self {
-            pages: site.pages(),
+            usage: site.usage(),
+            pages: site.pages().await,
             store: site.store.counters(),
             units: site.engines.iter().map(units).sum(),
         }
@@ -184,7 +218,12 @@
 }
 
 impl Run<'_> {
-    fn figures(&self, sheet: &Sheet, before: &Snapshot, after: &Snapshot) -> Figures {
+    fn figures(
+        &self,
+        sheet: &Sheet,
+        changes: u32,
+        (before, after): (&Snapshot, &Snapshot),
+    ) -> Figures {
         let seconds = self.options.duration.as_secs_f64();
         let routers = self.mode.routers(self.options.routers);
         let each = seconds * f64::from(routers);
@@ -227,9 +266,42 @@
             refusals: page.by("siskin_refusals_total", "reason"),
             retries: page.by("siskin_retries_total", "reason"),
             broken: sheet.broken.clone(),
+            changes,
+            backlogged_customers: self.observer.backlogged(),
+            aftermath: self.observer.phases.aftermath(self.observer.gap_after.largest()),
+            load_average: load_average(),
+            cost_by_router: self.costs(&pages, before, after),
         }
     }
 
+    /// What each router used and sent. `pages` holds the counters of the run.
+    fn costs(&self, pages: &[Page], before: &Snapshot, after: &Snapshot) -> Vec<Cost> {
+        let seconds = self.options.duration.as_secs_f64();
+        let cost = |(number, page): (u32, &Page)| {
+            let index = number as usize;
+            let usage = after.usage[index].zip(before.usage[index]);
+            let control = |name: &str, direction: &str| {
+                page.sum(&format!("siskin_control_{name}_total"), &[("direction", direction)])
+                    / seconds
+            };
+            Cost {
+                router: number,
+                owned_pools: after.pages[index].sum("siskin_owned_pools", &[]),
+                requests_per_second: page.sum("siskin_requests_total", &[]) / seconds,
+                processor_percent: usage.map(|(after, before)| {
+                    let used = after.processor.saturating_sub(before.processor);
+                    used.as_secs_f64() / seconds * 100.0
+                }),
+                resident_mb: usage.map(|(after, _)| double(after.resident_bytes) / BYTES_PER_MB),
+                sent_bytes_per_second: control("bytes", "sent"),
+                sent_messages_per_second: control("messages", "sent"),
+                received_bytes_per_second: control("bytes", "received"),
+                received_messages_per_second: control("messages", "received"),
+            }
+        };
+        (0..).zip(pages).map(cost).collect()
+    }
+
     /// The bound is that of the design: `2 * M / w + R * I / w + T`.
     fn fairness(&self, rate: f64) -> Fairness {
         let weight = self.customers.iter().map(|customer| customer.weight).min().unwrap_or(1);
@@ -255,6 +327,12 @@
     }
 }
 
+/// Load average of the machine over the last minute, if it tells one.
+fn load_average() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg").ok()?;
+    text.split(' ').next()?.parse().ok()
+}
+
 fn store_calls(before: &Counters, after: &Counters) -> IndexMap<String, f64> {
     let kinds = [
         ("reads", after.reads - before.reads),
--- a/siskin-measure/src/site.rs
+++ b/siskin-measure/src/site.rs
@@ -1,19 +1,32 @@
-//! Stand-ins and routers of one run, in this process.
+//! Stand-ins and routers of one run. The stand-ins run in this process, the routers as well or as processes.
 
 use {
-    crate::{Options, caller, mode::Mode, page::Page, workload::Customer},
+    crate::{
+        Options, caller,
+        mode::Mode,
+        page::Page,
+        workload::{self, Customer},
+    },
     anyhow::Context,
-    serde_json::{Map, json},
+    serde_json::{Map, Value, json},
     siskin_config::document::{Document, Hash},
-    siskin_router::{router::Router, settings::Settings},
-    siskin_standin::{application, engine, kv, vms},
+    siskin_router::{router, settings::Settings},
+    siskin_site::{
+        client::{Call, Client},
+        process::{Process, Usage},
+    },
+    siskin_standin::{application, engine, fault, kv, vms},
     siskin_types::id::Node,
     std::{
         net::{Ipv4Addr, SocketAddr},
-        sync::{Mutex, MutexGuard, PoisonError},
+        path::{Path, PathBuf},
+        sync::{
+            Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
-    tokio::time,
+    tokio::{task::JoinSet, time},
 };
 
 /// Longest time for all routers to become ready.
@@ -43,8 +56,114 @@
 /// Data centres that routers and endpoints are spread over.
 const DATA_CENTRES: u32 = 4;
 
-/// Router that a restart kills; not the only one, and seldom the owner of a pool.
-const VICTIM: usize = 1;
+/// Time between reads of the versions of routers that run as processes. Each read costs the router a page of metrics,
+/// so it is rarer than the samples.
+const VERSION_CHECK: Duration = Duration::from_secs(2);
+
+/// Customers without calls in one patch, which keeps it below the limit of 128 KB.
+const CUSTOMERS_PER_PATCH: u32 = 400;
+
+/// First number of the customers without calls.
+const FIRST_REGISTERED: u32 = 10_000;
+
+/// First number of the pools after the first.
+const FIRST_POOL: u32 = 100;
+
+/// Routers that join through the same seeds.
+const SEEDS: usize = 3;
+
+/// A running router.
+#[derive(Debug)]
+enum Router {
+    /// In this process.
+    Task(router::Router),
+    /// As a process of the program.
+    Process(Process),
+}
+
+impl Router {
+    async fn start(settings: &Settings, launch: Option<&Launch>) -> anyhow::Result<Self> {
+        Ok(match launch {
+            None => Self::Task(router::Router::start(settings.clone()).await?),
+            Some(Launch { program, document }) => {
+                Self::Process(Process::start(program, settings, document).await?)
+            }
+        })
+    }
+
+    /// The settings with the addresses that the router has bound.
+    const fn bound(&self, mut settings: Settings) -> Settings {
+        let (callers, control, operators) = match self {
+            Self::Task(router) => (router.callers(), router.control(), router.operators()),
+            Self::Process(process) => (process.callers(), process.control(), process.operators()),
+        };
+        settings.listen = callers;
+        settings.control = control;
+        settings.operator = operators;
+        settings
+    }
+
+    /// What the process has used; none for a router in this process.
+    fn usage(&self) -> Option<Usage> {
+        match self {
+            Self::Task(_) => None,
+            Self::Process(process) => match process.usage() {
+                Ok(usage) => Some(usage),
+                Err(error) => {
+                    log::error!("the usage of a router cannot be read: {error}");
+                    None
+                }
+            },
+        }
+    }
+
+    async fn kill(self) {
+        match self {
+            Self::Task(router) => router.kill(),
+            Self::Process(process) => {
+                if let Err(error) = process.kill().await {
+                    log::error!("a router cannot be ended: {error}");
+                }
+            }
+        }
+    }
+
+    async fn stop(self) {
+        match self {
+            Self::Task(router) => router.stop().await,
+            Self::Process(_) => self.kill().await,
+        }
+    }
+}
+
+/// How routers are run as processes. Dropping it removes the document.
+#[derive(Debug)]
+struct Launch {
+    program: PathBuf,
+    /// File with the configuration that the first router creates.
+    document: PathBuf,
+}
+
+impl Launch {
+    fn new(program: &Path, document: &Document) -> anyhow::Result<Self> {
+        static FILES: AtomicU64 = AtomicU64::new(0);
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let name = format!("siskin-measure-{}-{number}.json", std::process::id());
+        let launch =
+            Self { program: program.to_owned(), document: std::env::temp_dir().join(name) };
+        let text = serde_json::to_vec(document)?;
+        std::fs::write(&launch.document, text).with_context(|| {
+            format!("cannot write {}; set TMPDIR to a writable folder", launch.document.display())
+        })?;
+        Ok(launch)
+    }
+}
+
+impl Drop for Launch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.document);
+    }
+}
 
 /// Everything that runs.
 #[derive(Debug)]
@@ -53,8 +172,15 @@
     pub(crate) bookings: application::Server,
     pub(crate) store: kv::Server,
     _vms: vms::Server,
+    launch: Option<Launch>,
     seats: Mutex<Vec<Seat>>,
     callers: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
+    client: Client,
+    /// Configuration version after the last accepted patch.
+    version: AtomicU64,
+    /// Engines that are lost with their data centre.
+    lost_engines: Mutex<Vec<usize>>,
 }
 
 /// A router with what is needed to start it again.
@@ -66,16 +192,20 @@
     starts: u32,
     /// Counters of its killed predecessors.
     lost: Page,
+    /// Processor time of its killed predecessors.
+    lost_processor: Duration,
+    /// Version in force when it was last read.
+    in_force: u64,
 }
 
 impl Seat {
-    /// Counters of the router, those of its killed predecessors included.
-    fn page(&self) -> Page {
-        let mut page = self.lost.clone();
-        if let Some(router) = &self.router {
-            page.add(&router.metrics().page());
-        }
-        page
+    /// Usage of the router, the processor time of its killed predecessors included.
+    fn usage(&self) -> Option<Usage> {
+        let usage = match &self.router {
+            Some(router) => router.usage()?,
+            None => Usage::default(),
+        };
+        Some(Usage { processor: usage.processor + self.lost_processor, ..usage })
     }
 }
 
@@ -111,39 +241,82 @@
         let vms = vms::Server::start(vms::Options::default())
             .context("the stand-in list of VMs does not start")?;
         let document = document(&engines, &bookings, options, customers)?;
+        let launch = options.program.as_deref().map(|program| Launch::new(program, &document));
+        let launch = launch.transpose()?;
         let mut seats: Vec<Seat> = Vec::new();
         for number in 0..mode.routers(options.routers) {
-            let seeds = seats.iter().map(|seat| seat.settings.control).take(3).collect();
+            let seeds = seats.iter().map(|seat| seat.settings.control).take(SEEDS).collect();
             let mut settings = settings(number, mode, seeds, document.clone());
             settings.store = vec![store.address()];
             settings.vm_list = Some(vms.address());
             settings.fleet_size = mode.routers(options.routers);
-            let router = start_router(&settings).await?;
-            settings.listen = router.callers();
-            settings.control = router.control();
-            settings.operator = router.operators();
-            seats.push(Seat { settings, router: Some(router), starts: 1, lost: Page::default() });
+            let router = start_router(&settings, launch.as_ref()).await?;
+            seats.push(Seat {
+                settings: router.bound(settings),
+                router: Some(router),
+                starts: 1,
+                lost: Page::default(),
+                lost_processor: Duration::ZERO,
+                in_force: 0,
+            });
         }
         let callers = seats.iter().map(|seat| seat.settings.listen).collect();
-        let seats = Mutex::new(seats);
-        Ok(Self { engines, bookings, store, _vms: vms, seats, callers })
+        let operators = seats.iter().map(|seat| seat.settings.operator).collect();
+        Ok(Self {
+            engines,
+            bookings,
+            store,
+            _vms: vms,
+            launch,
+            seats: Mutex::new(seats),
+            callers,
+            operators,
+            client: Client::new(),
+            version: AtomicU64::new(1),
+            lost_engines: Mutex::default(),
+        })
     }
 
-    /// Waits until all routers take requests and see each other.
+    /// Waits until all routers take requests, see each other and have the latest configuration.
     pub(crate) async fn ready(&self) -> anyhow::Result<()> {
         let ready = async {
-            while !self.is_ready() {
+            while !self.is_ready().await {
                 time::sleep(READY_CHECK).await;
             }
         };
         time::timeout(READY_TIMEOUT, ready).await.context("the routers did not become ready")
     }
 
-    fn is_ready(&self) -> bool {
-        let seats = self.lock();
-        let count = seats.len();
-        let mut routers = seats.iter().filter_map(|seat| seat.router.as_ref());
-        routers.all(|router| router.ready() && router.visible() == count)
+    async fn is_ready(&self) -> bool {
+        let count = self.operators.len();
+        if self.launch.is_none() {
+            let seats = self.lock();
+            let mut routers = seats.iter().filter_map(|seat| seat.router.as_ref());
+            return routers.all(|router| match router {
+                Router::Task(router) => {
+                    router.ready()
+                        && router.visible() == count
+                        && router.config_version() >= self.version.load(Ordering::Relaxed)
+                }
+                Router::Process(_) => false,
+            });
+        }
+        for operator in &self.operators {
+            let ready = self.client.send(&Call::operator(*operator, "/readyz")).await;
+            if !ready.is_ok_and(|answer| answer.status.is_success()) {
+                return false;
+            }
+            let Some(page) = self.fetch(*operator).await else { return false };
+            // A router alone is never told of a change of its members.
+            let seen = page.sum("siskin_members", &[("state", "visible")]);
+            if count > 1 && seen < f64::from(u32::try_from(count).unwrap_or(u32::MAX)) {
+                return false;
+            }
+            if version_of(&page) < self.version.load(Ordering::Relaxed) {
+                return false;
+            }
+        }
+        true
     }
 
     /// Addresses for callers.
@@ -151,51 +324,192 @@
         &self.callers
     }
 
-    /// Counters of each router.
-    pub(crate) fn pages(&self) -> Vec<Page> {
-        self.lock().iter().map(Seat::page).collect()
+    /// Reads the counters of a router over its operators' interface.
+    async fn fetch(&self, operator: SocketAddr) -> Option<Page> {
+        let answer = self.client.send(&Call::operator(operator, "/metrics")).await.ok()?;
+        let mut page = Page::default();
+        page.add(&answer.body);
+        (answer.complete && answer.status.is_success()).then_some(page)
+    }
+
+    /// Counters of each router, those of its killed predecessors included.
+    pub(crate) async fn pages(&self) -> Vec<Page> {
+        let mut pages = Vec::new();
+        for index in 0..self.operators.len() {
+            pages.push(self.page(index).await);
+        }
+        pages
+    }
+
+    async fn page(&self, index: usize) -> Page {
+        let (mut page, operator) = {
+            let seats = self.lock();
+            let seat = &seats[index];
+            let mut page = seat.lost.clone();
+            let operator = match &seat.router {
+                Some(Router::Task(router)) => {
+                    page.add(&router.metrics().page());
+                    None
+                }
+                Some(Router::Process(process)) => Some(process.operators()),
+                None => None,
+            };
+            (page, operator)
+        };
+        if let Some(operator) = operator {
+            match self.fetch(operator).await {
+                Some(own) => page.merge(&own),
+                None => log::error!("the metrics of router {index} cannot be read"),
+            }
+        }
+        page
+    }
+
+    /// What each router has used; none for routers in this process.
+    pub(crate) fn usage(&self) -> Vec<Option<Usage>> {
+        let usage = |seat: &Seat| self.launch.as_ref().and_then(|_| seat.usage());
+        self.lock().iter().map(usage).collect()
     }
 
-    /// Configuration versions in force.
+    /// Configuration versions in force. Those of processes are the last that were read.
     pub(crate) fn versions(&self) -> Vec<Version> {
         let seats = self.lock();
         let running = seats.iter().enumerate().filter_map(|(index, seat)| {
-            let in_force = seat.router.as_ref()?.config_version();
+            let in_force = match seat.router.as_ref()? {
+                Router::Task(router) => router.config_version(),
+                Router::Process(_) => seat.in_force,
+            };
             Some(Version { router: index, start: seat.starts, in_force })
         });
         running.collect()
     }
 
-    /// Kills a router, as the loss of its VM does.
-    pub(crate) fn kill_router(&self) {
-        let mut seats = self.lock();
-        let index = VICTIM.min(seats.len() - 1);
-        let seat = &mut seats[index];
-        seat.lost = seat.page();
-        if let Some(router) = seat.router.take() {
-            router.kill();
+    /// Reads the versions of routers that run as processes, again and again.
+    pub(crate) async fn follow_versions(&self) {
+        if self.launch.is_none() {
+            return;
+        }
+        loop {
+            for (index, operator) in self.operators.iter().enumerate() {
+                let start = self.lock()[index].starts;
+                let page = self.fetch(*operator).await;
+                let mut seats = self.lock();
+                let seat = &mut seats[index];
+                // An answer of a predecessor says nothing about the router that runs now.
+                if let Some(page) = page.filter(|_| seat.starts == start) {
+                    seat.in_force = version_of(&page);
+                }
+            }
+            time::sleep(VERSION_CHECK).await;
         }
     }
 
-    /// Starts the killed router again at its addresses, without memory.
-    pub(crate) async fn start_router(&self) -> anyhow::Result<()> {
-        let (index, mut settings) = {
-            let seats = self.lock();
-            let index = VICTIM.min(seats.len() - 1);
-            (index, seats[index].settings.clone())
-        };
-        settings.seeds = {
-            let seats = self.lock();
-            let others = seats.iter().enumerate().filter(|(other, _)| *other != index);
-            others.map(|(_, seat)| seat.settings.control).take(3).collect()
-        };
-        let router = start_router(&settings).await?;
-        let seat = &mut self.lock()[index];
-        seat.router = Some(router);
-        seat.starts += 1;
+    /// Adds customers that send nothing.
+    pub(crate) async fn register(&self, customers: u32) -> anyhow::Result<()> {
+        for first in (0..customers).step_by(CUSTOMERS_PER_PATCH as usize) {
+            let last = customers.min(first + CUSTOMERS_PER_PATCH);
+            let section: Map<String, Value> = (first..last).map(registered).collect();
+            self.patch(&json!({ "customers": section })).await?;
+        }
         Ok(())
     }
 
+    /// Changes the configuration as often as asked for, and returns how many changes were accepted.
+    pub(crate) async fn change(&self, count: u32, start: time::Instant, spacing: Duration) -> u32 {
+        let mut accepted = 0;
+        for number in 0..count {
+            time::sleep_until(start + spacing * number).await;
+            // The limit is far above what waits, so the change alters nothing in the run.
+            let limit = 10_000 + number % 2;
+            let changes = json!({ "customers": { caller::user(0): { "max_in_flight": limit } } });
+            match self.patch(&changes).await {
+                Ok(()) => accepted += 1,
+                Err(error) => {
+                    log::warn!("a configuration change was not accepted: {error:#}");
+                    if let Some(page) = self.fetch(self.operators[0]).await {
+                        self.version.store(version_of(&page), Ordering::Relaxed);
+                    }
+                }
+            }
+        }
+        accepted
+    }
+
+    /// Submits a patch at the first router.
+    async fn patch(&self, changes: &Value) -> anyhow::Result<()> {
+        let base = self.version.load(Ordering::Relaxed);
+        let patch = Call::patch(self.operators[0], &format!("measure-{base}"), base, changes);
+        let version = self.client.patch(&patch).await?;
+        self.version.store(version, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Routers of a data centre, by number.
+    pub(crate) fn routers_of(&self, data_centre: &str) -> Vec<usize> {
+        let seats = self.lock();
+        let inside = |(_, seat): &(usize, &Seat)| seat.settings.data_centre == data_centre;
+        seats.iter().enumerate().filter(inside).map(|(index, _)| index).collect()
+    }
+
+    /// Kills routers at the same time, as the loss of their VMs does.
+    pub(crate) async fn kill_routers(&self, victims: &[usize]) {
+        for index in victims {
+            let page = self.page(*index).await;
+            let seat = &mut self.lock()[*index];
+            seat.lost = page;
+            seat.lost_processor = seat.usage().unwrap_or_default().processor;
+        }
+        let mut killing = JoinSet::new();
+        for index in victims {
+            if let Some(router) = self.lock()[*index].router.take() {
+                killing.spawn(router.kill());
+            }
+        }
+        killing.join_all().await;
+    }
+
+    /// Starts killed routers again at their addresses, without memory.
+    pub(crate) async fn start_routers(&self, victims: &[usize]) -> anyhow::Result<()> {
+        for index in victims {
+            let mut settings = self.lock()[*index].settings.clone();
+            settings.seeds = {
+                let seats = self.lock();
+                let others = seats.iter().enumerate().filter(|(other, _)| other != index);
+                others.map(|(_, seat)| seat.settings.control).take(SEEDS).collect()
+            };
+            let router = start_router(&settings, self.launch.as_ref()).await?;
+            let seat = &mut self.lock()[*index];
+            seat.router = Some(router);
+            seat.starts += 1;
+            seat.in_force = 0;
+        }
+        Ok(())
+    }
+
+    /// Ends the engines of a data centre; they accept connections again after `pause`.
+    pub(crate) fn lose_engines(&self, data_centre: &str, pause: Duration) {
+        let restart_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        let mut lost = crate::lock(&self.lost_engines);
+        for (index, engine) in self.engines.iter().enumerate() {
+            if engine_data_centre(index) == data_centre {
+                engine.command(fault::Command::always(fault::Fault::Crash { restart_ms }));
+                lost.push(index);
+            }
+        }
+    }
+
+    /// The lost engines count again.
+    pub(crate) fn engines_return(&self) {
+        crate::lock(&self.lost_engines).clear();
+    }
+
+    /// Engines that are not lost with their data centre.
+    pub(crate) fn running_engines(&self) -> Vec<&engine::Server> {
+        let lost = crate::lock(&self.lost_engines);
+        let running = self.engines.iter().enumerate().filter(|(index, _)| !lost.contains(index));
+        running.map(|(_, engine)| engine).collect()
+    }
+
     /// Cuts the first half of the data centres off from the second.
     pub(crate) fn partition(&self) {
         let seats = self.lock();
@@ -203,24 +517,18 @@
         for seat in seats.iter() {
             let other = seats.iter().filter(|other| half(other) != half(seat));
             let nodes: Vec<_> = other.map(|other| other.settings.node).collect();
-            if let Some(router) = &seat.router {
-                router.block(&nodes);
-            }
+            seat.block(&nodes);
         }
     }
 
     /// Ends the partition.
     pub(crate) fn heal(&self) {
-        for seat in self.lock().iter() {
-            if let Some(router) = &seat.router {
-                router.block(&[]);
-            }
-        }
+        self.lock().iter().for_each(|seat| seat.block(&[]));
     }
 
     pub(crate) async fn stop(self) {
         let seats = self.seats.into_inner().unwrap_or_else(PoisonError::into_inner);
-        let mut stopping = tokio::task::JoinSet::new();
+        let mut stopping = JoinSet::new();
         for router in seats.into_iter().filter_map(|seat| seat.router) {
             stopping.spawn(router.stop());
         }
@@ -232,17 +540,44 @@
     }
 }
 
+impl Seat {
+    /// Cuts the router off from others. The options refuse a partition of processes.
+    fn block(&self, nodes: &[Node]) {
+        if let Some(Router::Task(router)) = &self.router {
+            router.block(nodes);
+        }
+    }
+}
+
+/// The configuration version on a page of metrics.
+fn version_of(page: &Page) -> u64 {
+    // Versions are whole numbers far below the point where doubles lose them.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let version = page.sum("siskin_config_version", &[]) as u64;
+    version
+}
+
+/// A customer that sends nothing.
+fn registered(number: u32) -> (String, Value) {
+    let name = format!("registered-{number}");
+    let value = json!({
+        "id": FIRST_REGISTERED + number, "max_in_flight": 64, "max_queue": MAX_QUEUE,
+        "key_hashes": [Hash::of(name.as_bytes())],
+    });
+    (name, value)
+}
+
 /// Starts a router. A router needs the same port number for UDP and TCP, which another connection of this
 /// process may have taken for one of them, so it is tried again.
-async fn start_router(settings: &Settings) -> anyhow::Result<Router> {
+async fn start_router(settings: &Settings, launch: Option<&Launch>) -> anyhow::Result<Router> {
     for _ in 1..START_ATTEMPTS {
-        match Router::start(settings.clone()).await {
+        match Router::start(settings, launch).await {
             Ok(router) => return Ok(router),
             Err(error) => log::debug!("a router did not start: {error:#}"),
         }
         time::sleep(READY_CHECK).await;
     }
-    Router::start(settings.clone()).await
+    Router::start(settings, launch).await
 }
 
 fn settings(number: u32, mode: Mode, seeds: Vec<SocketAddr>, document: Document) -> Settings {
@@ -259,6 +594,16 @@
     format!("dc{}", number % DATA_CENTRES + 1)
 }
 
+/// Data centre of an engine by its index. Engines are numbered from 1.
+fn engine_data_centre(index: usize) -> String {
+    data_centre(u32::try_from(index + 1).unwrap_or_default())
+}
+
+/// Name of the pool of a model.
+fn pool(model: u32) -> String {
+    if model == 0 { "chat".to_owned() } else { format!("chat-{model}") }
+}
+
 /// The configuration of the site.
 fn document(
     engines: &[engine::Server],
@@ -268,12 +613,26 @@
 ) -> anyhow::Result<Document> {
     let mut endpoints = Map::new();
     for (number, engine) in (1..).zip(engines) {
+        let model = (number - 1) % options.models;
         let endpoint = json!({
-            "id": number, "kind": "engine", "pool": "chat", "address": engine.address(),
-            "data_centre": data_centre(number), "models": ["small"], "slots": options.engine_slots,
+            "id": number, "kind": "engine", "pool": pool(model), "address": engine.address(),
+            "data_centre": data_centre(number), "models": [workload::model(model)],
+            "slots": options.engine_slots,
         });
         endpoints.insert(format!("engine-{number}"), endpoint);
     }
+    let mut pools = Map::new();
+    let mut models = Map::new();
+    for model in 0..options.models {
+        let id = if model == 0 { 1 } else { FIRST_POOL + model };
+        let section = json!({
+            "id": id, "unit": "tokens", "max_request": MAX_REQUEST, "reuse_slack": REUSE_SLACK,
+        });
+        pools.insert(pool(model), section);
+        models.insert(workload::model(model), json!({ "id": id, "pool": pool(model) }));
+    }
+    let section = json!({ "id": 2, "unit": "milliseconds", "max_request": 30_000 });
+    pools.insert("bookings".to_owned(), section);
     let endpoint = json!({
         "id": 1_000, "kind": "application", "pool": "bookings", "address": bookings.address(),
         "data_centre": data_centre(0), "route": "bookings", "slots": APPLICATION_SLOTS,
@@ -290,13 +649,8 @@
     }
     let document = json!({
         "customers": parties,
-        "pools": {
-            "chat": {
-                "id": 1, "unit": "tokens", "max_request": MAX_REQUEST, "reuse_slack": REUSE_SLACK,
-            },
-            "bookings": { "id": 2, "unit": "milliseconds", "max_request": 30_000 },
-        },
-        "models": { "small": { "id": 1, "pool": "chat" } },
+        "pools": pools,
+        "models": models,
         "routes": { "bookings": { "pool": "bookings" } },
         "endpoints": endpoints,
     });
--- a/siskin-measure/src/workload.rs
+++ b/siskin-measure/src/workload.rs
@@ -21,7 +21,8 @@
     /// A rush at dawn enters at two routers: photo tags and long season summaries. Offered load is 2.6
     /// times the capacity, and half the capacity afterwards.
     Egirdir,
-    /// 41 requests per second and router below capacity, the rate for which control traffic is limited.
+    /// The same rate at each router: 41 requests per second unless asked for otherwise, which is the rate for which
+    /// control traffic is limited.
     Paced,
 }
 
@@ -47,7 +48,7 @@
                 "one large agency and fifteen smaller customers, long plans and one-word tags"
             }
             Self::Egirdir => "a dawn rush through two routers, photo tags and season summaries",
-            Self::Paced => "41 requests/s per router below capacity, for control traffic",
+            Self::Paced => "41 requests/s per router or another rate, for the cost of control",
         }
     }
 }
@@ -114,8 +115,14 @@
 /// Confirmations per model call.
 const CONFIRMATIONS: f64 = 0.05;
 
-/// Requests per second and router of [`Scenario::Paced`].
-const PACED_RATE: f64 = 41.0;
+/// Requests per second and router of [`Scenario::Paced`] for which control traffic is limited.
+pub const PACED_RATE: f64 = 41.0;
+
+/// Name of a model by its number.
+#[must_use]
+pub fn model(number: u32) -> String {
+    if number == 0 { "small".to_owned() } else { format!("small-{number}") }
+}
 
 /// Load of the flooding customer relative to the capacity.
 const FLOOD_SHARE: f64 = 3.0;
@@ -170,6 +177,8 @@
     pub slots: u32,
     /// Time of a slot for one token.
     pub token_interval: Duration,
+    /// Requests per second and router of [`Scenario::Paced`].
+    pub rate: f64,
 }
 
 const LAYOUT: &[(Kind, u32)] = &[(Kind::Plan, 3), (Kind::Tag, 7)];
@@ -199,7 +208,7 @@
             vec![each; count as usize]
         }
         Scenario::Paced => {
-            let rate = PACED_RATE * f64::from(options.routers);
+            let rate = options.rate * f64::from(options.routers);
             let each = Customer {
                 weight: 1,
                 share: share(rate / pace(options, SHORT), count),
@@ -249,6 +258,7 @@
 ///     customers: 16,
 ///     slots: 32,
 ///     token_interval: Duration::from_millis(4),
+///     rate: 41.0,
 /// };
 /// let calls = schedule(&options, &[]);
 /// assert!(!calls.is_empty());
--- a/siskin-measure/tests/measure/main.rs
+++ b/siskin-measure/tests/measure/main.rs
@@ -2,5 +2,6 @@
 
 mod figures;
 mod process;
+mod recovery;
 mod run;
 mod schedule;
--- a/siskin-router/tests/router/main.rs
+++ b/siskin-router/tests/router/main.rs
@@ -1,3 +1,4 @@
 //! The program itself: its settings and its stop.
 
+mod process;
 mod program;
--- a/siskin-site/examples/footprint.rs
+++ b/siskin-site/examples/footprint.rs
@@ -4,18 +4,14 @@
 //! Run with `cargo run --release -p siskin-site --example footprint -- [CUSTOMERS]`. Reads `/proc`, so it needs Linux.
 
 use {
-    anyhow::Context,
-    hyper::Method,
     serde_json::{Map, Value, json},
     siskin_config::document::Hash,
     siskin_site::{
-        Customer, OPERATOR_TOKEN, Options, Site,
+        Customer, Options, Site,
         client::{Call, Client},
+        process::Usage,
     },
-    std::{
-        fs,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
     tokio::time,
 };
 
@@ -34,8 +30,8 @@
 /// Time over which an idle router is watched.
 const IDLE: Duration = Duration::from_secs(5);
 
-/// Clock ticks in a second, as Linux counts processor time for programs.
-const TICKS_PER_SECOND: f64 = 100.0;
+/// Bytes in a megabyte of the report.
+const BYTES_PER_MB: f64 = 1_048_576.0;
 
 fn main() -> anyhow::Result<()> {
     println!(
@@ -79,7 +75,9 @@
     let before = processor_seconds()?;
     time::sleep(IDLE).await;
     let idle = processor_seconds()? - before;
-    let memory_mb = memory_mb()?;
+    // Memory is far below the point where doubles lose whole bytes.
+    #[allow(clippy::cast_precision_loss)]
+    let memory_mb = usage()?.resident_bytes as f64 / BYTES_PER_MB;
     let before = processor_seconds()?;
     let started = Instant::now();
     for change in 0..CHANGES {
@@ -117,30 +115,15 @@
 
 async fn patch(site: &Site, client: &Client, base: u64, changes: &Value) -> anyhow::Result<u64> {
     let id = format!("footprint-{base}");
-    let body = json!({ "id": id, "base": base, "author": "footprint", "changes": changes });
-    let router = site.router(0).operators();
-    let path = "/v1/config/patches";
-    let call = Call {
-        method: Method::POST,
-        ..Call::post(router, path, OPERATOR_TOKEN, &body.to_string())
-    };
-    let answer = client.send(&call.header("content-type", "application/json")).await?;
-    let accepted: Value = serde_json::from_str(&answer.body)?;
-    accepted["version"].as_u64().with_context(|| format!("the patch was refused: {answer:?}"))
+    client.patch(&Call::patch(site.router(0).operators(), &id, base, changes)).await
 }
 
-/// Processor time of this process so far.
-fn processor_seconds() -> anyhow::Result<f64> {
-    let stat = fs::read_to_string("/proc/self/stat")?;
-    let fields = stat.rsplit(')').next().context("malformed stat")?;
-    let ticks = fields.split_whitespace().skip(11).take(2).map(str::parse::<f64>);
-    Ok(ticks.sum::<Result<f64, _>>()? / TICKS_PER_SECOND)
+/// What this process uses.
+fn usage() -> std::io::Result<Usage> {
+    Usage::of(std::process::id())
 }
 
-/// Resident memory of this process.
-fn memory_mb() -> anyhow::Result<f64> {
-    let status = fs::read_to_string("/proc/self/status")?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).context("no VmRSS")?;
-    let kilobytes: f64 = line.split_whitespace().nth(1).context("malformed VmRSS")?.parse()?;
-    Ok(kilobytes / 1_024.0)
+/// Processor time of this process so far.
+fn processor_seconds() -> std::io::Result<f64> {
+    Ok(usage()?.processor.as_secs_f64())
 }
--- a/siskin-site/src/client.rs
+++ b/siskin-site/src/client.rs
@@ -1,6 +1,7 @@
 //! Sends calls to a router.
 
 use {
+    crate::OPERATOR_TOKEN,
     anyhow::Context,
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
@@ -9,7 +10,7 @@
         client::legacy::{self, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    serde_json::json,
+    serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
     tokio::time,
 };
@@ -20,6 +21,9 @@
 /// Path of model calls.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 
+/// Path of patches at the operators' interface.
+const PATCH_PATH: &str = "/v1/config/patches";
+
 /// A call.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -63,6 +67,20 @@
         Self::post(router, CHAT_PATH, key, &body.to_string())
     }
 
+    /// A `GET` at the operators' interface.
+    #[must_use]
+    pub fn operator(router: SocketAddr, path: &str) -> Self {
+        Self { method: Method::GET, ..Self::post(router, path, OPERATOR_TOKEN, "") }
+    }
+
+    /// A patch of the configuration, made against version `base`.
+    #[must_use]
+    pub fn patch(router: SocketAddr, id: &str, base: u64, changes: &Value) -> Self {
+        let body = json!({ "id": id, "base": base, "author": "site", "changes": changes });
+        Self::post(router, PATCH_PATH, OPERATOR_TOKEN, &body.to_string())
+            .header("content-type", "application/json")
+    }
+
     /// The call with one more header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
@@ -176,6 +194,20 @@
             complete,
         })
     }
+
+    /// Sends a patch and returns the version that it created.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer or the patch was refused.
+    pub async fn patch(&self, patch: &Call) -> anyhow::Result<u64> {
+        let answer = self.send(patch).await?;
+        let accepted: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        accepted["version"]
+            .as_u64()
+            .filter(|_| answer.status.is_success())
+            .with_context(|| format!("the patch was refused: {} {}", answer.status, answer.body))
+    }
 }
 
 /// Sends one call on a connection of its own.
--- a/siskin-site/src/lib.rs
+++ b/siskin-site/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod options;
+pub mod process;
 mod site;
 
 pub use {
