--- a/siskin-config/src/document.rs
+++ b/siskin-config/src/document.rs
@@ -6,6 +6,7 @@
     siskin_types::{
         cost::{Units, Weight},
         id,
+        role::Role,
     },
     std::{fmt, net::SocketAddr, str::FromStr, time::Duration},
 };
@@ -140,7 +141,7 @@
     }
 }
 
-/// A model that callers may name.
+/// A model, or an adapter on a model, that callers may name.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
@@ -148,6 +149,12 @@
     pub id: id::Model,
     /// Name of the pool that serves it.
     pub pool: String,
+    /// For an adapter, the model that it is loaded on. An adapter's name is that of its base, a colon and its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<String>,
+    /// The version that engines shall serve; any if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
 }
 
 /// What an endpoint is.
@@ -185,9 +192,12 @@
     pub address: SocketAddr,
     /// Data centre of its VM.
     pub data_centre: String,
-    /// Names of the wanted models, for an engine.
+    /// Names of the wanted models and adapters, for an engine.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<String>,
+    /// The wanted role of an engine. Only an engine with the default role gets calls.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub role: Role,
     /// Name of the route it serves, for an application.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub route: Option<String>,
--- a/siskin-config/src/document/validate.rs
+++ b/siskin-config/src/document/validate.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Customer, Document, Endpoint, Fleet, Hash, Model, Pool, Route, Service, Unit},
+    siskin_types::role::Role,
     std::{
         collections::{HashMap, HashSet},
         fmt::Display,
@@ -208,7 +209,52 @@
     check_name("models", name, ":/")?;
     claim(&mut unique.models, model.id.0, name, || field("id"))?;
     let pool = find_pool(document, &model.pool, || field("pool"))?;
-    check_unit(pool, Unit::Tokens, &model.pool, || field("pool"))
+    check_unit(pool, Unit::Tokens, &model.pool, || field("pool"))?;
+    if let Some(version) = &model.version {
+        check_version(version, || field("version"))?;
+    }
+    match &model.base {
+        Some(base) => check_base(document, name, model, base, || field("base")),
+        None => Ok(()),
+    }
+}
+
+fn check_version(version: &str, field: impl FnOnce() -> String) -> Result<(), Error> {
+    let allowed = |c: char| c.is_ascii_graphic();
+    if !version.is_empty() && version.len() <= MAX_NAME_BYTES && version.chars().all(allowed) {
+        return Ok(());
+    }
+    let remedy = format!(
+        "use 1 to {MAX_NAME_BYTES} printable ASCII characters without spaces, or leave the version out"
+    );
+    Err(Error::new(Kind::Malformed, field(), version, remedy))
+}
+
+fn check_base(
+    document: &Document,
+    name: &str,
+    adapter: &Model,
+    base: &str,
+    field: impl Fn() -> String,
+) -> Result<(), Error> {
+    let Some(model) = document.models.get(base) else {
+        let remedy = "name a model that exists, or create the model in the same patch";
+        return Err(Error::new(Kind::Unresolved, field(), base, remedy));
+    };
+    if model.base.is_some() {
+        let remedy = format!("'{base}' is an adapter; name a model that has no base");
+        return Err(Error::new(Kind::Mismatch, field(), base, remedy));
+    }
+    if model.pool != adapter.pool {
+        let remedy = format!("it belongs to pool '{}'; use the same pool for both", model.pool);
+        return Err(Error::new(Kind::Mismatch, field(), base, remedy));
+    }
+    let own = name.strip_prefix(base).and_then(|rest| rest.strip_prefix(':'));
+    if own.is_none_or(str::is_empty) {
+        let remedy = format!("name the adapter '{base}:' followed by a name of its own");
+        return Err(Error::new(Kind::Mismatch, field(), base, remedy));
+    }
+    Ok(())
 }
 
 fn check_route(document: &Document, name: &str, route: &Route) -> Result<(), Error> {
@@ -285,6 +331,10 @@
             let remedy = format!("it belongs to pool '{}'; use an engine of that pool", model.pool);
             return Err(Error::new(Kind::Mismatch, field("models"), name, remedy));
         }
+        if let Some(base) = model.base.as_ref().filter(|base| !endpoint.models.contains(*base)) {
+            let remedy = format!("it is an adapter on '{base}'; list that model too");
+            return Err(Error::new(Kind::Mismatch, field("models"), name, remedy));
+        }
     }
     Ok(())
 }
@@ -298,6 +348,10 @@
         let remedy = "leave the models out; applications serve a route";
         return Err(Error::new(Kind::Mismatch, field("models"), model, remedy));
     }
+    if endpoint.role != Role::default() {
+        let remedy = "leave the role out; only engines have one";
+        return Err(Error::new(Kind::Mismatch, field("role"), endpoint.role, remedy));
+    }
     let Some(name) = &endpoint.route else {
         let remedy = "name the route that the application serves";
         return Err(Error::new(Kind::Missing, field("route"), "", remedy));
--- a/siskin-config/tests/main/validation.rs
+++ b/siskin-config/tests/main/validation.rs
@@ -144,6 +144,55 @@
             changes: json!({ "endpoints": { "e2": { "address": "engine:80" } } }),
             want: (Kind::Malformed, "endpoints.e2.address"),
         },
+        Case {
+            name: "adapter on a model that does not exist",
+            changes: json!({ "models": { "x:y": { "id": 9, "pool": "chat", "base": "x" } } }),
+            want: (Kind::Unresolved, "models.x:y.base"),
+        },
+        Case {
+            name: "adapter without the name of its base",
+            changes: json!({ "models": { "legal": { "id": 9, "pool": "chat", "base": "small" } } }),
+            want: (Kind::Mismatch, "models.legal.base"),
+        },
+        Case {
+            name: "adapter on an adapter",
+            changes: json!({ "models": {
+                "small:a": { "id": 8, "pool": "chat", "base": "small" },
+                "small:a:b": { "id": 9, "pool": "chat", "base": "small:a" }
+            } }),
+            want: (Kind::Mismatch, "models.small:a:b.base"),
+        },
+        Case {
+            name: "adapter in another pool than its base",
+            changes: json!({
+                "pools": { "other": { "id": 9, "unit": "tokens", "max_request": 1 } },
+                "models": { "small:a": { "id": 9, "pool": "other", "base": "small" } }
+            }),
+            want: (Kind::Mismatch, "models.small:a.base"),
+        },
+        Case {
+            name: "engine with an adapter without its base",
+            changes: json!({
+                "models": { "small:a": { "id": 9, "pool": "chat", "base": "small" } },
+                "endpoints": { "e1": { "models": ["small:a"] } }
+            }),
+            want: (Kind::Mismatch, "endpoints.e1.models"),
+        },
+        Case {
+            name: "version with a space",
+            changes: json!({ "models": { "small": { "version": "1 2" } } }),
+            want: (Kind::Malformed, "models.small.version"),
+        },
+        Case {
+            name: "role that does not exist",
+            changes: json!({ "endpoints": { "e1": { "role": "serve" } } }),
+            want: (Kind::Malformed, "endpoints.e1.role"),
+        },
+        Case {
+            name: "application with a role",
+            changes: json!({ "endpoints": { "e2": { "role": "decode" } } }),
+            want: (Kind::Mismatch, "endpoints.e2.role"),
+        },
         Case {
             name: "claims forgotten before the longest request ends",
             changes: json!({ "fleet": { "claim_retention_s": 10 } }),
--- a/siskin-lease/src/orders.rs
+++ b/siskin-lease/src/orders.rs
@@ -1,19 +1,32 @@
-//! Derives orders from the difference between the wanted and the reported models of each engine.
+//! Derives orders from the difference between the wanted and the reported state of each engine.
 //!
-//! Orders carry the whole wanted state and may be repeated. An engine that unloads a model or changes its role is
-//! drained first, and only if each of its ready models has another ready engine. Of the engines of a model, one is
-//! changed at a time, and loads are spaced out because the weight store is rate-limited.
+//! Orders carry the whole wanted state and may be repeated. An engine that unloads a model or an adapter, changes the
+//! version of one or changes its role is drained first, and only if each of its ready models has another ready engine
+//! that serves requests. A load of a further model or adapter needs no drain, because the engine goes on with its
+//! requests meanwhile. Of the engines of a model, one is changed at a time; for a new version this includes the load
+//! that follows the unload. Loads are spaced out because the weight store is rate-limited.
+//!
+//! An adapter is a model of its own with the model that it is loaded on as its base. It is loaded once the base is
+//! ready, and goes with the base.
 
 use {
     crate::holder::Tenure,
     indexmap::IndexMap,
     siskin_types::{
         id::{Endpoint, Model},
+        role::Role,
         time::Instant,
     },
-    std::{collections::BTreeSet, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
+/// Models with their versions. In what is wanted, an empty version stands for any; in a report, for one that is not
+/// known.
+pub type Versions = BTreeMap<Model, String>;
+
 /// Options of a planner.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -43,10 +56,12 @@
 pub struct Engine {
     /// The engine.
     pub endpoint: Endpoint,
-    /// Models that it shall serve.
-    pub models: BTreeSet<Model>,
+    /// Models and adapters that it shall serve.
+    pub models: Versions,
+    /// The base of each adapter among them.
+    pub bases: BTreeMap<Model, Model>,
     /// Role that it shall have.
-    pub role: String,
+    pub role: Role,
     /// Whether it rejects orders with an old fencing number.
     pub checks_fencing: bool,
 }
@@ -54,12 +69,12 @@
 /// What an engine reports.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
-    /// Models that it can serve.
-    pub ready: BTreeSet<Model>,
-    /// Models that it is loading.
-    pub loading: BTreeSet<Model>,
-    /// Its role.
-    pub role: String,
+    /// Models and adapters that it can serve.
+    pub ready: Versions,
+    /// Models and adapters that it is loading.
+    pub loading: Versions,
+    /// Its role; `None` for one that is not known, in which it gets no requests.
+    pub role: Option<Role>,
     /// It takes no new requests.
     pub leaving: bool,
     /// Number of its process. A restarted engine has forgotten the fencing numbers that it has seen.
@@ -69,10 +84,12 @@
 /// The state that an order asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Wanted {
-    /// All models that the engine shall serve.
-    pub models: BTreeSet<Model>,
-    /// Its role.
-    pub role: String,
+    /// All models and adapters that the engine shall serve.
+    pub models: Versions,
+    /// The base of each adapter that the configuration wants of the engine.
+    pub bases: BTreeMap<Model, Model>,
+    /// Its role; `None` leaves the role as it is.
+    pub role: Option<Role>,
 }
 
 /// An engine's answer to an order.
@@ -132,7 +149,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     Load(Model),
-    /// Unload what is not wanted and change the role.
+    /// Unload what is not wanted, or not in its present version, and change the role.
     TakeOut,
 }
 
@@ -148,6 +165,8 @@
     step: Step,
     /// Models of which no other engine may be changed meanwhile.
     models: BTreeSet<Model>,
+    /// The configuration has changed since the last order, so a report as wanted does not show that it has arrived.
+    outdated: bool,
 }
 
 #[derive(Debug)]
@@ -156,21 +175,41 @@
     /// The last report and when it was asked for.
     report: Option<(Instant, Report)>,
     change: Option<Change>,
+    /// Models that were taken out and are to be loaded again, in another version or on another version of their base.
+    reloads: BTreeSet<Model>,
+    /// When a drain ends whose order may still arrive although its tenure has ended.
+    undrain_at: Option<Instant>,
     not_before: Instant,
     /// When it accepted an order of this tenure, so that it refuses those of earlier ones.
     confirmed: Option<Instant>,
 }
 
 impl State {
+    fn configured(mut self, wanted: &Engine) -> Self {
+        if let Some(change) = self.change.as_mut().filter(|_| self.wanted != *wanted) {
+            change.outdated = true;
+        }
+        self.wanted = wanted.clone();
+        self
+    }
+
     fn report(&self, now: Instant, limit: Duration) -> Option<&Report> {
         self.report.as_ref().filter(|(asked, _)| now - *asked <= limit).map(|(_, report)| report)
     }
 
+    /// Whether the engine is drained.
+    fn taken_out(&self) -> bool {
+        let changing = self.change.as_ref().is_some_and(|change| change.kind == Kind::TakeOut);
+        changing || self.undrain_at.is_some()
+    }
+
     /// Whether the engine can be relied on to serve a model while another one is taken out.
     fn serves(&self, now: Instant, tenure: Tenure, limit: Duration, model: Model) -> bool {
-        let taken_out = self.change.as_ref().is_some_and(|change| change.kind == Kind::TakeOut);
+        let taken_out = self.taken_out();
         let report = self.report(now, limit);
-        let ready = |report: &Report| !report.leaving && report.ready.contains(&model);
+        let ready = |report: &Report| {
+            !report.leaving && report.serves_requests() && report.ready.contains_key(&model)
+        };
         !taken_out && self.settled(tenure) && report.is_some_and(ready)
     }
 
@@ -192,14 +231,15 @@
 /// ```
 /// use {
 ///     siskin_lease::{holder::Tenure, orders::{Action, Answer, Engine, Options, Planner, Report}},
-///     siskin_types::{id::{Endpoint, Model}, time::Instant},
+///     siskin_types::{id::{Endpoint, Model}, role::Role, time::Instant},
 ///     std::time::Duration,
 /// };
 /// let mut planner = Planner::new(Options { load_spacing: Duration::ZERO, ..Options::default() });
 /// let wanted = Engine {
 ///     endpoint: Endpoint(1),
-///     models: [Model(4)].into(),
-///     role: String::new(),
+///     models: [(Model(4), String::new())].into(),
+///     bases: [].into(),
+///     role: Role::Both,
 ///     checks_fencing: true,
 /// };
 /// let _ = planner.configure(&[wanted]);
@@ -211,15 +251,16 @@
 ///     lease_time: Duration::from_secs(15),
 /// };
 /// assert_eq!(planner.tick(now, Some(tenure)), [Action::Read { endpoint: Endpoint(1) }]);
-/// planner.reported(Endpoint(1), now, &Report::default());
+/// let empty = Report { role: Some(Role::Both), ..Report::default() };
+/// planner.reported(Endpoint(1), now, &empty);
 /// // The first order only makes the fencing number known; the state is read again after it.
 /// assert!(matches!(planner.tick(now, Some(tenure))[..], [Action::Order { fencing: 900, .. }]));
 /// let _ = planner.order_answered(now, Endpoint(1), 900, Answer::Accepted);
 /// let now = now + Duration::from_secs(1);
-/// planner.reported(Endpoint(1), now, &Report::default());
+/// planner.reported(Endpoint(1), now, &empty);
 /// let actions = planner.tick(now, Some(tenure));
 /// let [Action::Order { wanted, .. }] = &actions[..] else { panic!("{actions:?}") };
-/// assert_eq!(wanted.models, [Model(4)].into());
+/// assert_eq!(wanted.models, [(Model(4), String::new())].into());
 /// ```
 #[derive(Debug)]
 pub struct Planner {
@@ -256,17 +297,16 @@
                     wanted: wanted.clone(),
                     report: None,
                     change: None,
+                    reloads: BTreeSet::new(),
+                    undrain_at: None,
                     not_before: Instant::ZERO,
                     confirmed: None,
                 },
-                |state| State { wanted: wanted.clone(), ..state },
+                |state| state.configured(wanted),
             );
             self.engines.insert(wanted.endpoint, state);
         }
-        let taken_out = |state: &State| {
-            state.change.as_ref().is_some_and(|change| change.kind == Kind::TakeOut)
-        };
-        let gone = before.into_values().filter(taken_out);
+        let gone = before.into_values().filter(State::taken_out);
         gone.map(|state| Action::Undrain { endpoint: state.wanted.endpoint }).collect()
     }
 
@@ -278,7 +318,16 @@
         let newer = state.report.as_ref().is_none_or(|(last, _)| *last <= asked);
         if newer {
             let same = |(_, last): &(Instant, Report)| last.instance == report.instance;
-            state.confirmed.take_if(|_| !state.report.as_ref().is_some_and(same));
+            let restarted = !state.report.as_ref().is_some_and(same);
+            state.confirmed.take_if(|_| restarted);
+            // A process that has restarted loads what is wanted anew, whatever was taken out before. While an order to
+            // take models out is on its way, they are still reported as ready.
+            let ordered = state.change.as_ref().is_some_and(|change| change.kind == Kind::TakeOut);
+            let wanted = &state.wanted.models;
+            state.reloads.retain(|model| {
+                let loaded = !ordered && report.ready.contains_key(model);
+                !restarted && wanted.contains_key(model) && !loaded
+            });
             state.report = Some((asked, report.clone()));
         }
     }
@@ -337,6 +386,11 @@
     /// Advances all changes and begins new ones. `tenure` is what [`crate::holder::Holder::tenure`] says at `now`.
     pub fn tick(&mut self, now: Instant, tenure: Option<Tenure>) -> Vec<Action> {
         let mut actions = self.take_over(tenure);
+        for (endpoint, state) in &mut self.engines {
+            if state.undrain_at.take_if(|at| now >= *at).is_some() {
+                actions.push(Action::Undrain { endpoint: *endpoint });
+            }
+        }
         let Some(tenure) = tenure else {
             return actions;
         };
@@ -367,8 +421,17 @@
         let endpoints: Vec<_> = self.engines.keys().copied().collect();
         let mut actions = Vec::new();
         for endpoint in &endpoints {
-            actions.extend(self.cancel(*endpoint));
-            self.engines[endpoint].confirmed = None;
+            let state = &mut self.engines[endpoint];
+            state.confirmed = None;
+            state.reloads.clear();
+            match state.change.as_ref().map(|change| (change.kind, change.step)) {
+                // An order on its way may still take the engine out.
+                Some((Kind::TakeOut, Step::Ordered { sent })) => {
+                    state.change = None;
+                    state.undrain_at = Some(sent + self.options.resend_after);
+                }
+                _ => actions.extend(self.cancel(*endpoint)),
+            }
         }
         if let Some(tenure) = tenure {
             self.reread = false;
@@ -400,23 +463,27 @@
             return if silent { self.cancel(endpoint) } else { Vec::new() };
         };
         let done = match change.kind {
+            // A restarted engine needs the base of an adapter again first.
             Kind::Load(model) => {
-                report.ready.contains(&model) || !state.wanted.models.contains(&model)
+                let wanted = state.wanted.models.contains_key(&model);
+                report.ready.contains_key(&model)
+                    || !wanted
+                    || !state.wanted.has_base(model, report)
             }
             Kind::TakeOut => !needs_take_out(&state.wanted, report),
         };
-        if done {
-            return self.cancel(endpoint);
-        }
         let asked = state.report.as_ref().map(|(asked, _)| *asked);
         let unseen = |sent| asked.is_some_and(|asked| asked >= sent + self.options.resend_after);
-        let due = match change.step {
-            Step::Draining { empty } => empty,
-            Step::Ordered { sent } => unseen(sent),
+        let (due, on_its_way) = match change.step {
+            Step::Draining { empty } => (empty, false),
+            Step::Ordered { sent } => (unseen(sent), change.outdated && !unseen(sent)),
         };
+        if done && !(on_its_way && change.kind == Kind::TakeOut) {
+            return self.cancel(endpoint);
+        }
         match change.kind {
             Kind::Load(model) => {
-                let repeat = due && !report.loading.contains(&model) && now >= self.next_load;
+                let repeat = due && !report.loading.contains_key(&model) && now >= self.next_load;
                 if repeat { vec![self.load(now, tenure, endpoint, model)] } else { Vec::new() }
             }
             // An order on its way may still take the engine out, so the change stays until a later report shows that
@@ -425,7 +492,7 @@
                 let revocable = due || matches!(change.step, Step::Draining { .. });
                 if revocable { self.cancel(endpoint) } else { Vec::new() }
             }
-            Kind::TakeOut if due => vec![self.take_out(now, tenure, endpoint)],
+            Kind::TakeOut if due && !done => vec![self.take_out(now, tenure, endpoint)],
             Kind::TakeOut => Vec::new(),
         }
     }
@@ -433,7 +500,8 @@
     fn begin(&mut self, now: Instant, tenure: Tenure, endpoint: Endpoint) -> Option<Action> {
         let state = &self.engines[&endpoint];
         let report = state.report(now, self.options.report_limit)?.clone();
-        if state.change.is_some() || now < state.not_before || report.leaving {
+        let changing = state.change.is_some() || state.undrain_at.is_some();
+        if changing || now < state.not_before || report.leaving {
             return None;
         }
         if state.wanted.checks_fencing && state.confirmed.is_none() {
@@ -443,14 +511,15 @@
             return None;
         }
         if needs_take_out(&state.wanted, &report) {
-            let models: BTreeSet<_> = report.ready.union(&report.loading).copied().collect();
+            let models = report.present().into_keys().collect();
             let last = self.last_of(now, tenure, endpoint);
             if let Some(model) = last {
                 self.blocked.push(Blocked { endpoint, model });
             }
-            if last.is_none() && !self.busy(now, &models) {
+            if last.is_none() && !self.busy(now, endpoint, &models) {
                 let step = Step::Draining { empty: false };
-                self.set_change(endpoint, Change { kind: Kind::TakeOut, step, models });
+                let change = Change { kind: Kind::TakeOut, step, models, outdated: false };
+                self.set_change(endpoint, change);
                 return Some(Action::Drain { endpoint });
             }
         }
@@ -470,8 +539,8 @@
             return None;
         }
         state.not_before = now + self.options.resend_after;
-        let models = report.ready.union(&report.loading).copied().collect();
-        let wanted = Wanted { models, role: report.role.clone() };
+        let bases = state.wanted.bases.clone();
+        let wanted = Wanted { models: report.present(), bases, role: report.role };
         Some(Action::Order { endpoint, fencing: tenure.fencing, wanted })
     }
 
@@ -485,10 +554,14 @@
         if now < self.next_load || !report.loading.is_empty() {
             return None;
         }
-        let missing = self.engines[&endpoint].wanted.models.difference(&report.ready).copied();
-        let model = missing.into_iter().find(|model| !self.busy(now, &[*model].into()))?;
+        let engine = &self.engines[&endpoint].wanted;
+        let possible =
+            |model: &&Model| engine.has_base(**model, report) && !report.ready.contains_key(*model);
+        let mut missing = engine.models.keys().filter(possible).copied();
+        let model = missing.find(|model| !self.busy(now, endpoint, &[*model].into()))?;
         let step = Step::Ordered { sent: now };
-        let change = Change { kind: Kind::Load(model), step, models: [model].into() };
+        let models = [model].into();
+        let change = Change { kind: Kind::Load(model), step, models, outdated: false };
         self.set_change(endpoint, change);
         Some(self.load(now, tenure, endpoint, model))
     }
@@ -502,17 +575,27 @@
     fn load(&mut self, now: Instant, tenure: Tenure, endpoint: Endpoint, model: Model) -> Action {
         self.next_load = now + self.options.load_spacing;
         let report = self.last_report(endpoint);
-        let present = report.ready.union(&report.loading).copied();
-        let wanted = Wanted { models: present.chain([model]).collect(), role: report.role };
+        let engine = &self.engines[&endpoint].wanted;
+        let mut models = report.present();
+        models.insert(model, engine.models.get(&model).cloned().unwrap_or_default());
+        let wanted = Wanted { models, bases: engine.bases.clone(), role: report.role };
         self.order(now, tenure, endpoint, wanted)
     }
 
     fn take_out(&mut self, now: Instant, tenure: Tenure, endpoint: Endpoint) -> Action {
         let report = self.last_report(endpoint);
-        let engine = &self.engines[&endpoint].wanted;
-        let present = report.ready.union(&report.loading).copied();
-        let models = present.filter(|model| engine.models.contains(model)).collect();
-        let wanted = Wanted { models, role: engine.role.clone() };
+        let Some(state) = self.engines.get_mut(&endpoint) else {
+            return Action::Undrain { endpoint };
+        };
+        let engine = &state.wanted;
+        let mut models = report.present();
+        models.retain(|model, version| is_wanted(engine, *model, version));
+        let bases: BTreeSet<_> = models.keys().copied().collect();
+        models.retain(|model, _| engine.bases.get(model).is_none_or(|base| bases.contains(base)));
+        let taken = report.ready.keys().filter(|model| !models.contains_key(*model));
+        let again = taken.filter(|model| engine.models.contains_key(*model));
+        state.reloads.extend(again);
+        let wanted = Wanted { models, bases: engine.bases.clone(), role: Some(engine.role) };
         self.order(now, tenure, endpoint, wanted)
     }
 
@@ -530,6 +613,7 @@
     ) -> Action {
         if let Some(change) = &mut self.engines[&endpoint].change {
             change.step = Step::Ordered { sent: now };
+            change.outdated = false;
         }
         log::info!(endpoint:%, fencing = tenure.fencing, wanted:?; "order sent");
         Action::Order { endpoint, fencing: tenure.fencing, wanted }
@@ -539,27 +623,63 @@
     fn last_of(&self, now: Instant, tenure: Tenure, endpoint: Endpoint) -> Option<Model> {
         let limit = self.options.report_limit;
         let report = self.engines[&endpoint].report(now, limit)?;
+        if !report.serves_requests() {
+            return None;
+        }
         let last = |model: &Model| {
-            let wanted = self.engines.values().any(|state| state.wanted.models.contains(model));
+            let wanted = self.engines.values().any(|state| state.wanted.models.contains_key(model));
             let mut others = self.engines.iter().filter(|(other, _)| **other != endpoint);
             wanted && !others.any(|(_, state)| state.serves(now, tenure, limit, *model))
         };
-        report.ready.iter().copied().find(last)
+        report.ready.keys().copied().find(last)
     }
 
-    /// Whether an engine of one of the models is being changed, by an own order or by an earlier holder's.
-    fn busy(&self, now: Instant, models: &BTreeSet<Model>) -> bool {
-        self.engines.values().any(|state| {
+    /// Whether an engine of one of the models is being changed, by an own order or by an earlier holder's, or another
+    /// engine has yet to load one of them again. An engine that has been silent for long is not waited for.
+    fn busy(&self, now: Instant, endpoint: Endpoint, models: &BTreeSet<Model>) -> bool {
+        let overdue = self.options.report_limit + self.options.resend_after;
+        self.engines.iter().any(|(other, state)| {
             let report = state.report(now, self.options.report_limit);
-            let loading = report.is_some_and(|report| !report.loading.is_disjoint(models));
+            let loading = report.is_some_and(|report| {
+                models.iter().any(|model| report.loading.contains_key(model))
+            });
             let changing =
                 state.change.as_ref().is_some_and(|change| !change.models.is_disjoint(models));
-            loading || changing
+            let heard = state.report(now, overdue).is_some_and(|report| !report.leaving);
+            let reloading = *other != endpoint && heard && !state.reloads.is_disjoint(models);
+            loading || changing || reloading
         })
     }
 }
 
-fn needs_take_out(wanted: &Engine, report: &Report) -> bool {
-    let present = report.ready.union(&report.loading);
-    report.role != wanted.role || present.into_iter().any(|model| !wanted.models.contains(model))
+impl Engine {
+    /// Whether what a model is loaded on is ready; always true for one that is not an adapter.
+    fn has_base(&self, model: Model, report: &Report) -> bool {
+        self.bases.get(&model).is_none_or(|base| report.ready.contains_key(base))
+    }
+}
+
+impl Report {
+    /// Models that the engine has or is about to have.
+    fn present(&self) -> Versions {
+        let mut present = self.loading.clone();
+        present.extend(self.ready.clone());
+        present
+    }
+
+    fn serves_requests(&self) -> bool {
+        self.role.is_some_and(Role::serves_requests)
+    }
+}
+
+/// Whether an engine shall have a model in this version. A version that is not known counts as the wanted one, or an
+/// engine that does not report versions would be changed over and over.
+fn is_wanted(engine: &Engine, model: Model, version: &str) -> bool {
+    let wanted = engine.models.get(&model);
+    wanted.is_some_and(|wanted| wanted.is_empty() || version.is_empty() || wanted == version)
+}
+
+fn needs_take_out(engine: &Engine, report: &Report) -> bool {
+    let unwanted = |(model, version): (&Model, &String)| !is_wanted(engine, *model, version);
+    report.role != Some(engine.role) || report.ready.iter().chain(&report.loading).any(unwanted)
 }
--- a/siskin-lease/tests/main/faults.rs
+++ b/siskin-lease/tests/main/faults.rs
@@ -4,36 +4,54 @@
         world::{Faults, World},
     },
     googletest::prelude::*,
-    rand::{Rng, SeedableRng, rngs::SmallRng},
-    siskin_lease::orders::Engine,
-    siskin_types::id::{Endpoint, Model},
-    std::collections::BTreeSet,
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
+    siskin_lease::orders::{Engine, Versions},
+    siskin_types::{
+        id::{Endpoint, Model},
+        role::Role,
+    },
 };
 
 const MODELS: u32 = 4;
-const ENGINES: u32 = 6;
+const ENGINES: u32 = 7;
+
+/// Models of this number and above are adapters of the model of the last digit.
+const FIRST_ADAPTER: u32 = 10;
 
-/// A random configuration in which every model is wanted on at least two engines, so that none is blocked for ever.
+fn engine(number: u32, models: Versions, role: Role, checks_fencing: bool) -> Engine {
+    let adapters = models.keys().filter(|model| model.0 >= FIRST_ADAPTER);
+    let bases = adapters.map(|model| (*model, Model(model.0 % FIRST_ADAPTER))).collect();
+    Engine { endpoint: Endpoint(number), models, bases, role, checks_fencing }
+}
+
+/// A random configuration in which every model and adapter is wanted on at least two engines that serve requests, so
+/// that none is blocked for ever.
 fn configuration(rng: &mut SmallRng, checks: Option<bool>) -> Vec<Engine> {
-    let mut engines: Vec<_> = (0..ENGINES)
-        .map(|number| Engine {
-            endpoint: Endpoint(number),
-            models: (0..MODELS).filter(|_| rng.random_bool(0.3)).map(Model).collect(),
-            role: if rng.random_bool(0.5) { "a" } else { "b" }.to_owned(),
-            checks_fencing: checks.unwrap_or(number % 2 == 0),
-        })
+    let versions: Vec<_> = (0..FIRST_ADAPTER + 2)
+        .map(|_| ["", "1", "2"].into_iter().choose(rng).unwrap().to_owned())
         .collect();
-    for model in (0..MODELS).map(Model) {
-        for offset in [0, 3] {
-            let index = usize::try_from((model.0 + offset) % ENGINES).unwrap();
-            engines[index].models.insert(model);
+    let version = |model: u32| (Model(model), versions[model as usize].clone());
+    let mut models = vec![Versions::new(); ENGINES as usize];
+    for engine in &mut models {
+        engine.extend((0..MODELS).filter(|_| rng.random_bool(0.2)).map(version));
+    }
+    let serving: Vec<_> = (0..models.len()).choose_multiple(rng, 4);
+    for model in (0..MODELS).chain(FIRST_ADAPTER..FIRST_ADAPTER + 2) {
+        for index in serving.iter().choose_multiple(rng, 2) {
+            models[*index].extend([version(model), version(model % FIRST_ADAPTER)]);
         }
     }
-    engines
+    let engines = (0..).zip(models).map(|(number, models)| {
+        let serves = serving.contains(&(number as usize));
+        let role = if serves { Role::Both } else { Role::ALL.into_iter().choose(rng).unwrap() };
+        engine(number, models, role, checks.unwrap_or(number % 2 == 0))
+    });
+    engines.collect()
 }
 
-/// Guards against two holders that act at once, orders that take out the last engine of a model, loads that are not
-/// spaced, and states that are not put right after faults. The world checks the first three at every step.
+/// Guards against two holders that act at once, orders that take out the last engine of a model or an engine with
+/// requests in flight, versions that change at two engines at once, loads that are not spaced, and states that are not
+/// put right after faults. The world checks all but the last at every step.
 #[gtest]
 fn faults_do_no_harm_and_are_put_right() {
     struct Case {
@@ -107,21 +125,19 @@
 /// Guards against a planner that breaks the rule when it cannot be kept: the only engine of a model changes its role.
 #[gtest]
 fn last_engine_of_a_model_is_left_alone_and_reported() {
-    let engine = |number, models: &[u32], role: &str| Engine {
-        endpoint: Endpoint(number),
-        models: models.iter().copied().map(Model).collect::<BTreeSet<_>>(),
-        role: role.to_owned(),
-        checks_fencing: true,
+    let engine = |number, models: &[u32], role: &str| {
+        let models = models.iter().map(|model| (Model(*model), String::new())).collect();
+        engine(number, models, Role::named(role).unwrap(), true)
     };
     let mut world =
-        World::new(1, 1, vec![engine(1, &[1], "a"), engine(2, &[], "a")], Faults::default());
+        World::new(1, 1, vec![engine(1, &[1], "both"), engine(2, &[], "both")], Faults::default());
     expect_that!(world.settles_within(100), eq(true));
-    world.configure(vec![engine(1, &[1], "b"), engine(2, &[], "a")]);
+    world.configure(vec![engine(1, &[1], "prefill"), engine(2, &[], "both")]);
     world.run(100);
-    expect_that!(world.engines[&Endpoint(1)].ready.contains(&Model(1)), eq(true));
+    expect_that!(world.engines[&Endpoint(1)].ready.contains_key(&Model(1)), eq(true));
     expect_that!(world.blocked(0), elements_are![eq(&(Endpoint(1), Model(1)))]);
-    world.configure(vec![engine(1, &[], "b"), engine(2, &[1], "a")]);
+    world.configure(vec![engine(1, &[], "prefill"), engine(2, &[1], "both")]);
     expect_that!(world.settles_within(200), eq(true), "moved to another engine first");
-    world.configure(vec![engine(1, &[], "b"), engine(2, &[], "a")]);
+    world.configure(vec![engine(1, &[], "prefill"), engine(2, &[], "both")]);
     expect_that!(world.settles_within(200), eq(true), "a model that is wanted nowhere may go");
 }
--- a/siskin-lease/tests/main/orders.rs
+++ b/siskin-lease/tests/main/orders.rs
@@ -2,16 +2,19 @@
     googletest::prelude::*,
     siskin_lease::{
         holder::Tenure,
-        orders::{Action, Answer, Engine, Options, Planner, Report},
+        orders::{Action, Answer, Engine, Options, Planner, Report, Versions},
     },
     siskin_types::{
         id::{Endpoint, Model},
+        role::Role,
         time::Instant,
     },
-    std::{collections::BTreeSet, time::Duration},
+    std::{collections::BTreeMap, time::Duration},
 };
 
-/// What happens before a tick. Times are in seconds since the lease was acquired; engines are given by number.
+/// What happens before a tick. Times are in seconds since the lease was acquired; engines are given by number. A model
+/// is given by its number plus 100 times its version, 0 for none; models from 10 are adapters of the model of the last
+/// digit.
 #[derive(Clone, Copy)]
 enum Event {
     /// Advances the clock.
@@ -40,16 +43,23 @@
 
 const OK: Answer = Answer::Accepted;
 
-/// Two engines with model 1, of which the first is to get role b, up to the drain of the first.
-const PAIR: &[Want] = &[(1, &[1], "b", true), (2, &[1], "a", true)];
-const HELLO: &[Event] = &[Reports(1, &[1], &[], "a"), Reports(2, &[1], &[], "a")];
-const CONFIRMS: &[&str] = &["order 1 [1] a", "order 2 [1] a"];
+/// Two engines with model 1, of which the first is to get the role prefill, up to the drain of the first.
+const PAIR: &[Want] = &[(1, &[1], "prefill", true), (2, &[1], "both", true)];
+const HELLO: &[Event] = &[Reports(1, &[1], &[], "both"), Reports(2, &[1], &[], "both")];
+const CONFIRMS: &[&str] = &["order 1 [1] both", "order 2 [1] both"];
 const CONFIRMED: &[Event] = &[
     Answered(1, OK),
     Answered(2, OK),
     At(1),
-    Reports(1, &[1], &[], "a"),
-    Reports(2, &[1], &[], "a"),
+    Reports(1, &[1], &[], "both"),
+    Reports(2, &[1], &[], "both"),
+];
+
+/// Three engines with version 1 of the model, of which two have an adapter.
+const OLD: &[Event] = &[
+    Reports(1, &[101, 11], &[], "both"),
+    Reports(2, &[101], &[], "both"),
+    Reports(3, &[101, 11], &[], "both"),
 ];
 
 const CASES: &[Case] = &[
@@ -58,7 +68,7 @@
         engines: PAIR,
         steps: &[
             (HELLO, CONFIRMS),
-            (&[Answered(1, OK), At(1), HELLO[0], HELLO[1]], &[]),
+            (&[Answered(1, OK), At(1), HELLO[0], HELLO[1]], &["blocked 1 by 1"]),
             (&[At(10), Answered(2, OK), At(11), HELLO[0], HELLO[1]], &["drain 1"]),
         ],
     },
@@ -78,8 +88,8 @@
             (HELLO, CONFIRMS),
             (CONFIRMED, &["drain 1"]),
             (&[At(3), HELLO[0], HELLO[1]], &[]),
-            (&[At(4), HELLO[0], HELLO[1], Drained(1)], &["order 1 [1] b"]),
-            (&[At(5), Reports(1, &[], &[1], "b"), HELLO[1]], &["undrain 1"]),
+            (&[At(4), HELLO[0], HELLO[1], Drained(1)], &["order 1 [1] prefill"]),
+            (&[At(5), Reports(1, &[], &[1], "prefill"), HELLO[1]], &["undrain 1"]),
         ],
     },
     Case {
@@ -88,7 +98,7 @@
         steps: &[
             (HELLO, CONFIRMS),
             (CONFIRMED, &["drain 1"]),
-            (&[At(5), HELLO[0], Drained(1)], &["undrain 1"]),
+            (&[At(5), HELLO[0], Drained(1)], &["undrain 1", "blocked 1 by 1"]),
         ],
     },
     Case {
@@ -97,19 +107,19 @@
         steps: &[
             (HELLO, CONFIRMS),
             (CONFIRMED, &["drain 1"]),
-            (&[At(2), HELLO[0], HELLO[1], Drained(1)], &["order 1 [1] b"]),
+            (&[At(2), HELLO[0], HELLO[1], Drained(1)], &["order 1 [1] prefill"]),
             // Engine 2 is silent, but the order to engine 1 may still arrive.
             (&[At(8), HELLO[0]], &[]),
-            (&[At(12), HELLO[0]], &["undrain 1"]),
+            (&[At(12), HELLO[0]], &["undrain 1", "blocked 1 by 1"]),
         ],
     },
     Case {
         name: "one engine of a model at a time",
-        engines: &[(1, &[1], "b", true), (2, &[1], "b", true), (3, &[1], "a", true)],
+        engines: &[(1, &[1], "prefill", true), (2, &[1], "prefill", true), (3, &[1], "both", true)],
         steps: &[
             (
-                &[HELLO[0], HELLO[1], Reports(3, &[1], &[], "a")],
-                &["order 1 [1] a", "order 2 [1] a", "order 3 [1] a"],
+                &[HELLO[0], HELLO[1], Reports(3, &[1], &[], "both")],
+                &["order 1 [1] both", "order 2 [1] both", "order 3 [1] both"],
             ),
             (
                 &[
@@ -119,67 +129,130 @@
                     At(1),
                     HELLO[0],
                     HELLO[1],
-                    Reports(3, &[1], &[], "a"),
+                    Reports(3, &[1], &[], "both"),
                 ],
                 &["drain 1"],
             ),
-            (&[At(3), HELLO[0], HELLO[1], Reports(3, &[1], &[], "a")], &[]),
-            (&[Drained(1)], &["order 1 [1] b"]),
+            (&[At(3), HELLO[0], HELLO[1], Reports(3, &[1], &[], "both")], &[]),
+            (&[Drained(1)], &["order 1 [1] prefill"]),
             (
-                &[At(4), Reports(1, &[1], &[], "b"), HELLO[1], Reports(3, &[1], &[], "a")],
+                &[At(4), Reports(1, &[1], &[], "prefill"), HELLO[1], Reports(3, &[1], &[], "both")],
                 &["undrain 1", "drain 2"],
             ),
         ],
     },
     Case {
         name: "engine that ignores fencing numbers waits for a lease time and a new report",
-        engines: &[(1, &[1], "a", false)],
+        engines: &[(1, &[1], "both", false)],
         steps: &[
-            (&[At(14), Reports(1, &[], &[], "a")], &[]),
+            (&[At(14), Reports(1, &[], &[], "both")], &[]),
             (&[At(15)], &["read 1"]),
             (&[At(16)], &[]),
-            (&[Reports(1, &[], &[], "a")], &["order 1 [1] a"]),
+            (&[Reports(1, &[], &[], "both")], &["order 1 [1] both"]),
         ],
     },
     Case {
         name: "loads are spaced from the start of the tenure",
-        engines: &[(1, &[1, 2], "a", true)],
+        engines: &[(1, &[1, 2], "both", true)],
         steps: &[
-            (&[Reports(1, &[], &[], "a")], &["order 1 [] a"]),
-            (&[Answered(1, OK), At(1), Reports(1, &[], &[], "a")], &[]),
-            (&[At(10), Reports(1, &[], &[], "a")], &["order 1 [1] a"]),
-            (&[At(12), Reports(1, &[1], &[], "a")], &[]),
-            (&[At(20), Reports(1, &[1], &[], "a")], &["order 1 [1, 2] a"]),
-            (&[At(29), Reports(1, &[1], &[], "a")], &[]),
-            (&[At(30), Reports(1, &[1], &[], "a")], &["order 1 [1, 2] a"]),
-            (&[At(42), Reports(1, &[1], &[2], "a")], &[]),
+            (&[Reports(1, &[], &[], "both")], &["order 1 [] both"]),
+            (&[Answered(1, OK), At(1), Reports(1, &[], &[], "both")], &[]),
+            (&[At(10), Reports(1, &[], &[], "both")], &["order 1 [1] both"]),
+            (&[At(12), Reports(1, &[1], &[], "both")], &[]),
+            (&[At(20), Reports(1, &[1], &[], "both")], &["order 1 [1, 2] both"]),
+            (&[At(29), Reports(1, &[1], &[], "both")], &[]),
+            (&[At(30), Reports(1, &[1], &[], "both")], &["order 1 [1, 2] both"]),
+            (&[At(42), Reports(1, &[1], &[2], "both")], &[]),
         ],
     },
     Case {
         name: "restarted engine is told the number again",
-        engines: &[(1, &[1], "a", true)],
+        engines: &[(1, &[1], "both", true)],
+        steps: &[
+            (&[Reports(1, &[1], &[], "both")], &["order 1 [1] both"]),
+            (&[Answered(1, OK), At(1), Reports(1, &[1], &[], "both")], &[]),
+            (&[At(12), Restarted(1, &[])], &["order 1 [] both"]),
+        ],
+    },
+    Case {
+        name: "adapter is loaded after its base and without a drain",
+        engines: &[(1, &[1, 11], "both", true)],
+        steps: &[
+            (&[Reports(1, &[], &[], "both")], &["order 1 [] both"]),
+            (&[Answered(1, OK), At(10), Reports(1, &[], &[], "both")], &["order 1 [1] both"]),
+            (&[At(20), Reports(1, &[], &[1], "both")], &[]),
+            (&[At(21), Reports(1, &[1], &[], "both")], &["order 1 [1, 11] both"]),
+        ],
+    },
+    Case {
+        name: "new version is a drain, an unload and a spaced load, one engine after the other",
+        engines: &[
+            (1, &[201, 11], "both", true),
+            (2, &[201], "both", true),
+            (3, &[1, 11], "both", true),
+        ],
+        steps: &[
+            (OLD, &["order 1 [11, 101] both", "order 2 [101] both", "order 3 [11, 101] both"]),
+            (
+                &[Answered(1, OK), Answered(2, OK), Answered(3, OK), At(1), OLD[0], OLD[1], OLD[2]],
+                &["drain 1"],
+            ),
+            // The adapter goes with its base.
+            (&[At(5), OLD[0], OLD[1], OLD[2], Drained(1)], &["order 1 [] both"]),
+            // A report from before the effect does not end the change.
+            (&[At(6), OLD[0], OLD[1], OLD[2]], &[]),
+            // Engine 1 has yet to load the model, so engine 2 is not drained.
+            (&[At(7), Reports(1, &[], &[], "both"), OLD[1], OLD[2]], &["undrain 1"]),
+            (&[At(10), Reports(1, &[], &[], "both"), OLD[1], OLD[2]], &["order 1 [201] both"]),
+            (&[At(11), Reports(1, &[], &[201], "both"), OLD[1], OLD[2]], &[]),
+            (&[At(12), Reports(1, &[201], &[], "both"), OLD[1], OLD[2]], &["drain 2"]),
+            (
+                &[At(20), Reports(1, &[201], &[], "both"), OLD[1], OLD[2]],
+                &["order 1 [11, 201] both"],
+            ),
+        ],
+    },
+    Case {
+        name: "unknown version counts as the wanted one",
+        engines: &[(1, &[201], "both", true), (2, &[201], "both", true)],
+        steps: &[(HELLO, &["order 1 [1] both", "order 2 [1] both"]), (CONFIRMED, &[])],
+    },
+    Case {
+        name: "engine in another role than both does not count as serving, and may be the last",
+        engines: &[(1, &[1], "decode", true), (2, &[1], "both", true)],
         steps: &[
-            (&[Reports(1, &[1], &[], "a")], &["order 1 [1] a"]),
-            (&[Answered(1, OK), At(1), Reports(1, &[1], &[], "a")], &[]),
-            (&[At(12), Restarted(1, &[])], &["order 1 [] a"]),
+            (
+                &[HELLO[0], Reports(2, &[1], &[], "prefill")],
+                &["order 1 [1] both", "order 2 [1] prefill"],
+            ),
+            (
+                &[
+                    Answered(1, OK),
+                    Answered(2, OK),
+                    At(1),
+                    HELLO[0],
+                    Reports(2, &[1], &[], "prefill"),
+                ],
+                &["drain 2", "blocked 1 by 1"],
+            ),
         ],
     },
     Case {
         name: "refused order ends the tenure",
-        engines: &[(1, &[1], "a", true)],
+        engines: &[(1, &[1], "both", true)],
         steps: &[
-            (&[Reports(1, &[1], &[], "a")], &["order 1 [1] a"]),
+            (&[Reports(1, &[1], &[], "both")], &["order 1 [1] both"]),
             (&[Answered(1, Answer::Stale)], &["superseded"]),
         ],
     },
     Case {
         name: "failed load is tried again later",
-        engines: &[(1, &[1], "a", true)],
+        engines: &[(1, &[1], "both", true)],
         steps: &[
-            (&[Reports(1, &[], &[], "a")], &["order 1 [] a"]),
-            (&[Answered(1, OK), At(10), Reports(1, &[], &[], "a")], &["order 1 [1] a"]),
-            (&[Answered(1, Answer::Failed), At(39), Reports(1, &[], &[], "a")], &[]),
-            (&[At(40), Reports(1, &[], &[], "a")], &["order 1 [1] a"]),
+            (&[Reports(1, &[], &[], "both")], &["order 1 [] both"]),
+            (&[Answered(1, OK), At(10), Reports(1, &[], &[], "both")], &["order 1 [1] both"]),
+            (&[Answered(1, Answer::Failed), At(39), Reports(1, &[], &[], "both")], &[]),
+            (&[At(40), Reports(1, &[], &[], "both")], &["order 1 [1] both"]),
         ],
     },
     Case {
@@ -189,15 +262,30 @@
     },
 ];
 
-fn models(numbers: &[u32]) -> BTreeSet<Model> {
-    numbers.iter().copied().map(Model).collect()
+fn models(numbers: &[u32]) -> Versions {
+    let version =
+        |number: &u32| if *number < 100 { String::new() } else { (number / 100).to_string() };
+    numbers.iter().map(|number| (Model(number % 100), version(number))).collect()
+}
+
+fn numbers(models: &Versions) -> Vec<u32> {
+    let version = |version: &String| version.parse().unwrap_or(0);
+    let mut numbers: Vec<_> =
+        models.iter().map(|(model, text)| model.0 + 100 * version(text)).collect();
+    numbers.sort_unstable();
+    numbers
+}
+
+fn bases(models: &Versions) -> BTreeMap<Model, Model> {
+    let adapters = models.keys().filter(|model| model.0 >= 10);
+    adapters.map(|model| (*model, Model(model.0 % 10))).collect()
 }
 
 fn text(action: &Action) -> String {
     match action {
         Action::Order { endpoint, wanted, .. } => {
-            let models: Vec<_> = wanted.models.iter().map(|model| model.0).collect();
-            format!("order {} {models:?} {}", endpoint.0, wanted.role)
+            let role = wanted.role.map_or("as it is", Role::name);
+            format!("order {} {:?} {role}", endpoint.0, numbers(&wanted.models))
         }
         Action::Drain { endpoint } => format!("drain {}", endpoint.0),
         Action::Undrain { endpoint } => format!("undrain {}", endpoint.0),
@@ -216,7 +304,8 @@
             .map(|(number, wanted, role, checks_fencing)| Engine {
                 endpoint: Endpoint(*number),
                 models: models(wanted),
-                role: (*role).to_owned(),
+                bases: bases(&models(wanted)),
+                role: Role::named(role).expect(name),
                 checks_fencing: *checks_fencing,
             })
             .collect();
@@ -235,12 +324,12 @@
                     At(second) => now = start + Duration::from_secs(second),
                     Reports(number, ready, loading, role) => {
                         let (ready, loading, role) =
-                            (models(ready), models(loading), role.to_owned());
+                            (models(ready), models(loading), Role::named(role));
                         let report = Report { ready, loading, role, ..Report::default() };
                         planner.reported(Endpoint(number), now, &report);
                     }
                     Restarted(number, ready) => {
-                        let (ready, role) = (models(ready), "a".to_owned());
+                        let (ready, role) = (models(ready), Some(Role::Both));
                         let report = Report { ready, role, instance: 2, ..Report::default() };
                         planner.reported(Endpoint(number), now, &report);
                     }
@@ -255,7 +344,9 @@
                 }
             }
             actions.extend(planner.tick(now, tenure));
-            let got: Vec<_> = actions.iter().map(text).collect();
+            let mut got: Vec<_> = actions.iter().map(text).collect();
+            let blocked = planner.blocked().iter();
+            got.extend(blocked.map(|it| format!("blocked {} by {}", it.endpoint.0, it.model.0)));
             expect_that!(got, eq(*want), "{name}: step {step}");
         }
     }
--- a/siskin-lease/tests/main/world.rs
+++ b/siskin-lease/tests/main/world.rs
@@ -4,13 +4,14 @@
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     siskin_lease::{
         holder::{self, Entry, Holder, Operation, Unanswered},
-        orders::{self, Engine, Planner, Report, Wanted},
+        orders::{self, Engine, Planner, Report, Versions, Wanted},
     },
     siskin_types::{
         id::{Endpoint, Model, Node, Pool},
+        role::Role,
         time::Instant,
     },
-    std::collections::{BTreeMap, BTreeSet, VecDeque},
+    std::collections::{BTreeMap, VecDeque},
 };
 
 /// Length of a simulation step.
@@ -50,16 +51,20 @@
 #[derive(Default)]
 pub(crate) struct Unit {
     pub(crate) checks: bool,
-    pub(crate) ready: BTreeSet<Model>,
-    /// Model, when it is loaded, and the fencing number of the order.
-    loading: BTreeMap<Model, (u64, u64)>,
-    role: String,
+    pub(crate) ready: Versions,
+    /// Model, when it is loaded, and its version.
+    loading: BTreeMap<Model, (u64, String)>,
+    /// Models taken out for another version and not loaded again, with the fencing number of the order.
+    reloading: BTreeMap<Model, u64>,
+    role: Role,
     role_until: u64,
     highest: u64,
     instance: u64,
     /// When the process started.
     started: u64,
-    /// When each model was last ready.
+    /// Since when each model is ready.
+    ready_since: BTreeMap<Model, u64>,
+    /// When each model was last ready in a role that serves requests.
     last_ready: BTreeMap<Model, u64>,
 }
 
@@ -118,6 +123,7 @@
     pub(crate) stale_applied: u64,
     pub(crate) orders: u64,
     pub(crate) loads: u64,
+    pub(crate) reloads: u64,
 }
 
 pub(crate) struct World {
@@ -142,8 +148,7 @@
         println!("SISKIN_SEED={seed}");
         let mut rng = SmallRng::seed_from_u64(seed);
         let engines = wanted.iter().map(|engine| {
-            let unit =
-                Unit { checks: engine.checks_fencing, role: "a".to_owned(), ..Unit::default() };
+            let unit = Unit { checks: engine.checks_fencing, ..Unit::default() };
             (engine.endpoint, unit)
         });
         let engines = engines.collect();
@@ -196,6 +201,10 @@
             let actions = router.planner.configure(&wanted);
             router.outbox.extend(actions.into_iter().map(Effect::Planner));
         }
+        for engine in &wanted {
+            let unit = self.engines.get_mut(&engine.endpoint).unwrap();
+            unit.reloading.retain(|model, _| engine.models.contains_key(model));
+        }
         self.wanted = wanted;
     }
 
@@ -259,7 +268,11 @@
     pub(crate) fn settled(&self) -> bool {
         self.wanted.iter().all(|wanted| {
             let unit = &self.engines[&wanted.endpoint];
-            unit.ready == wanted.models && unit.loading.is_empty() && unit.role == wanted.role
+            let keys = unit.ready.keys().eq(wanted.models.keys());
+            let fits = |(model, version): (&Model, &String)| fits(&wanted.models[model], version);
+            keys && unit.ready.iter().all(fits)
+                && unit.loading.is_empty()
+                && unit.role == wanted.role
         })
     }
 
@@ -309,7 +322,6 @@
         if death && let Some(unit) = self.engines.values_mut().choose(&mut self.rng) {
             *unit = Unit {
                 checks: unit.checks,
-                role: "a".to_owned(),
                 instance: unit.instance + 1,
                 started: self.now,
                 last_ready: std::mem::take(&mut unit.last_ready),
@@ -327,13 +339,17 @@
 
     fn advance_engines(&mut self) {
         for unit in self.engines.values_mut() {
-            let loaded = unit.loading.iter().filter(|(_, (until, _))| *until <= self.now);
-            for model in loaded.map(|(model, _)| *model).collect::<Vec<_>>() {
-                unit.loading.remove(&model);
-                unit.ready.insert(model);
+            let (loaded, loading): (BTreeMap<_, _>, _) = std::mem::take(&mut unit.loading)
+                .into_iter()
+                .partition(|(_, (until, _))| *until <= self.now);
+            unit.loading = loading;
+            for (model, (_, version)) in loaded {
+                unit.ready.insert(model, version);
+                unit.ready_since.insert(model, self.now);
+                unit.reloading.remove(&model);
             }
-            if unit.role_until <= self.now {
-                unit.last_ready.extend(unit.ready.iter().map(|model| (*model, self.now)));
+            if unit.role_until <= self.now && unit.role.serves_requests() {
+                unit.last_ready.extend(unit.ready.keys().map(|model| (*model, self.now)));
             }
         }
     }
@@ -363,6 +379,9 @@
     }
 
     fn carry_out(&mut self, index: usize, effect: Effect) {
+        if let Effect::Planner(a) = &effect
+            && !matches!(a, orders::Action::Read { .. })
+        {}
         let router = index;
         let incarnation = self.routers[index].incarnation;
         match effect {
@@ -411,7 +430,7 @@
                 self.post(Mail::Answer { router, incarnation, call, answer });
             }
             Mail::Order { router, incarnation, endpoint, fencing, wanted } => {
-                let answer = self.order(endpoint, fencing, &wanted);
+                let answer = self.order((router, incarnation), endpoint, fencing, &wanted);
                 self.post(Mail::Ordered { router, incarnation, endpoint, fencing, answer });
             }
             Mail::Poll { router, incarnation, endpoint, asked } => {
@@ -496,14 +515,27 @@
 
     fn report(&self, endpoint: Endpoint) -> Report {
         let unit = &self.engines[&endpoint];
-        let ready = if unit.role_until > self.now { BTreeSet::new() } else { unit.ready.clone() };
-        let mut loading: BTreeSet<_> = unit.loading.keys().copied().collect();
-        loading.extend(unit.ready.difference(&ready));
-        Report { ready, loading, role: unit.role.clone(), leaving: false, instance: unit.instance }
+        let changing = unit.role_until > self.now;
+        let ready = if changing { Versions::new() } else { unit.ready.clone() };
+        let loading = unit.loading.iter().map(|(model, (_, version))| (*model, version.clone()));
+        let mut loading: Versions = loading.collect();
+        loading.extend(unit.ready.clone().into_iter().filter(|_| changing));
+        Report { ready, loading, role: Some(unit.role), leaving: false, instance: unit.instance }
     }
 
     /// An order arrives at an engine.
-    fn order(&mut self, endpoint: Endpoint, fencing: u64, wanted: &Wanted) -> orders::Answer {
+    fn order(
+        &mut self,
+        from: (usize, u64),
+        endpoint: Endpoint,
+        fencing: u64,
+        wanted: &Wanted,
+    ) -> orders::Answer {
+        eprintln!(
+            "T{} arrives {endpoint} {wanted:?} {:?}",
+            self.now / 1000,
+            self.engines[&endpoint].ready
+        );
         let newest = self.entry.as_ref().map_or(self.seen_fencing(), |(entry, _)| entry.revision);
         let stale = fencing < newest;
         let unit = &self.engines[&endpoint];
@@ -513,29 +545,41 @@
         }
         self.seen.stale_applied += u64::from(stale);
         self.seen.orders += 1;
+        for (adapter, base) in &wanted.bases {
+            let based = !wanted.models.contains_key(adapter) || wanted.models.contains_key(base);
+            assert!(based, "{endpoint} is to have {adapter} without its base: {wanted:?}");
+        }
         if !stale {
             self.check_kept(endpoint, wanted);
+            self.check_drained(from, endpoint, wanted);
+            self.check_one_at_a_time(endpoint, fencing, wanted);
+        }
+        let unit = self.engines.get_mut(&endpoint).unwrap();
+        unit.highest = unit.highest.max(fencing);
+        let stays = |model: &Model, version: &String| {
+            wanted.models.get(model).is_some_and(|wanted| fits(wanted, version))
+        };
+        unit.ready.retain(|model, version| stays(model, version));
+        unit.loading.retain(|model, (_, version)| stays(model, version));
+        let kept: Vec<_> = unit.ready.keys().copied().collect();
+        let has_base = |model: &Model| wanted.bases.get(model).is_none_or(|it| kept.contains(it));
+        unit.ready.retain(|model, _| has_base(model));
+        let new = wanted.models.iter();
+        let new: Vec<_> = new
+            .filter(|(m, _)| !unit.ready.contains_key(*m) && !unit.loading.contains_key(*m))
+            .collect();
+        if wanted.role.is_some_and(|role| unit.role != role) {
+            unit.role = wanted.role.unwrap_or_default();
+            unit.role_until = self.now + 4_000 * MILLI;
         }
-        let unit = &self.engines[&endpoint];
-        let new = wanted.models.iter().copied();
-        let new: Vec<_> =
-            new.filter(|m| !unit.ready.contains(m) && !unit.loading.contains_key(m)).collect();
         if !new.is_empty() && !stale {
             self.check_spacing(endpoint, fencing);
         }
-        for model in new {
+        for (model, version) in new {
             self.seen.loads += 1;
             let until = self.now + self.rng.random_range(2_000..8_000) * MILLI;
-            let unit = self.engines.get_mut(&endpoint).unwrap();
-            unit.loading.insert(model, (until, fencing));
-        }
-        let unit = self.engines.get_mut(&endpoint).unwrap();
-        unit.highest = unit.highest.max(fencing);
-        unit.ready.retain(|model| wanted.models.contains(model));
-        unit.loading.retain(|model, _| wanted.models.contains(model));
-        if unit.role != wanted.role {
-            unit.role.clone_from(&wanted.role);
-            unit.role_until = self.now + 4_000 * MILLI;
+            let version = if version.is_empty() { "0" } else { version }.to_owned();
+            self.engines.get_mut(&endpoint).unwrap().loading.insert(*model, (until, version));
         }
         orders::Answer::Accepted
     }
@@ -544,16 +588,33 @@
         self.engines.values().map(|unit| unit.highest).max().unwrap_or(0)
     }
 
+    /// The ready models that an order takes out, and those that it takes out for another version. A change of role
+    /// takes all of them out.
+    fn taken_out(&self, endpoint: Endpoint, wanted: &Wanted) -> (Vec<Model>, Vec<Model>) {
+        let unit = &self.engines[&endpoint];
+        let whole = wanted.role.is_some_and(|role| role != unit.role);
+        let stays = |(model, version): &(&Model, &String)| {
+            wanted.models.get(*model).is_some_and(|wanted| fits(wanted, version))
+        };
+        let gone = unit.ready.iter().filter(|it| !stays(it));
+        let configured = self.wanted.iter().find(|engine| engine.endpoint == endpoint);
+        let reloaded = gone.map(|(model, _)| *model);
+        let reloaded = reloaded.filter(|m| configured.is_some_and(|it| it.models.contains_key(m)));
+        let taken = unit.ready.iter().filter(|it| whole || !stays(it)).map(|(model, _)| *model);
+        (taken.collect(), reloaded.collect())
+    }
+
     /// No model may lose its last ready engine by an order of the present holder.
     fn check_kept(&self, endpoint: Endpoint, wanted: &Wanted) {
-        let unit = &self.engines[&endpoint];
-        let whole = unit.role != wanted.role;
-        for model in unit.ready.iter().filter(|model| whole || !wanted.models.contains(model)) {
+        if !self.engines[&endpoint].role.serves_requests() {
+            return;
+        }
+        for model in self.taken_out(endpoint, wanted).0 {
             let served = |(other, unit): (&Endpoint, &Unit)| {
-                let last = unit.last_ready.get(model).copied().unwrap_or(0);
+                let last = unit.last_ready.get(&model).copied().unwrap_or(0);
                 *other != endpoint && last + KNOWLEDGE_MICROS >= self.now
             };
-            let anywhere = self.wanted.iter().any(|engine| engine.models.contains(model));
+            let anywhere = self.wanted.iter().any(|engine| engine.models.contains_key(&model));
             assert!(
                 !anywhere || self.engines.iter().any(served),
                 "{endpoint} loses {model}, which no other engine serves, by {wanted:?}"
@@ -561,6 +622,38 @@
         }
     }
 
+    /// An engine is empty when the present holder takes out a model or adapter that requests may run on. A model that
+    /// has become ready since the holder's last report cannot be foreseen.
+    fn check_drained(
+        &self,
+        (index, incarnation): (usize, u64),
+        endpoint: Endpoint,
+        wanted: &Wanted,
+    ) {
+        let router = &self.routers[index];
+        let unit = &self.engines[&endpoint];
+        let known = |model: &Model| unit.ready_since[model] + KNOWLEDGE_MICROS < self.now;
+        let taken = self.taken_out(endpoint, wanted).0;
+        let empty = router.draining.get(&endpoint).is_some_and(|at| *at <= self.now);
+        assert!(
+            router.incarnation != incarnation || empty || !taken.iter().any(known),
+            "{endpoint} loses {taken:?} without a drain, by {wanted:?}"
+        );
+    }
+
+    /// No two engines are without a model because the same holder changes its version.
+    fn check_one_at_a_time(&mut self, endpoint: Endpoint, fencing: u64, wanted: &Wanted) {
+        for model in self.taken_out(endpoint, wanted).1 {
+            let reloads = |(other, unit): (&Endpoint, &Unit)| {
+                *other != endpoint && unit.reloading.get(&model) == Some(&fencing)
+            };
+            let other = self.engines.iter().find(|it| reloads(*it)).map(|(other, _)| *other);
+            assert!(other.is_none(), "{endpoint} and {other:?} both load {model} again");
+            self.engines.get_mut(&endpoint).unwrap().reloading.insert(model, fencing);
+            self.seen.reloads += 1;
+        }
+    }
+
     /// A holder's loads are at least the spacing apart, by a clock that is up to 5% fast, but for the travel time. An
     /// order for the state of an engine that has restarted since its last report makes it load that state again, which
     /// the holder cannot foresee.
@@ -579,3 +672,8 @@
         self.last_load = (self.now, fencing);
     }
 }
+
+/// Whether a version is the wanted one. An empty one stands for any.
+fn fits(wanted: &str, version: &str) -> bool {
+    wanted.is_empty() || wanted == version
+}
--- a/siskin-router/src/endpoints.rs
+++ b/siskin-router/src/endpoints.rs
@@ -17,9 +17,10 @@
     siskin_sched::pool::{self as scheduled, Load},
     siskin_types::{
         id::{Endpoint, Request},
+        role::Role,
         time::Instant,
     },
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
     tokio::time,
 };
 
@@ -45,6 +46,10 @@
     loading: Vec<String>,
     #[serde(default)]
     fencing: u64,
+    #[serde(default)]
+    versions: HashMap<String, String>,
+    #[serde(default)]
+    role: String,
 }
 
 /// What an endpoint said of itself.
@@ -56,6 +61,19 @@
     pub(crate) models: Option<Vec<String>>,
     /// Models that it is loading.
     pub(crate) loading: Vec<String>,
+    /// Versions of models that are loaded or being loaded, as far as it tells them.
+    pub(crate) versions: HashMap<String, String>,
+    /// Its role; `None` for one that is not known. An endpoint that names none serves whole requests.
+    pub(crate) role: Option<Role>,
+}
+
+/// What the owner of a pool knows of an engine's ability to serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Ability {
+    /// Models that it has loaded; `None` if it serves any.
+    models: Option<Vec<String>>,
+    /// Whether it serves whole requests in its role.
+    whole: bool,
 }
 
 impl Shared {
@@ -90,7 +108,8 @@
         lock(&self.listed_leaving).iter().any(|listed| listed.covers(address))
     }
 
-    /// The endpoints of a pool for its owner, which grants slots only for models that an engine has loaded.
+    /// The endpoints of a pool for its owner, which grants slots only for models that an engine has loaded, and none of
+    /// an engine whose role does not serve whole requests. Until an engine has reported, the configuration counts.
     pub(crate) fn granted_endpoints(
         &self,
         view: &View,
@@ -99,7 +118,12 @@
         let loaded = lock(&self.loaded);
         let mut endpoints = scheduled.to_vec();
         for endpoint in &mut endpoints {
-            let Some(Some(names)) = loaded.get(&endpoint.id) else { continue };
+            let known = loaded.get(&endpoint.id);
+            let wanted = || view.endpoint(endpoint.id).is_none_or(|it| it.role.serves_requests());
+            if !known.map_or_else(wanted, |known| known.whole) {
+                endpoint.models.clear();
+            }
+            let Some(names) = known.and_then(|known| known.models.as_ref()) else { continue };
             let ready: Vec<_> = names.iter().filter_map(|name| view.model(name)).collect();
             endpoint.models.retain(|model| ready.contains(model));
         }
@@ -209,7 +233,7 @@
         let response = connection.send(request).await.ok()?;
         if response.status() != StatusCode::OK {
             // A plain service that has no load report is alive all the same.
-            return Some(Probe::default());
+            return Some(Probe { role: Some(Role::default()), ..Probe::default() });
         }
         let body = Limited::new(response.into_body(), PROBE_BYTES).collect().await.ok()?.to_bytes();
         let load = serde_json::from_slice::<LoadReport>(&body).unwrap_or_default();
@@ -223,7 +247,9 @@
         // An engine that names no models and has never had an order serves any model.
         let any = load.models.is_empty() && load.loading.is_empty() && load.fencing == 0;
         let models = (!any).then_some(load.models);
-        Some(Probe { report, models, loading: load.loading })
+        let role =
+            if load.role.is_empty() { Some(Role::default()) } else { Role::named(&load.role) };
+        Some(Probe { report, models, loading: load.loading, versions: load.versions, role })
     }
 
     /// Tells an engine to stop a run that nobody follows any more.
@@ -259,9 +285,14 @@
             }
             return;
         };
+        let ability = Ability {
+            models: probe.models.clone(),
+            whole: probe.role.is_some_and(Role::serves_requests),
+        };
+        // Before the planner hears of it, which may end a drain.
+        let before = lock(&self.loaded).insert(endpoint, ability.clone());
         pool.orders().reported(self, asked, endpoint, &probe);
-        let before = lock(&self.loaded).insert(endpoint, probe.models.clone());
-        if before.as_ref() != Some(&probe.models) {
+        if before != Some(ability) {
             self.refresh.notify_one();
         }
         let report = probe.report;
--- a/siskin-router/src/orders.rs
+++ b/siskin-router/src/orders.rs
@@ -8,7 +8,7 @@
         endpoints::Probe,
         pool::Pool,
         shared::{Shared, lock},
-        view::View,
+        view::{View, route_number},
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
@@ -20,15 +20,15 @@
     siskin_config::document::{Endpoint as Configured, Fencing, Service},
     siskin_lease::{
         holder::{self, Answer, Entry, Holder, Operation, Unanswered},
-        orders::{self, Action, Engine, Planner, Report, Wanted},
+        orders::{self, Action, Engine, Planner, Report, Versions, Wanted},
     },
     siskin_store::{Error, LeaseId, Store, Write},
     siskin_types::{
-        id::{self, Endpoint, Node},
+        id::{self, Endpoint, Model, Node},
         time::Instant,
     },
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -47,8 +47,8 @@
 /// Longest time for an engine to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The role of all engines; roles other than serving are not configured yet.
-const ROLE: &str = "serve";
+/// Most unknown names of models that are remembered for a pool.
+const UNKNOWN_MODELS: usize = 1_000;
 
 /// The orders of one pool.
 #[derive(Debug)]
@@ -57,6 +57,9 @@
     planner: Mutex<Planner>,
     /// Engines that are being drained for an order, and since when.
     drains: Mutex<HashMap<Endpoint, Instant>>,
+    /// Names of models that engines report and the configuration does not know. They are unloaded after a drain, and
+    /// until then orders have to name them.
+    unknown: Mutex<HashMap<Model, String>>,
 }
 
 impl Orders {
@@ -71,6 +74,7 @@
             holder: Mutex::new(Holder::new(holder::Options::new(pool, node, incarnation))),
             planner: Mutex::new(Planner::new(options)),
             drains: Mutex::default(),
+            unknown: Mutex::default(),
         }
     }
 
@@ -103,18 +107,21 @@
         probe: &Probe,
     ) {
         let view = shared.view();
-        let models = |names: &[String]| names.iter().filter_map(|name| view.model(name)).collect();
+        let versioned = |name: &String| {
+            let version = probe.versions.get(name).cloned().unwrap_or_default();
+            (self.model(&view, name), version)
+        };
         let report = Report {
             // An engine that serves any model takes no orders.
             ready: match &probe.models {
-                Some(names) => models(names),
+                Some(names) => names.iter().map(versioned).collect(),
                 None => view
                     .endpoint(endpoint)
-                    .map(|endpoint| view.models(endpoint).into_iter().collect())
+                    .map(|endpoint| wanted_models(&view, endpoint))
                     .unwrap_or_default(),
             },
-            loading: models(&probe.loading),
-            role: ROLE.to_owned(),
+            loading: probe.loading.iter().map(versioned).collect(),
+            role: probe.role,
             leaving: probe.report.leaving,
             instance: probe.report.instance,
         };
@@ -127,6 +134,25 @@
         }
     }
 
+    /// The number of a model that an engine reports.
+    fn model(&self, view: &View, name: &str) -> Model {
+        view.model(name).unwrap_or_else(|| {
+            let number = route_number(name);
+            let mut unknown = lock(&self.unknown);
+            if unknown.len() >= UNKNOWN_MODELS && !unknown.contains_key(&number) {
+                unknown.clear();
+            }
+            unknown.entry(number).or_insert_with(|| name.to_owned());
+            number
+        })
+    }
+
+    /// The name of a model in an order.
+    fn name(&self, view: &View, model: Model) -> Option<String> {
+        let known = view.index().model(model).map(str::to_owned);
+        known.or_else(|| lock(&self.unknown).get(&model).cloned())
+    }
+
     /// Holds the lease and plans orders until the router ends.
     pub(crate) async fn run(shared: Arc<Shared>, pool: Arc<Pool>) {
         let mut interval = time::interval(TICK);
@@ -165,13 +191,49 @@
         .filter(|endpoint| is_engine(endpoint) && !endpoint.leaving)
         .map(|endpoint| Engine {
             endpoint: endpoint.id,
-            models: view.models(endpoint).into_iter().collect(),
-            role: ROLE.to_owned(),
+            models: wanted_models(view, endpoint),
+            bases: bases(view, endpoint),
+            role: endpoint.role,
             checks_fencing: endpoint.fencing == Fencing::Checked,
         })
         .collect()
 }
 
+/// The models and adapters that the configuration wants of an engine, with their versions.
+fn wanted_models(view: &View, endpoint: &Configured) -> Versions {
+    let models = endpoint.models.iter().filter_map(|name| view.document().models.get(name));
+    models.map(|model| (model.id, model.version.clone().unwrap_or_default())).collect()
+}
+
+/// The bases of the adapters that the configuration wants of an engine.
+fn bases(view: &View, endpoint: &Configured) -> BTreeMap<Model, Model> {
+    let models = endpoint.models.iter().filter_map(|name| view.document().models.get(name));
+    models.filter_map(|model| Some((model.id, view.model(model.base.as_deref()?)?))).collect()
+}
+
+/// The body of `POST /orders`. Versions that are not known and a role that stays are left out.
+fn body(orders: &Orders, view: &View, fencing: u64, wanted: &Wanted) -> String {
+    let name = |model: &Model| orders.name(view, *model);
+    let models: Vec<_> = wanted.models.keys().filter_map(name).collect();
+    let versions = wanted.models.iter().filter(|(_, version)| !version.is_empty());
+    let versions: BTreeMap<_, _> =
+        versions.filter_map(|(model, version)| Some((name(model)?, version))).collect();
+    let adapters = wanted.bases.iter().filter(|(adapter, _)| wanted.models.contains_key(adapter));
+    let adapters: BTreeMap<_, _> =
+        adapters.filter_map(|(adapter, base)| Some((name(adapter)?, name(base)?))).collect();
+    let mut body = json!({ "fencing": fencing, "models": models });
+    if !versions.is_empty() {
+        body["versions"] = json!(versions);
+    }
+    if !adapters.is_empty() {
+        body["adapters"] = json!(adapters);
+    }
+    if let Some(role) = wanted.role {
+        body["role"] = json!(role);
+    }
+    body.to_string()
+}
+
 /// Carries out what the holder decided.
 fn hold(shared: &Arc<Shared>, pool: &Arc<Pool>, actions: Vec<holder::Action>) {
     for action in actions {
@@ -232,7 +294,7 @@
     let tenure = lock(&orders.holder).tenure(shared.clock.now());
     let answer = match tenure.filter(|tenure| tenure.fencing == fencing) {
         Some(_) => {
-            let sending = send(&shared, endpoint, fencing, &wanted);
+            let sending = send(orders, &shared, endpoint, fencing, &wanted);
             time::timeout(ORDER_TIMEOUT, sending).await.ok().flatten()
         }
         None => return,
@@ -245,6 +307,7 @@
 }
 
 async fn send(
+    orders: &Orders,
     shared: &Shared,
     endpoint: Endpoint,
     fencing: u64,
@@ -252,9 +315,7 @@
 ) -> Option<orders::Answer> {
     let view = shared.view();
     let address = view.address(endpoint)?;
-    let models: Vec<_> =
-        wanted.models.iter().filter_map(|model| view.index().model(*model)).collect();
-    let body = json!({ "fencing": fencing, "models": models }).to_string();
+    let body = body(orders, &view, fencing, wanted);
     let request = Request::post("/orders")
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -9,6 +9,7 @@
         clock::Clock,
         configure::Config,
         control::Control,
+        endpoints::Ability,
         exchange::{Call, Kind},
         metrics::Metrics,
         pool::Pool,
@@ -61,8 +62,8 @@
     pub(crate) estimator: Mutex<Estimator>,
     pub(crate) prefixes: Mutex<Table>,
     pub(crate) health: Mutex<Tracker>,
-    /// Models that engines said they have loaded, by name; `None` for an engine that serves any.
-    pub(crate) loaded: Mutex<HashMap<Endpoint, Option<Vec<String>>>>,
+    /// What engines said they can serve.
+    pub(crate) loaded: Mutex<HashMap<Endpoint, Ability>>,
     pub(crate) refresh: Notify,
     /// VMs that the platform lists as leaving.
     pub(crate) listed_leaving: Mutex<Vec<vms::Address>>,
--- a/siskin-site/tests/site/orders.rs
+++ b/siskin-site/tests/site/orders.rs
@@ -6,8 +6,9 @@
     serde_json::json,
     siskin_site::{
         Customer, Options, Site,
-        client::{CHAT_PATH, Call, send},
+        client::{Answer, CHAT_PATH, Call, send},
     },
+    siskin_standin::engine::Server,
     std::time::Duration,
     tokio::time,
 };
@@ -45,12 +46,16 @@
     time::timeout(CARRIED_OUT, carried_out).await.is_ok()
 }
 
-async fn ask(site: &Site, model: &str) -> siskin_site::client::Answer {
+async fn ask(site: &Site, model: &str) -> Answer {
+    ask_router(site, 0, model).await
+}
+
+async fn ask_router(site: &Site, router: usize, model: &str) -> Answer {
     let body = json!({
         "model": model, "max_tokens": 3, "messages": [{ "role": "user", "content": "x" }]
     });
     let key = Customer::new("agency").key();
-    let router = site.router(0).callers();
+    let router = site.router(router).callers();
     send(&Call::post(router, CHAT_PATH, &key, &body.to_string())).await.expect("an answer")
 }
 
@@ -101,6 +106,88 @@
     tokio::join!(checked, ignored);
 }
 
+/// Sends calls for the first model through both routers until `done`, and returns those that were not completed.
+async fn failed_until(site: &Site, name: &str, done: impl Fn() -> bool) -> Vec<Answer> {
+    let mut failed = Vec::new();
+    let calls = async {
+        while !done() {
+            for router in 0..2 {
+                let answer = ask_router(site, router, "small").await;
+                if answer.outcome() != "completed" {
+                    failed.push(answer);
+                }
+            }
+        }
+    };
+    let in_time = time::timeout(CARRIED_OUT, calls).await.is_ok();
+    expect_true!(
+        in_time,
+        "{name}: {:?}",
+        site.engines.iter().map(Server::load).collect::<Vec<_>>()
+    );
+    failed
+}
+
+/// Guards against a change of version, adapter or role that cuts calls off, takes an engine of a model while another is
+/// out, or leaves calls at an engine that cannot serve them.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_adapters_and_roles_change_under_calls() {
+    let checks = [true, false].map(|check_fencing| async move {
+        let name = if check_fencing { "checked" } else { "ignored" };
+        let mut options = site_options(check_fencing);
+        options.engines.iter_mut().for_each(|engine| engine.version = "1".to_owned());
+        let site = start(options).await;
+        let upgrade = json!({
+            "models": {
+                "small": { "version": "2" },
+                "small:legal": { "id": 3, "pool": "chat", "base": "small" }
+            },
+            "endpoints": {
+                "engine-1": { "models": ["small", "small:legal"] },
+                "engine-2": { "models": ["small", "small:legal"] }
+            }
+        });
+        expect_that!(patch(&site, 0, "upgrade", 1, &upgrade).await.status.as_u16(), eq(200));
+        let upgraded = || {
+            (0..2).all(|engine| {
+                let versions = site.engines[engine].load().versions;
+                let version = versions.get("small").is_some_and(|version| version == "2");
+                version && loaded(&site, engine) == ["small", "small:legal"]
+            })
+        };
+        let failed = failed_until(&site, name, upgraded).await;
+        expect_that!(failed, is_empty(), "{name}: new version");
+        for router in 0..2 {
+            let answer = ask_router(&site, router, "small:legal").await;
+            expect_that!(answer.outcome(), eq("completed"), "{name}: {answer:?}");
+        }
+        let unload = json!({ "endpoints": { "engine-2": { "models": ["small"] } } });
+        expect_that!(patch(&site, 1, "unload", 2, &unload).await.status.as_u16(), eq(200));
+        let unloaded = || site.engines[1].load().models == ["small"];
+        let failed = failed_until(&site, name, unloaded).await;
+        expect_that!(failed, is_empty(), "{name}: adapter unloaded");
+        let decode = json!({
+            "models": { "small:legal": null },
+            "endpoints": { "engine-1": { "role": "decode", "models": ["small"] } }
+        });
+        expect_that!(patch(&site, 1, "decode", 3, &decode).await.status.as_u16(), eq(200));
+        let decodes = || site.engines[0].load().role == "decode";
+        let failed = failed_until(&site, name, decodes).await;
+        expect_that!(failed, is_empty(), "{name}: role");
+        let before = site.engines[0].log().len();
+        for router in (0..2).cycle().take(20) {
+            let answer = ask_router(&site, router, "small").await;
+            expect_that!(answer.outcome(), eq("completed"), "{name}: {answer:?}");
+        }
+        expect_that!(site.engines[0].log().len(), eq(before), "{name}: no calls in role decode");
+        expect_that!(site.engines[1].load().role, eq("both"), "{name}");
+        site.stop().await;
+    });
+    let [checked, ignored] = checks;
+    tokio::join!(checked, ignored);
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_last_engine_of_a_model_keeps_it() {
--- a/siskin-standin/src/engine/batch.rs
+++ b/siskin-standin/src/engine/batch.rs
@@ -111,6 +111,13 @@
             leaving,
             instance: number,
             models: options.models.clone(),
+            versions: options
+                .models
+                .iter()
+                .filter(|_| !options.version.is_empty())
+                .map(|model| (model.clone(), options.version.clone()))
+                .collect(),
+            role: options.role.clone(),
             ..Load::default()
         };
         Self {
@@ -182,6 +189,15 @@
         job.is_some()
     }
 
+    /// Cuts off all requests for models that are unloaded.
+    pub(crate) fn cut_off(&self, unloaded: impl Fn(&str) -> bool) {
+        for job in crate::lock(&self.jobs).by_request.values() {
+            if unloaded(&job.answer.model) {
+                job.task.abort();
+            }
+        }
+    }
+
     /// Whether the process has died.
     pub(crate) fn is_dead(&self) -> bool {
         self.slots.is_closed()
--- a/siskin-standin/src/engine/handler.rs
+++ b/siskin-standin/src/engine/handler.rs
@@ -160,8 +160,12 @@
             Err(error) => return body::error(StatusCode::BAD_REQUEST, &error.to_string()),
         };
         let instance = self.instance();
-        let models = instance.load.current().models;
-        if !models.is_empty() && !models.contains(&request.model) {
+        let load = instance.load.current();
+        if load.role != super::WHOLE {
+            let message = "this engine serves no whole requests in its role";
+            return body::not_started(StatusCode::NOT_FOUND, message);
+        }
+        if !load.serves_any() && !load.models.contains(&request.model) {
             return body::not_started(StatusCode::NOT_FOUND, "the model is not loaded");
         }
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/siskin-standin/src/engine/mod.rs
+++ b/siskin-standin/src/engine/mod.rs
@@ -34,6 +34,12 @@
     },
 };
 
+/// The role in which an engine serves whole requests.
+pub(crate) const WHOLE: &str = "both";
+
+/// All roles that an engine can take.
+pub(crate) const ROLES: [&str; 3] = [WHOLE, "prefill", "decode"];
+
 /// How an engine behaves.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -57,6 +63,10 @@
     pub events_gap: f64,
     /// Models loaded at start; empty: any model is served.
     pub models: Vec<String>,
+    /// Version of the models that are loaded at start or by an order that names none; empty: not reported.
+    pub version: String,
+    /// Role at start.
+    pub role: String,
     /// Time to load one model.
     pub load_time: Duration,
     /// Whether orders with an old fencing number are rejected.
@@ -78,6 +88,8 @@
             events_lag: Duration::from_millis(200),
             events_gap: 0.0,
             models: Vec::new(),
+            version: String::new(),
+            role: WHOLE.to_owned(),
             load_time: Duration::from_millis(200),
             check_fencing: true,
             control: false,
--- a/siskin-standin/src/load.rs
+++ b/siskin-standin/src/load.rs
@@ -3,7 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     std::{
-        collections::VecDeque,
+        collections::{BTreeMap, VecDeque},
         sync::Mutex,
         time::{Duration, Instant},
     },
@@ -22,14 +22,25 @@
     pub leaving: bool,
     /// Changes at every start of the endpoint.
     pub instance: u64,
-    /// Models that are loaded; empty for applications and for engines that serve any model.
+    /// Models and adapters that are loaded; empty for applications and for engines that serve any model.
     pub models: Vec<String>,
-    /// Models that are being loaded.
+    /// Models and adapters that are being loaded.
     pub loading: Vec<String>,
+    /// Versions of the models that are loaded or being loaded, as far as they are known.
+    pub versions: BTreeMap<String, String>,
+    /// Role of an engine; empty for applications.
+    pub role: String,
     /// Highest fencing number of an accepted order.
     pub fencing: u64,
 }
 
+impl Load {
+    /// Whether an engine serves any model, because it names none and has never had an order.
+    pub(crate) fn serves_any(&self) -> bool {
+        self.models.is_empty() && self.loading.is_empty() && self.fencing == 0
+    }
+}
+
 /// A value that is reported late: reports, with the time from which each one held.
 #[derive(Debug)]
 pub(crate) struct Lagged<T> {
--- a/siskin-standin/tests/standin/engine.rs
+++ b/siskin-standin/tests/standin/engine.rs
@@ -235,6 +235,49 @@
     }
 }
 
+/// Guards against an engine that serves what it has unloaded, goes on with requests for it, or serves whole requests in
+/// a role that does not.
+#[gtest]
+#[tokio::test]
+async fn orders_of_versions_adapters_and_roles() {
+    let models = vec!["m".to_owned()];
+    let options = Options { models, version: "1".to_owned(), ..quick() };
+    let server = Server::start(options).unwrap();
+    let send = async |order: Value| {
+        call(server.address(), "POST", "/orders", &[], &order.to_string()).await.unwrap()
+    };
+    let adapters = json!({"m:a": "m"});
+    for order in [
+        json!({"fencing": 1, "models": ["m"], "role": "serve"}),
+        json!({"fencing": 1, "models": ["m:a"], "adapters": adapters}),
+    ] {
+        expect_that!(send(order).await.status, eq(400));
+    }
+    let stream = body("hello", 5_000, true);
+    let running = async |id: &str| {
+        open(server.address(), "POST", CHAT, &[("x-request-id", id)], &stream).await.unwrap()
+    };
+    let kept = running("r").await;
+    let order = json!({"fencing": 1, "models": ["m", "m:a"], "adapters": adapters});
+    send(order).await;
+    until("adapter", || server.load().models.len() == 2).await;
+    expect_that!(server.load().running, eq(1), "a load cuts nothing off");
+    let order = json!({
+        "fencing": 1, "models": ["m", "m:a"], "adapters": adapters, "versions": {"m": "2"}
+    });
+    let answer = send(order).await.json();
+    expect_that!(answer["loading"], eq(&json!(["m", "m:a"])), "the adapter goes with its base");
+    expect_that!(answer["versions"]["m"], eq(&json!("2")));
+    expect_false!(read(kept, usize::MAX).await.complete, "a new version cuts requests off");
+    until("version", || server.load().models.len() == 2).await;
+    let kept = running("s").await;
+    send(json!({"fencing": 1, "models": ["m"], "role": "prefill"})).await;
+    expect_false!(read(kept, usize::MAX).await.complete, "a change of role cuts requests off");
+    let refused = chat(&server, "p", &[], &body("hello", 1, false)).await.unwrap();
+    expect_true!(refused.not_started);
+    expect_that!(server.load().role, eq("prefill"));
+}
+
 async fn order(server: &Server, fencing: u64, models: Value) -> Answer {
     let order = json!({"fencing": fencing, "models": models}).to_string();
     call(server.address(), "POST", "/orders", &[], &order).await.unwrap()
--- a/siskin-types/src/lib.rs
+++ b/siskin-types/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod cost;
 pub mod id;
+pub mod role;
 pub mod time;
