Halve the reuse slack and advance the floor by its pace

Cause: customers that wait at one router each keep their slots until they lead by the reuse slack, so their gap is the global queue's plus the slack of 2,000 units.

Change: the default reuse slack is 1,000, and a router advances the floor by its pace, averaged over a second, for at most the report interval plus the delay of answers.

--- a/siskin-config/src/document.rs
+++ b/siskin-config/src/document.rs
@@ -98,7 +98,7 @@
 }
 
 /// Lead over the floor up to which a slot is reused, in units per unit of weight.
-const DEFAULT_REUSE_SLACK: Units = Units(2_000);
+const DEFAULT_REUSE_SLACK: Units = Units(1_000);
 
 /// Catch-up after a partition, as a multiple of the largest request.
 const DEFAULT_CATCH_UP_REQUESTS: u64 = 10;
--- a/siskin-sched/src/pool.rs
+++ b/siskin-sched/src/pool.rs
@@ -57,8 +57,9 @@
 
 /// Default of [`Options::max_request`].
 const MAX_REQUEST: Units = Units(8_000);
-/// Default of [`Options::reuse_slack`].
-const REUSE_SLACK: Units = Units(2_000);
+/// Default of [`Options::reuse_slack`]. With 2,000 the gap between customers at one router each was up to 2.25
+/// times the global queue's.
+const REUSE_SLACK: Units = Units(1_000);
 /// [`Options::max_catch_up`] as a multiple of the largest request.
 const CATCH_UP_REQUESTS: u64 = 10;
 
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{pool, refusal::Refusal, ticket::Ticket},
+    floor::Floor,
     outbox::Outbox,
     queue::{Place, Queue},
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -10,7 +11,7 @@
         id,
         time::Instant,
     },
-    siskin_wire::sched::{Clock, Floor, Grant, Line, Report, Term},
+    siskin_wire::sched::{self, Clock, Grant, Line, Report, Term},
     slots::Slots,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -18,6 +19,7 @@
     },
 };
 
+mod floor;
 mod outbox;
 mod queue;
 mod slots;
@@ -171,7 +173,7 @@
         self.check(now, &ticket)?;
         let customer = ticket.customer;
         let model = ticket.model;
-        let floor = self.floors.get(&model).map(|floor| floor.floor);
+        let floor = self.floors.get(&model).map(|floor| floor.told.floor);
         let Some(queue) = self.queues.get_mut(&customer).filter(|queue| queue.known) else {
             return Err(Refusal::UnknownCustomer { customer });
         };
@@ -438,7 +440,7 @@
             self.valid_until = self.valid_until.max(sent + self.options.lapse);
         }
         self.reserve = grant.reserve;
-        let recalled = self.apply_floors(&grant.floors);
+        let recalled = self.apply_floors(now, &grant.floors);
         self.apply_clocks(grant.answers, &grant.clocks);
         self.apply_slots(now, grant);
         if recalled && !self.idle.is_empty() {
@@ -447,14 +449,18 @@
     }
 
     /// Returns whether others wait for a model that nobody else waited for before.
-    fn apply_floors(&mut self, floors: &[Floor]) -> bool {
-        let waited = |floor: &Floor| floor.elsewhere.then_some(floor.model);
-        let before: BTreeSet<_> = self.floors.values().filter_map(waited).collect();
+    fn apply_floors(&mut self, now: Instant, floors: &[sched::Floor]) -> bool {
+        let waited = |floor: &sched::Floor| floor.elsewhere.then_some(floor.model);
+        let told = self.floors.values().map(|floor| &floor.told);
+        let before: BTreeSet<_> = told.filter_map(waited).collect();
         for floor in self.floors.values_mut() {
-            floor.elsewhere = false;
+            floor.told.elsewhere = false;
         }
         for floor in floors {
-            self.floors.insert(floor.model, floor.clone());
+            self.floors
+                .entry(floor.model)
+                .and_modify(|known| known.update(now, floor))
+                .or_insert_with(|| Floor::new(now, floor.clone()));
         }
         floors.iter().filter_map(waited).any(|model| !before.contains(&model))
     }
@@ -502,7 +508,7 @@
     fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let silent = self.owner_is_silent(now);
         if now < self.valid_until {
-            while let Some(choice) = self.choose(silent) {
+            while let Some(choice) = self.choose(now, silent) {
                 actions.push(self.dispatch(choice));
             }
         }
@@ -523,12 +529,12 @@
     }
 
     /// The ticket of the lowest customer that an idle slot may run.
-    fn choose(&self, silent: bool) -> Option<Choice> {
+    fn choose(&self, now: Instant, silent: bool) -> Option<Choice> {
         let open = || self.idle.iter().filter_map(|id| self.slots.get(id)).filter(|s| s.open());
         let models: BTreeSet<_> = open().flat_map(|slots| &slots.config.models).collect();
         let mut best: Option<Choice> = None;
         for model in models {
-            let candidate = self.first_of(*model, silent);
+            let candidate = self.first_of(now, *model, silent);
             let key = |choice: &Choice| (choice.turn, choice.customer, choice.place);
             if let Some(found) = candidate
                 && best.as_ref().is_none_or(|best| key(&found) < key(best))
@@ -540,7 +546,7 @@
     }
 
     /// The first ticket for `model` that has an idle slot.
-    fn first_of(&self, model: id::Model, silent: bool) -> Option<Choice> {
+    fn first_of(&self, now: Instant, model: id::Model, silent: bool) -> Option<Choice> {
         for (turn, customer) in self.ready.get(&model)? {
             let queue = self.queues.get(customer)?;
             let usable: Vec<_> = self
@@ -548,7 +554,7 @@
                 .iter()
                 .filter_map(|id| self.slots.get(id))
                 .filter(|slots| slots.open() && slots.config.models.contains(&model))
-                .filter(|slots| silent || self.may_reuse(slots, queue.clock()))
+                .filter(|slots| silent || self.may_reuse(now, slots, queue.clock()))
                 .collect();
             if usable.is_empty() {
                 return None;
@@ -564,18 +570,20 @@
 
     /// Whether a slot may serve a customer at `clock`: the owner just granted it, nobody else waits, or the
     /// customer is close to the floor.
-    fn may_reuse(&self, slots: &Slots, clock: Virtual) -> bool {
+    fn may_reuse(&self, now: Instant, slots: &Slots, clock: Virtual) -> bool {
         if slots.fresh > 0 {
             return true;
         }
-        let floor = self.contested(slots).map(|floor| floor.floor).min();
+        // While requests wait here, the owner answers at least this often.
+        let most = self.options.report_interval + self.options.answer_delay;
+        let floor = self.contested(slots).map(|floor| floor.expected(now, most)).min();
         floor.is_none_or(|floor| clock <= floor.plus(self.options.reuse_slack))
     }
 
     /// Floors of the models that the endpoint serves and that others wait for.
     fn contested(&self, slots: &Slots) -> impl Iterator<Item = &Floor> {
         let floors = slots.config.models.iter().filter_map(|model| self.floors.get(model));
-        floors.filter(|floor| floor.elsewhere)
+        floors.filter(|floor| floor.told.elsewhere)
     }
 
     fn dispatch(&mut self, choice: Choice) -> Action {
@@ -620,8 +628,14 @@
             reserve -= keep;
             let surplus = slots.idle() - keep;
             if surplus > 0 {
+                let unused = slots.fresh > 0;
                 self.change_slots(endpoint, |slots| slots.give_back(surplus));
                 self.outbox.hurry();
+                if unused {
+                    // The request that the slot was granted for runs on another one. The slot has waited for the
+                    // spacing once already: a second time kept it idle for 8.6 ms.
+                    self.outbox.answer_recall();
+                }
             }
         }
     }
@@ -633,7 +647,7 @@
         }
         let full = self.outbox.answered == 0;
         let sequence = self.outbox.send(now);
-        let floor = self.floors.values().map(|floor| floor.floor).max().unwrap_or_default();
+        let floor = self.floors.values().map(|floor| floor.told.floor).max().unwrap_or_default();
         let customers: Vec<_> = self.outbox.customers().collect();
         let mut queues = Vec::new();
         for customer in customers {
--- a/siskin-sched/src/router/outbox.rs
+++ b/siskin-sched/src/router/outbox.rs
@@ -49,7 +49,7 @@
     }
 
     /// Asks for a report at once, whatever the spacing. Only for slots returned because the owner just said
-    /// that others wait: the owner's own spacing bounds how often that happens.
+    /// that others wait, or just granted them in vain: the number of grants bounds how often that happens.
     pub(super) fn answer_recall(&mut self) {
         self.recalled = true;
     }
--- a/siskin-sched/tests/fleet.rs
+++ b/siskin-sched/tests/fleet.rs
@@ -6,6 +6,7 @@
 use {
     crate::harness::{
         Arrivals, CI_SEEDS, CI_SEEDS_SLOW, Figures, Fleet, Net, SECOND, Setup, Source, seeds,
+        seeds_with,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
@@ -75,8 +76,9 @@
 
 #[test]
 fn random_fleets_keep_the_bounds() {
-    let setups =
-        seeds(CI_SEEDS).into_iter().flat_map(|seed| [random(seed), random_with_models(seed)]);
+    let setups = seeds_with(CI_SEEDS, &[18])
+        .into_iter()
+        .flat_map(|seed| [random(seed), random_with_models(seed)]);
     for setup in setups {
         let seed = setup.seed;
         let (bound, fleet) = (bound(&setup), run(Fleet::new(setup.clone())));
@@ -114,6 +116,8 @@
 struct Case {
     name: &'static str,
     setup: Setup,
+    /// Seeds beyond the fixed list that have failed.
+    failed: &'static [u64],
 }
 
 /// Customers at every router, at some, or at one.
@@ -152,15 +156,16 @@
     let large = placed(40, &[16; 12], &[1; 16], |customer, router| {
         customer == 0 || (customer as usize + router).is_multiple_of(5)
     });
+    let case = |name, setup| Case { name, setup, failed: &[] };
     vec![
-        Case { name: "everywhere", setup: everywhere.clone() },
-        Case { name: "uneven", setup: uneven.clone() },
-        Case { name: "one customer at each router", setup: one_each },
-        Case { name: "weighted", setup: weighted },
-        Case { name: "rush: every request at one router", setup: rush },
-        Case { name: "large", setup: large },
-        Case { name: "hints 100 times too high", setup: with_hint(uneven.clone(), 100.0) },
-        Case { name: "hints 100 times too low", setup: with_hint(uneven, 0.01) },
+        case("everywhere", everywhere),
+        case("uneven", uneven.clone()),
+        Case { name: "one customer at each router", setup: one_each, failed: &[7, 8, 9, 12] },
+        case("weighted", weighted),
+        case("rush: every request at one router", rush),
+        case("large", large),
+        case("hints 100 times too high", with_hint(uneven.clone(), 100.0)),
+        case("hints 100 times too low", with_hint(uneven, 0.01)),
     ]
 }
 
@@ -168,9 +173,11 @@
 #[test]
 fn fleets_match_the_global_queue() {
     let mut failures = Vec::new();
-    let seeds = seeds(CI_SEEDS_SLOW);
-    let runs = seeds.into_iter().flat_map(|seed| cases().into_iter().map(move |case| (seed, case)));
-    for (seed, Case { name, mut setup }) in runs {
+    let runs = cases().into_iter().flat_map(|case| {
+        let seeds = seeds_with(CI_SEEDS_SLOW, case.failed);
+        seeds.into_iter().map(move |seed| (seed, case.name, case.setup.clone()))
+    });
+    for (seed, name, mut setup) in runs {
         setup.seed = seed;
         let (fleet, global) = (run(Fleet::new(setup.clone())), run(Fleet::global(setup)));
         println!(
--- a/siskin-sched/tests/harness.rs
+++ b/siskin-sched/tests/harness.rs
@@ -159,12 +159,18 @@
 
 /// The seeds to run: `SISKIN_SEED`, or the numbers up to `SISKIN_SEEDS` or `default`.
 pub fn seeds(default: u64) -> Vec<u64> {
+    seeds_with(default, &[])
+}
+
+/// The seeds to run: `SISKIN_SEED`, or the numbers up to `SISKIN_SEEDS` or `default`, and those of `more`.
+pub fn seeds_with(default: u64, more: &[u64]) -> Vec<u64> {
     let number =
         |name| std::env::var(name).ok().map(|text| text.parse().expect("a seed is a number"));
-    match number("SISKIN_SEED") {
-        Some(seed) => vec![seed],
-        None => (1..=number("SISKIN_SEEDS").unwrap_or(default)).collect(),
+    if let Some(seed) = number("SISKIN_SEED") {
+        return vec![seed];
     }
+    let most = number("SISKIN_SEEDS").unwrap_or(default);
+    (1..=most).chain(more.iter().copied().filter(|seed| *seed > most)).collect()
 }
 
 pub fn name(node: usize) -> id::Node {
