--- a/siskin-config/src/follower/decide.rs
+++ b/siskin-config/src/follower/decide.rs
@@ -78,6 +78,11 @@
 }
 
 impl Holders {
+    /// Members that are known.
+    pub(super) const fn known(&self) -> usize {
+        self.known
+    }
+
     /// Groups of the fleet. The count is part of every message, since views of the fleet may differ and
     /// only disjoint groups may be added up.
     const fn group_count(&self) -> u16 {
--- a/siskin-config/src/follower/serve.rs
+++ b/siskin-config/src/follower/serve.rs
@@ -9,6 +9,14 @@
 /// the members. It is shorter, because the entry may reach the router after the split.
 const UNDECIDED_GRACE: Duration = Duration::from_secs(2);
 
+/// A version confirmed within this time, by the store or through a peer, counts as a reachable store.
+/// Confirmations take longer to spread in a larger fleet: up to 8.7 s with 1,200 routers (CAPACITY.md).
+const REACHABLE: Duration = Duration::from_secs(5);
+const REACHABLE_LARGE: Duration = Duration::from_secs(10);
+
+/// Largest fleet for the shorter time.
+const SMALL_FLEET: usize = 32;
+
 /// How many members a router sees.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct View {
@@ -61,6 +69,14 @@
 }
 
 impl Follower {
+    /// Whether the store was reachable lately, from here or from a router that this one hears of.
+    #[must_use]
+    pub fn store_reachable(&self, now: Instant) -> bool {
+        let small = self.holders.known() <= SMALL_FLEET;
+        let limit = if small { REACHABLE } else { REACHABLE_LARGE };
+        self.freshness(now).is_some_and(|age| age <= limit)
+    }
+
     /// Whether new work may be accepted. Call it on every change of its arguments and at least every
     /// 100 ms, since the grace period counts from the first call in isolation.
     ///
--- a/siskin-config/src/follower/task.rs
+++ b/siskin-config/src/follower/task.rs
@@ -18,6 +18,9 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
+/// Longest pause after a failed watch. Reads confirm the version meanwhile.
+const MAX_WATCH_PAUSE: Duration = Duration::from_secs(2);
+
 /// Failed calls in a row after which a task is given up and begins anew.
 const MAX_REPEATS: u32 = 5;
 
@@ -237,6 +240,7 @@
             return actions;
         }
         self.store.failures = 0;
+        self.watch_failures = 0;
         if let Answer::Range { revision, .. } = answer {
             // A store that was rolled back counts its revisions from an earlier one again.
             self.revision = revision;
@@ -475,7 +479,9 @@
             }
             Watched::Broken => {
                 self.watch = None;
-                self.watch_after = now + self.jittered(MIN_PAUSE);
+                let pause = MIN_PAUSE.saturating_mul(1 << self.watch_failures.min(5));
+                self.watch_failures += 1;
+                self.watch_after = now + self.jittered(pause.min(MAX_WATCH_PAUSE));
                 self.store.confirm_soon(now);
             }
         }
--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -49,9 +49,6 @@
 /// Longest wait of one call of a watch. The store counts a waiting watch as one call.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 
-/// A version confirmed within this time, by the store or through a peer, counts as a reachable store.
-const STORE_REACHABLE: Duration = Duration::from_secs(5);
-
 /// Identifier and author of the patch that creates the first version.
 const BOOTSTRAP: &str = "bootstrap";
 
@@ -104,7 +101,7 @@
 
     /// Whether the version was confirmed lately.
     pub(crate) fn store_reachable(&self, now: Instant) -> bool {
-        lock(&self.follower).freshness(now).is_some_and(|age| age <= STORE_REACHABLE)
+        lock(&self.follower).store_reachable(now)
     }
 }
 
