Answer calls at once whose endpoints are all dead

Cause: a call that only dead endpoints could serve waited for its deadline. A router that does not own the pool did not even learn of the last death, because it gets no slots at dead endpoints and only the owner polls.

Change: 2 s after the last endpoint that could serve a call died, the call ends as not_run with the reason endpoints_down, Retry-After 5 and a counter; later calls end at once. A router whose request has waited 0.5 s for a slot probes endpoints that could serve it until one answers, at most once per second and pool. The test of a call that reached no endpoint keeps the endpoints' ports reserved: a server of another test could get a freed port and answered the call once.

Conclusion: no call waits for its deadline for want of a live endpoint.

--- a/siskin-outcome/src/outcome.rs
+++ b/siskin-outcome/src/outcome.rs
@@ -36,6 +36,8 @@
     InFlightCap,
     /// No endpoint that may be used serves the model or route.
     NoEndpoint,
+    /// No endpoint that serves the model or route answers.
+    EndpointsDown,
     /// The router has not loaded the configuration yet.
     NotReady,
     /// The router sees neither the store nor half of the members.
@@ -94,11 +96,12 @@
 
 impl Reason {
     /// All reasons, for registering one counter each.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::QueueFull,
         Self::RateLimit,
         Self::InFlightCap,
         Self::NoEndpoint,
+        Self::EndpointsDown,
         Self::NotReady,
         Self::Isolated,
         Self::Stopping,
@@ -126,6 +129,7 @@
             Self::RateLimit => "rate_limit",
             Self::InFlightCap => "in_flight_cap",
             Self::NoEndpoint => "no_endpoint",
+            Self::EndpointsDown => "endpoints_down",
             Self::NotReady => "not_ready",
             Self::Isolated => "isolated",
             Self::Stopping => "stopping",
@@ -168,6 +172,7 @@
         match self {
             Self::QueueFull | Self::RateLimit | Self::InFlightCap | Self::SuspectRefused => 429,
             Self::NoEndpoint
+            | Self::EndpointsDown
             | Self::NotReady
             | Self::Isolated
             | Self::Stopping
@@ -197,7 +202,10 @@
             | Self::NotReady
             | Self::Stopping
             | Self::ClaimInProgress => Some(SHORT_WAIT),
-            Self::NoEndpoint | Self::Isolated | Self::ClaimStoreUnavailable => Some(LONG_WAIT),
+            Self::NoEndpoint
+            | Self::EndpointsDown
+            | Self::Isolated
+            | Self::ClaimStoreUnavailable => Some(LONG_WAIT),
             Self::SuspectRefused => Some(SUSPECT_WAIT),
             Self::ClaimBodyDiffers
             | Self::CallerGone
--- a/siskin-route/src/health.rs
+++ b/siskin-route/src/health.rs
@@ -63,11 +63,15 @@
 pub struct Tracker {
     options: Options,
     states: IndexMap<Endpoint, State>,
+    /// Endpoints whose last contact failed.
+    failing: usize,
 }
 
 #[derive(Debug, Default)]
 struct State {
     failures: u32,
+    /// First failure since the last answer.
+    failing_since: Option<Instant>,
     down_until: Option<Instant>,
     report: Option<(Instant, Report)>,
 }
@@ -76,7 +80,7 @@
     /// Makes a tracker to which every endpoint is usable.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        Self { options, states: IndexMap::new() }
+        Self { options, states: IndexMap::new(), failing: 0 }
     }
 
     /// Records that the endpoint could not be reached or died.
@@ -103,6 +107,10 @@
         let backoff = options.backoff_min * 2_u32.saturating_pow(state.failures.min(16));
         let until = now + backoff.min(options.backoff_max);
         state.failures = state.failures.saturating_add(1);
+        if state.failing_since.is_none() {
+            state.failing_since = Some(now);
+            self.failing += 1;
+        }
         state.down_until = Some(until);
         Change::Down { until }
     }
@@ -111,6 +119,7 @@
     pub fn succeeded(&mut self, endpoint: Endpoint) -> Change {
         let state = self.states.entry(endpoint).or_default();
         state.failures = 0;
+        self.failing -= usize::from(state.failing_since.take().is_some());
         match state.down_until.take() {
             Some(_) => Change::Up,
             None => Change::None,
@@ -133,6 +142,32 @@
         state.down_until.is_none_or(|until| until <= now)
     }
 
+    /// Whether the last contact with any endpoint failed.
+    #[must_use]
+    pub const fn any_failing(&self) -> bool {
+        self.failing > 0
+    }
+
+    /// When the endpoint first failed without having answered since.
+    ///
+    /// ```
+    /// use {
+    ///     siskin_route::health::{Options, Tracker},
+    ///     siskin_types::{id::Endpoint, time::Instant},
+    /// };
+    /// let (mut tracker, later) = (Tracker::new(Options::default()), Instant::from_micros(9_000_000));
+    /// tracker.failed(Instant::ZERO, Endpoint(1));
+    /// tracker.failed(later, Endpoint(1));
+    /// assert_eq!(tracker.failing_since(Endpoint(1)), Some(Instant::ZERO));
+    /// tracker.succeeded(Endpoint(1));
+    /// assert_eq!(tracker.failing_since(Endpoint(1)), None);
+    /// assert!(!tracker.any_failing());
+    /// ```
+    #[must_use]
+    pub fn failing_since(&self, endpoint: Endpoint) -> Option<Instant> {
+        self.states.get(&endpoint)?.failing_since
+    }
+
     /// The last report, if it is recent enough to be trusted.
     #[must_use]
     pub fn report(&self, now: Instant, endpoint: Endpoint) -> Option<Report> {
@@ -158,5 +193,7 @@
     /// Forgets endpoints that are no longer configured.
     pub fn retain(&mut self, keep: impl Fn(Endpoint) -> bool) {
         self.states.retain(|&endpoint, _| keep(endpoint));
+        let failing = self.states.values().filter(|state| state.failing_since.is_some());
+        self.failing = failing.count();
     }
 }
--- a/siskin-router/src/endpoints.rs
+++ b/siskin-router/src/endpoints.rs
@@ -16,16 +16,19 @@
     siskin_route::health::{self, Change},
     siskin_sched::pool::{self as scheduled, Load},
     siskin_types::{
-        id::{Endpoint, Request},
+        id::{Endpoint, Model, Request},
         time::Instant,
     },
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time,
 };
 
 /// Largest answer to a probe.
 const PROBE_BYTES: usize = 64 * 1024;
 
+/// Shortest time between two looks for a live endpoint of a pool.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What `GET /load` of an endpoint says.
 #[derive(Clone, Debug, Default, Deserialize)]
 struct LoadReport {
@@ -112,6 +115,66 @@
         health.usable(now, endpoint) && !health.leaving(endpoint)
     }
 
+    /// Since when none of the endpoints that could serve a model answers; `None` while one does, or if none could
+    /// serve it. Endpoints that are leaving or drained could not.
+    pub(crate) fn dead_since(&self, view: &View, pool: &Pool, model: Model) -> Option<Instant> {
+        if !lock(&self.health).any_failing() {
+            return None;
+        }
+        let mut since = None;
+        for endpoint in view.endpoints(pool.name()) {
+            let drained = endpoint.leaving
+                || lock(&self.health).leaving(endpoint.id)
+                || pool.orders().drains(endpoint.id)
+                || self.is_listed_leaving(endpoint.address);
+            if drained || !view.models(endpoint).contains(&model) {
+                continue;
+            }
+            since = since.max(Some(lock(&self.health).failing_since(endpoint.id)?));
+        }
+        since
+    }
+
+    /// Looks for an endpoint that could serve a model and answers. Only the owner of a pool polls its endpoints, and it
+    /// grants no slots at dead ones, so another router would never learn that the last one died. A look ends with the
+    /// first answer; each pool has at most one look in [`LOOK_INTERVAL`].
+    pub(crate) fn look_for_life(self: &Arc<Self>, pool: &Arc<Pool>, model: Model) {
+        let now = self.clock.now();
+        {
+            let mut looks = lock(&self.looks);
+            if looks.get(&pool.id()).is_some_and(|at| now - *at < LOOK_INTERVAL) {
+                return;
+            }
+            looks.insert(pool.id(), now);
+        }
+        let view = self.view();
+        let candidates: Vec<Endpoint> = view
+            .endpoints(pool.name())
+            .filter(|endpoint| !endpoint.leaving && view.models(endpoint).contains(&model))
+            .map(|endpoint| endpoint.id)
+            .filter(|endpoint| lock(&self.health).failing_since(*endpoint).is_none())
+            .collect();
+        let (shared, pool) = (Arc::clone(self), Arc::clone(pool));
+        self.spawn(async move {
+            for endpoint in candidates {
+                if shared.is_alive(&pool, endpoint).await {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Probes an endpoint, and notes if it does not answer. One lost probe does not make it dead.
+    async fn is_alive(self: &Arc<Self>, pool: &Pool, endpoint: Endpoint) -> bool {
+        for _ in 0..2 {
+            if self.probe(pool, endpoint).await.is_some() {
+                return true;
+            }
+        }
+        self.endpoint_failed(pool, endpoint);
+        false
+    }
+
     /// Notes that an endpoint answered.
     pub(crate) fn endpoint_answered(&self, endpoint: Option<Endpoint>) {
         if let Some(endpoint) = endpoint {
@@ -126,6 +189,7 @@
             log::warn!(endpoint:% = endpoint; "endpoint does not answer and is taken out of use");
             self.purge_idle(endpoint);
             self.refresh_endpoints();
+            self.deaths.send_replace(());
             let shared = Arc::clone(self);
             if let Some(pool) = self.pool(pool.id()) {
                 self.spawn(shared.recover(pool, endpoint, until));
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -35,7 +35,7 @@
     },
     stage::{Event, Stage},
     std::{sync::Arc, time::Duration},
-    tokio::time,
+    tokio::{sync::watch, time},
 };
 
 pub use deliver::Summary;
@@ -111,6 +111,14 @@
 /// Part of its time that an idempotent application call may take before the path is suspected, as a divisor.
 const APPLICATION_PATIENCE_DIVISOR: u32 = 3;
 
+/// Time for which calls wait for an endpoint to come back after the last one that could serve them stopped to answer.
+/// An endpoint is probed 0.25 s, 0.75 s and 1.75 s after its death, so one that restarts within that time is found.
+const DEAD_GRACE: Duration = Duration::from_secs(2);
+
+/// Wait for a slot after which the router looks whether any endpoint that could serve the request is alive, and time
+/// between further looks.
+const LOOK_AFTER: Duration = Duration::from_millis(500);
+
 /// Service that is reported to the scheduler at once while a stream runs.
 const PROGRESS_STEP: Units = Units(32);
 
@@ -139,6 +147,12 @@
     probed: bool,
     started_at: time::Instant,
     resuming: bool,
+    /// Deaths of endpoints.
+    deaths: watch::Receiver<()>,
+    /// When a queued request is refused, if no endpoint that could serve it comes back.
+    dead_at: Option<time::Instant>,
+    /// When a queued request next looks for a live endpoint.
+    look_at: time::Instant,
 }
 
 /// Runs a request to its end.
@@ -151,6 +165,9 @@
     let delivery = deliver::Delivery::new(&call);
     let exchange = Exchange {
         life: Life::new(options),
+        deaths: shared.deaths.subscribe(),
+        dead_at: None,
+        look_at: time::Instant::now(),
         shared,
         call,
         stage: Stage::Idle,
@@ -193,11 +210,16 @@
         let clock = self.shared.clock;
         let timer = clock.deadline(self.life.next_tick().unwrap_or(self.call.deadline));
         let quiet = self.quiet_at();
+        let queued = matches!(self.stage, Stage::Queued { .. });
+        let dead = self.dead_at.filter(|_| queued);
         tokio::select! {
             biased;
             event = self.stage.advance() => event,
             () = self.responder.gone() => Event::CallerGone,
             () = time::sleep_until(timer) => Event::Timer,
+            Ok(()) = self.deaths.changed(), if queued => Event::EndpointDied,
+            () = time::sleep_until(self.look_at), if queued => Event::Waited,
+            () = time::sleep_until(dead.unwrap_or(timer)), if dead.is_some() => Event::EndpointDied,
             () = time::sleep_until(quiet.unwrap_or(timer)), if quiet.is_some() => Event::Quiet,
         }
     }
@@ -235,6 +257,12 @@
             Event::Part(attempt, part) => self.part(now, attempt, part).await,
             Event::Quiet => self.quiet().await,
             Event::Timer => self.life.tick(now),
+            Event::EndpointDied => self.endpoint_died(now),
+            Event::Waited => {
+                self.look_at = time::Instant::now() + LOOK_AFTER;
+                self.shared.look_for_life(&self.call.pool, self.call.model);
+                Vec::new()
+            }
             Event::CallerGone => self.life.cancelled(now),
         }
     }
@@ -272,6 +300,9 @@
         if !self.shared.view().is_served(self.call.model) {
             return self.life.refused(now, Reason::NoEndpoint);
         }
+        if self.is_dead(now) {
+            return self.life.refused(now, Reason::EndpointsDown);
+        }
         let verdict = self.call.pool.suspects().admit(now, self.call.fingerprint);
         if let Verdict::Refuse { retry_after } = verdict {
             self.delivery.retry_after = Some(retry_after);
@@ -296,6 +327,7 @@
         };
         match self.call.pool.submit(&self.shared, now, ticket) {
             Ok(assignment) => {
+                self.look_at = time::Instant::now() + LOOK_AFTER;
                 self.stage = Stage::Queued { attempt, assignment };
                 Vec::new()
             }
@@ -307,6 +339,26 @@
         }
     }
 
+    /// Whether no endpoint that could serve the request has answered for the grace. Notes when that will be so.
+    fn is_dead(&mut self, now: Instant) -> bool {
+        self.deaths.mark_unchanged();
+        let view = self.shared.view();
+        let since = self.shared.dead_since(&view, &self.call.pool, self.call.model);
+        let until = since.map(|since| since + DEAD_GRACE);
+        self.dead_at = until.map(|until| self.shared.clock.deadline(until));
+        until.is_some_and(|until| now >= until)
+    }
+
+    /// Takes the request from the queue if no endpoint that could serve it is left.
+    fn endpoint_died(&mut self, now: Instant) -> Vec<Action> {
+        if !self.is_dead(now) {
+            return Vec::new();
+        }
+        self.call.pool.cancel(&self.shared, now, self.call.request);
+        self.stage = Stage::Idle;
+        self.life.refused(now, Reason::EndpointsDown)
+    }
+
     /// The endpoints to avoid; none if no other endpoint serves the request, which would then wait for nothing.
     fn possible_exclusions(&self, exclude: Vec<Endpoint>) -> Vec<Endpoint> {
         if exclude.is_empty() {
--- a/siskin-router/src/exchange/stage.rs
+++ b/siskin-router/src/exchange/stage.rs
@@ -27,6 +27,10 @@
     Quiet,
     /// The time of [`siskin_outcome::life::Life::next_tick`] has come.
     Timer,
+    /// An endpoint died, or the time has come to refuse a request that none is left for.
+    EndpointDied,
+    /// The request has waited for a slot for a while.
+    Waited,
     /// The caller went away.
     CallerGone,
 }
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -29,7 +29,10 @@
         health::{self, Tracker},
         prefix::Table,
     },
-    siskin_types::id::{self, Endpoint, Node, Request},
+    siskin_types::{
+        id::{self, Endpoint, Node, Request},
+        time::Instant,
+    },
     siskin_wire::Message,
     std::{
         collections::HashMap,
@@ -64,6 +67,10 @@
     /// Models that engines said they have loaded, by name; `None` for an engine that serves any.
     pub(crate) loaded: Mutex<HashMap<Endpoint, Option<Vec<String>>>>,
     pub(crate) refresh: Notify,
+    /// When each pool was last searched for a live endpoint.
+    pub(crate) looks: Mutex<HashMap<id::Pool, Instant>>,
+    /// Changes whenever an endpoint is taken out of use because it does not answer.
+    pub(crate) deaths: watch::Sender<()>,
     /// VMs that the platform lists as leaving.
     pub(crate) listed_leaving: Mutex<Vec<vms::Address>>,
     view: RwLock<Arc<View>>,
@@ -109,6 +116,8 @@
             health: Mutex::new(Tracker::new(health::Options::default())),
             loaded: Mutex::default(),
             refresh: Notify::new(),
+            looks: Mutex::default(),
+            deaths: watch::Sender::default(),
             listed_leaving: Mutex::default(),
             view: RwLock::new(Arc::new(View::new(Arc::clone(
                 Follower::new(Options::default()).state(),
--- a/siskin-site/tests/site/outcomes.rs
+++ b/siskin-site/tests/site/outcomes.rs
@@ -167,13 +167,69 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_reached_no_endpoint_is_not_run() {
     let site = start(options()).await;
-    site.applications[0].iter().for_each(siskin_standin::application::Server::stop);
+    kill(&site);
     let answer = send(&call(&site, 0, Target::Bookings)).await.unwrap();
     expect_that!(answer.outcome(), eq("not_run"), "{answer:?}");
     expect_that!(runs(&site, answer.request()), eq(0));
     site.stop().await;
 }
 
+/// Guards against a call that waits for its deadline although no endpoint that could serve it is alive.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_endpoints_are_dead_is_answered_before_its_deadline() {
+    struct Case {
+        name: &'static str,
+        target: Target,
+        key: &'static str,
+    }
+    let cases = [
+        Case { name: "chat", target: Target::Chat, key: "" },
+        Case { name: "call", target: Target::Bookings, key: "" },
+        Case { name: "claimed call", target: Target::Bookings, key: "dead" },
+    ];
+    let site = start(options()).await;
+    kill(&site);
+    for case in cases {
+        // The first calls find out that the endpoints are dead, and may end with their own attempts.
+        for round in 0.. {
+            assert_that!(round, lt(20), "{}: never refused as dead", case.name);
+            let mut call = call(&site, 0, case.target).header("idempotency-key", case.key);
+            call.headers.retain(|(_, value)| !value.is_empty());
+            // Far longer than the test may take.
+            call.headers.retain(|(name, _)| name != "x-siskin-timeout-ms");
+            let answer = send(&call.header("x-siskin-timeout-ms", "600000")).await.unwrap();
+            expect_that!(answer.outcome(), eq("not_run"), "{}: {answer:?}", case.name);
+            expect_that!(answer.reason(), not(eq("queue_deadline")), "{}", case.name);
+            if answer.reason() == "endpoints_down" {
+                expect_that!(answer.status.as_u16(), eq(503), "{}", case.name);
+                expect_that!(answer.header("retry-after"), eq("5"), "{}", case.name);
+                break;
+            }
+        }
+    }
+    let metrics = get_metrics(&site).await;
+    let counted = "siskin_refusals_total{reason=\"endpoints_down\"} 3";
+    expect_true!(metrics.contains(counted), "{metrics}");
+    let search = send(&call(&site, 0, Target::Search)).await.unwrap();
+    expect_that!(search.outcome(), eq("completed"), "other pools go on: {search:?}");
+    site.stop().await;
+}
+
+/// Kills the engines and the endpoints of the first application. They keep their ports, which another test's server
+/// could get otherwise.
+fn kill(site: &Site) {
+    let command = Command::always(Fault::Crash { restart_ms: 600_000 });
+    site.engines.iter().for_each(|engine| engine.command(command.clone()));
+    site.applications[0].iter().for_each(|endpoint| endpoint.command(command.clone()));
+}
+
+async fn get_metrics(site: &Site) -> String {
+    let address = site.router(0).callers();
+    let call = Call { method: hyper::Method::GET, ..Call::post(address, "/metrics", "", "") };
+    send(&call).await.unwrap().body
+}
+
 /// Guards against an answer that reaches another caller when a crossed answer and a caller that goes away meet on
 /// the connections of one router.
 #[gtest]
