Show leases, suspects and store failures, and apply limits at once

Cause: the page of metrics did not tell who holds a lease, how many suspects there are or how old the configuration is. Failed store calls were logged at `debug` only. A change of the lease and each order were logged twice, by the decision crate and by the router. `max_head_bytes` had no effect, and three settings of the fleet took effect only when a router made a pool.

Change: * Gauges siskin_lease_held, siskin_lease_fencing, siskin_lease_seconds_left and siskin_suspects by pool, siskin_config_age_seconds and siskin_config_versions_behind. The labels are the configured pools; a pool that is removed leaves the page. * siskin_frames_unsent_total by reason, and the reason `incomplete` for frames over TCP that end early. * Failed store calls are logged at `warn`, one line for each kind and 10 s, with the number of those left out. * siskin-lease no longer logs what the router logs. * Refusals, and log lines that ask for an action, name a remedy. * `max_head_bytes` limits the head of every request: 431 `head_too_large`. * `retry_budget_percent`, `poison_expiry_s` and `load_spacing_ms` apply to pools, known suspects and waiting loads when the version is in force.

New cases cover the head limit and the gauges end to end, the expiry of a known suspect, and the spacing of a load that waits.

Conclusion: operators see leases and store trouble without debug logs, and no setting of the fleet waits for a restart.

--- a/siskin-lease/src/holder.rs
+++ b/siskin-lease/src/holder.rs
@@ -384,7 +384,6 @@
         if !self.candidate || !self.usable(now, attempt) {
             return self.abandon(now, attempt);
         }
-        log::info!(key = self.key.as_str(), fencing; "lease acquired");
         let extended = attempt.requested;
         self.lease = Some(Lease { id: attempt.lease, fencing, since: now, extended });
         self.step = Step::Extend;
@@ -404,7 +403,6 @@
         let Some(lease) = self.lease.take() else {
             return Vec::new();
         };
-        log::warn!(key = self.key.as_str(), fencing = lease.fencing, reason:?; "lease no longer held");
         self.pending = None;
         self.step = Step::Look;
         self.next = now + self.backoff.next(&mut self.rng);
--- a/siskin-lease/src/orders.rs
+++ b/siskin-lease/src/orders.rs
@@ -287,6 +287,13 @@
         }
     }
 
+    /// Changes the shortest time between two orders that load a model, also for a load that waits already.
+    pub fn set_load_spacing(&mut self, spacing: Duration) {
+        let before = std::mem::replace(&mut self.options.load_spacing, spacing);
+        let last = self.next_load.as_micros().saturating_sub(micros(before));
+        self.next_load = Instant::from_micros(last) + spacing;
+    }
+
     /// Takes over what the configuration wants. Engines that it no longer names get no more orders.
     pub fn configure(&mut self, engines: &[Engine]) -> Vec<Action> {
         let mut before = std::mem::take(&mut self.engines);
@@ -363,11 +370,14 @@
             }
             Answer::Unanswered => Vec::new(),
             Answer::Stale => {
-                log::warn!(endpoint:%, fencing; "engine knows a later holder");
+                log::warn!(
+                    endpoint:%, fencing;
+                    "engine knows a later holder; if this repeats, check that each pool has engines of its own"
+                );
                 vec![Action::Superseded]
             }
             Answer::Failed => {
-                log::warn!(endpoint:%; "engine failed to carry out an order; it is tried again later");
+                log::warn!(endpoint:%; "engine failed to carry out an order; it is tried again later, see the engine's log");
                 let actions = self.cancel(endpoint);
                 if let Some(state) = self.engines.get_mut(&endpoint) {
                     state.not_before = now + self.options.retry_after;
@@ -615,7 +625,6 @@
             change.step = Step::Ordered { sent: now };
             change.outdated = false;
         }
-        log::info!(endpoint:%, fencing = tenure.fencing, wanted:?; "order sent");
         Action::Order { endpoint, fencing: tenure.fencing, wanted }
     }
 
@@ -652,6 +661,10 @@
     }
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Engine {
     /// Whether what a model is loaded on is ready; always true for one that is not an adapter.
     fn has_base(&self, model: Model, report: &Report) -> bool {
--- a/siskin-lease/tests/main/orders.rs
+++ b/siskin-lease/tests/main/orders.rs
@@ -27,9 +27,11 @@
     Drained(u32),
     /// The configuration does not name the engine any more.
     Removed(u32),
+    /// The configuration has another time between loads, in seconds.
+    Spaced(u64),
 }
 
-use Event::{Answered, At, Drained, Removed, Report as Reports, Restarted};
+use Event::{Answered, At, Drained, Removed, Report as Reports, Restarted, Spaced};
 
 /// An engine with the models and the role wanted of it, and whether it checks fencing numbers.
 type Want = (u32, &'static [u32], &'static str, bool);
@@ -165,6 +167,17 @@
             (&[At(42), Reports(1, &[1], &[2], "both")], &[]),
         ],
     },
+    Case {
+        name: "changed spacing applies to a load that waits",
+        engines: &[(1, &[1, 2], "both", true)],
+        steps: &[
+            (&[Reports(1, &[], &[], "both")], &["order 1 [] both"]),
+            (&[Answered(1, OK), At(1), Reports(1, &[], &[], "both")], &[]),
+            (&[Spaced(2), At(2), Reports(1, &[], &[], "both")], &["order 1 [1] both"]),
+            (&[Spaced(20), At(12), Reports(1, &[1], &[], "both")], &[]),
+            (&[At(22), Reports(1, &[1], &[], "both")], &["order 1 [1, 2] both"]),
+        ],
+    },
     Case {
         name: "restarted engine is told the number again",
         engines: &[(1, &[1], "both", true)],
@@ -337,6 +350,7 @@
                         actions.extend(planner.order_answered(now, Endpoint(number), 7, answer));
                     }
                     Drained(number) => planner.drained(Endpoint(number)),
+                    Spaced(second) => planner.set_load_spacing(Duration::from_secs(second)),
                     Removed(number) => {
                         engines.retain(|engine| engine.endpoint.0 != number);
                         actions.extend(planner.configure(&engines));
--- a/siskin-outcome/src/poison.rs
+++ b/siskin-outcome/src/poison.rs
@@ -234,6 +234,13 @@
         }
     }
 
+    /// Changes how long suspicions and refusals last, also for suspects that are known.
+    pub fn set_hold(&mut self, hold: Duration) {
+        self.options.hold = hold;
+        self.table.set_hold(hold);
+        self.outbox.set_hold(hold);
+    }
+
     /// An instance of an endpoint died without having announced it. `in_flight` are this router's requests
     /// there, with `alone` set for those whose verdict was [`Verdict::RunAlone`]. If the endpoint reports no instance, the caller makes up a number that is not used twice;
     /// several routers then count one crash as several.
--- a/siskin-outcome/src/poison/outbox.rs
+++ b/siskin-outcome/src/poison/outbox.rs
@@ -69,6 +69,10 @@
         }
     }
 
+    pub(crate) const fn set_hold(&mut self, hold: Duration) {
+        self.hold = hold;
+    }
+
     /// Sends notes to some routers now, and again until they acknowledge them.
     pub(crate) fn push(
         &mut self,
--- a/siskin-outcome/src/poison/table.rs
+++ b/siskin-outcome/src/poison/table.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    pub(crate) const fn set_hold(&mut self, hold: Duration) {
+        self.hold = hold;
+    }
+
     /// Adds requests in flight at a crash; returns what was not known.
     pub(crate) fn struck(
         &mut self,
--- a/siskin-outcome/src/retry.rs
+++ b/siskin-outcome/src/retry.rs
@@ -63,6 +63,20 @@
         Self { options, balance: u64::from(options.burst) * RETRY, counts: IndexMap::new() }
     }
 
+    /// Changes the share of the requests that may be retried. What is saved up stays.
+    ///
+    /// ```
+    /// use siskin_outcome::{outcome::Reason, retry::{Budget, Options}};
+    /// let mut budget = Budget::new(Options { percent: 10, burst: 1 });
+    /// assert!(budget.take(Reason::Broken));
+    /// budget.set_percent(100);
+    /// budget.request();
+    /// assert!(budget.take(Reason::Broken), "one request now gives one retry");
+    /// ```
+    pub const fn set_percent(&mut self, percent: u32) {
+        self.options.percent = percent;
+    }
+
     /// A request was accepted.
     pub fn request(&mut self) {
         let full = u64::from(self.options.burst) * RETRY;
--- a/siskin-outcome/tests/main/poison.rs
+++ b/siskin-outcome/tests/main/poison.rs
@@ -298,3 +298,13 @@
         assert_eq!(second.admit(at(millis), fingerprint(1)), want, "{}", case.name);
     }
 }
+
+/// Guards against a changed expiry that only later suspects have.
+#[test]
+fn changed_hold_applies_to_known_suspects() {
+    let mut detector = owner(&[]);
+    detector.crashed(at(0), Endpoint(1), 1, &in_flight(&[1]));
+    assert_eq!(detector.admit(at(5_000), fingerprint(1)), Verdict::RunAlone);
+    detector.set_hold(Duration::from_secs(1));
+    assert_eq!(detector.admit(at(5_000), fingerprint(1)), Verdict::Run);
+}
--- a/siskin-router/src/caller/answer.rs
+++ b/siskin-router/src/caller/answer.rs
@@ -105,15 +105,48 @@
 pub fn explain(outcome: Outcome) -> String {
     match outcome {
         Outcome::Completed => "the request ran and was answered".to_owned(),
-        Outcome::Failed => "the request ran and failed at the endpoint".to_owned(),
-        Outcome::NotRun(reason) => format!("the request did not run ({})", reason.label()),
+        Outcome::Failed => {
+            "the request ran and failed at the endpoint; read its answer before sending it again"
+                .to_owned()
+        }
+        Outcome::NotRun(reason) => {
+            format!("the request did not run ({}); {}", reason.label(), remedy(reason))
+        }
         Outcome::Unknown(reason) => format!(
-            "it is unknown whether the request ran ({}); check before sending it again",
-            reason.label()
+            "it is unknown whether the request ran ({}); {}",
+            reason.label(),
+            remedy(reason)
         ),
     }
 }
 
+/// What the caller can do.
+const fn remedy(reason: Reason) -> &'static str {
+    match reason {
+        Reason::QueueFull | Reason::InFlightCap => "send fewer requests at a time",
+        Reason::RateLimit => "send requests at a lower rate",
+        Reason::NoEndpoint => "send it again later, or ask the operators which endpoints serve it",
+        Reason::NotReady | Reason::Stopping => "send it again, to another router if possible",
+        Reason::Isolated => "send it to another router",
+        Reason::QueueDeadline => "send it again later or with a longer deadline",
+        Reason::SuspectRefused => {
+            "endpoints died while they ran it; change it, or ask the operators to lift the suspicion"
+        }
+        Reason::ClaimStoreUnavailable => "send it again later with the same idempotency key",
+        Reason::ClaimBodyDiffers => "use a new idempotency key for a new call",
+        Reason::EndpointRefused | Reason::ConnectFailed | Reason::CallerGone => {
+            "send it again later"
+        }
+        Reason::ClaimInProgress => "send it again later with the same key to get its result",
+        Reason::ClaimUnresolved
+        | Reason::Silent
+        | Reason::Broken
+        | Reason::Crossed
+        | Reason::ResumeRefused
+        | Reason::DeadlineAfterSend => "check before sending it again",
+    }
+}
+
 /// Writes `Retry-After` in whole seconds, rounded up.
 pub fn set_retry_after(headers: &mut HeaderMap, wait: Option<Duration>) {
     if let Some(wait) = wait {
--- a/siskin-router/src/caller/server.rs
+++ b/siskin-router/src/caller/server.rs
@@ -18,8 +18,8 @@
 /// Headers in a request.
 const HEADERS_MAX: usize = 100;
 
-/// Largest head of a request.
-const HEAD_BYTES: usize = 64 * 1024;
+/// Smallest buffer for the head of a request that hyper takes; smaller limits are checked when the head is read.
+const BUFFER_BYTES_MIN: usize = 8 * 1024;
 
 /// Streams on one HTTP/2 connection.
 const STREAMS_MAX: u32 = 1_000;
@@ -39,13 +39,8 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .max_headers(HEADERS_MAX)
-        .max_buf_size(HEAD_BYTES);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(STREAMS_MAX)
-        .max_header_list_size(u32::try_from(HEAD_BYTES).unwrap_or(u32::MAX));
+        .max_headers(HEADERS_MAX);
+    builder.http2().timer(TokioTimer::new()).max_concurrent_streams(STREAMS_MAX);
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -65,6 +60,10 @@
             let shared = Arc::clone(&service_shared);
             async move { Ok::<_, Infallible>(service::handle(shared, request).await) }
         });
+        let limit = shared.view().document().fleet.max_head_bytes;
+        let buffer = usize::try_from(limit).unwrap_or(usize::MAX).max(BUFFER_BYTES_MIN);
+        builder.http1().max_buf_size(buffer);
+        builder.http2().max_header_list_size(u32::try_from(buffer).unwrap_or(u32::MAX));
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/siskin-router/src/caller/service.rs
+++ b/siskin-router/src/caller/service.rs
@@ -77,6 +77,13 @@
 ) -> Result<Response<Body>, Refused> {
     let view = shared.view();
     let (head, incoming) = request.into_parts();
+    let limit = view.document().fleet.max_head_bytes;
+    if head_bytes(&head) > limit {
+        let message =
+            format!("the head of the request exceeds {limit} bytes; send fewer or shorter headers");
+        let code = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(refuse(shared, code, "head_too_large", &message));
+    }
     if let Some(reason) = shared.refuses_work() {
         return Err(not_run(shared, reason).into());
     }
@@ -251,6 +258,19 @@
     Ok(shared.clock.now() + wanted.min(longest))
 }
 
+/// Bytes of a request's head as HTTP/1.1 writes it.
+fn head_bytes(head: &Parts) -> u64 {
+    // Two spaces, the version and the line end; a colon, a space and the line end.
+    const REQUEST_LINE: usize = 12;
+    const HEADER_LINE: usize = 4;
+    let target = head.uri.path_and_query().map_or(1, |target| target.as_str().len());
+    let line = head.method.as_str().len() + target + REQUEST_LINE;
+    let headers = head.headers.iter();
+    let headers: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE).sum();
+    (line + headers) as u64
+}
+
 fn authenticate(shared: &Shared, view: &View, headers: &HeaderMap) -> Result<Customer, Refused> {
     headers
         .get(AUTHORIZATION)
--- a/siskin-router/src/claims.rs
+++ b/siskin-router/src/claims.rs
@@ -240,8 +240,7 @@
     };
     shared.metrics.store_calls.with_label_values(&[kind]).inc();
     let answer = answer.unwrap_or_else(|error| {
-        shared.metrics.store_errors.with_label_values(&[kind]).inc();
-        log::debug!(kind; "store call failed: {error}");
+        shared.store_failed(kind, &error);
         Answer::Failed
     });
     let actions = lock(&claims.service).stored(shared.clock.now(), call, answer);
--- a/siskin-router/src/configure.rs
+++ b/siskin-router/src/configure.rs
@@ -198,7 +198,11 @@
 async fn bootstrap(shared: Arc<Shared>, document: Document) {
     let changes = match serde_json::to_value(&document) {
         Ok(changes) => changes,
-        Err(error) => return log::error!("bootstrap document cannot be encoded: {error}"),
+        Err(error) => {
+            return log::error!(
+                "bootstrap document cannot be encoded: {error}; correct it and restart the router"
+            );
+        }
     };
     let patch = Patch { id: BOOTSTRAP.to_owned(), base: 0, author: BOOTSTRAP.to_owned(), changes };
     loop {
@@ -208,7 +212,9 @@
             }
             Err(Refusal::Stale { .. }) => return,
             Err(refusal @ Refusal::Invalid(_)) => {
-                return log::error!("bootstrap document was refused: {refusal}");
+                return log::error!(
+                    "bootstrap document was refused: {refusal}; correct it and restart the router"
+                );
             }
             Err(refusal) => log::info!("configuration was not created yet: {refusal}"),
         }
@@ -261,7 +267,12 @@
         let scope = Scope::Key(&watch.key);
         let waiting = shared.config.store.watch(scope, Revision(watch.from_revision), WATCH_WAIT);
         let event = tokio::select! {
-            result = waiting => watched(result),
+            result = waiting => {
+                if let Err(error) = &result {
+                    shared.store_failed("watch", error);
+                }
+                watched(result)
+            }
             changed = wanted.changed() => match changed {
                 Ok(()) => continue,
                 Err(_) => return,
@@ -269,7 +280,6 @@
         };
         if let Some(event) = event {
             if event == Watched::Broken {
-                shared.metrics.store_errors.with_label_values(&["watch"]).inc();
                 // The follower asks for the watch again after a pause.
                 shared.config.watch.send_replace(None);
                 wanted.mark_unchanged();
@@ -316,8 +326,7 @@
     };
     shared.metrics.store_calls.with_label_values(&[kind]).inc();
     answer.unwrap_or_else(|error| {
-        shared.metrics.store_errors.with_label_values(&[kind]).inc();
-        log::debug!(kind; "store call failed: {error}");
+        shared.store_failed(kind, &error);
         Answer::Unknown
     })
 }
@@ -360,6 +369,9 @@
     let fleet = &view.document().fleet;
     shared.claims.set_limits(fleet.claim_retention(), fleet.request_timeout());
     shared.upstream.set_connect_timeout(fleet.connect_timeout());
+    for pool in shared.pools() {
+        pool.set_limits(fleet);
+    }
     shared.metrics.config_version.set(i64::try_from(view.version()).unwrap_or(i64::MAX));
     let mut pools = IndexMap::new();
     let mut started = Vec::new();
--- a/siskin-router/src/control.rs
+++ b/siskin-router/src/control.rs
@@ -117,27 +117,40 @@
         let frame = match sealed {
             Ok(frame) => frame,
             Err(error) => {
-                log::error!(kind; "message cannot be sent: {error}");
+                self.unsent("encoding");
+                log::error!(kind; "message cannot be sent: {error}; report this as a fault");
                 return;
             }
         };
         if frame.len() <= MAX_DATAGRAM_BYTES {
             self.count("sent", kind, frame.len() as u64 + DATAGRAM_HEADER_BYTES);
             if let Err(error) = self.socket.try_send_to(&frame, to) {
+                self.unsent("socket");
                 log::debug!(to:% = to, kind; "datagram was not sent: {error}");
             }
             return;
         }
         self.count("sent", kind, frame.len() as u64 + CONNECTION_HEADER_BYTES);
+        let control = Arc::clone(self);
         tokio::spawn(async move {
             match timeout(CONNECTION_TIMEOUT, send_stream(to, &frame)).await {
                 Ok(Ok(())) => {}
-                Ok(Err(error)) => log::debug!(to:% = to, kind; "frame was not sent: {error}"),
-                Err(_) => log::debug!(to:% = to, kind; "frame was not sent in time"),
+                Ok(Err(error)) => {
+                    control.unsent("connection");
+                    log::debug!(to:% = to, kind; "frame was not sent: {error}");
+                }
+                Err(_) => {
+                    control.unsent("timeout");
+                    log::debug!(to:% = to, kind; "frame was not sent in time");
+                }
             }
         });
     }
 
+    fn unsent(&self, reason: &str) {
+        self.metrics.frames_unsent.with_label_values(&[reason]).inc();
+    }
+
     /// Receives frames until the router stops.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener, queue: mpsc::Sender<Received>) {
         tokio::join!(self.receive_datagrams(&queue), self.accept(listener, &queue));
@@ -169,6 +182,7 @@
                 let _permit = permit;
                 let Ok(Ok(frame)) = timeout(CONNECTION_TIMEOUT, receive_stream(stream)).await
                 else {
+                    control.metrics.frames_rejected.with_label_values(&["incomplete"]).inc();
                     return;
                 };
                 let opened = lock(&control.opener).open(&frame);
--- a/siskin-router/src/lib.rs
+++ b/siskin-router/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod endpoints;
 pub mod exchange;
+pub mod failures;
 pub mod metrics;
 mod operator;
 mod orders;
--- a/siskin-router/src/metrics.rs
+++ b/siskin-router/src/metrics.rs
@@ -44,8 +44,22 @@
     pub store_calls: IntCounterVec,
     /// Failed store calls by kind.
     pub store_errors: IntCounterVec,
+    /// Frames that could not be sent, by reason.
+    pub frames_unsent: IntCounterVec,
+    /// Whether this router holds the lease for orders, by pool.
+    pub lease_held: IntGaugeVec,
+    /// Fencing number of the lease that is held, by pool.
+    pub lease_fencing: IntGaugeVec,
+    /// Whole seconds in which orders may still be sent, by pool.
+    pub lease_seconds_left: IntGaugeVec,
+    /// Requests suspected of crashing endpoints, by pool.
+    pub suspects: IntGaugeVec,
     /// Configuration version in force.
     pub config_version: IntGauge,
+    /// Whole seconds since the version was last confirmed.
+    pub config_age_seconds: IntGauge,
+    /// Versions between the newest announced one and the one in force.
+    pub config_versions_behind: IntGauge,
     /// Members by state.
     pub members: IntGaugeVec,
     /// Pools that this router owns.
@@ -120,6 +134,39 @@
             )?,
             store_calls: counters("siskin_store_calls_total", "Store calls.", &["kind"])?,
             store_errors: counters("siskin_store_errors_total", "Failed store calls.", &["kind"])?,
+            frames_unsent: counters(
+                "siskin_frames_unsent_total",
+                "Frames for other routers that could not be sent.",
+                &["reason"],
+            )?,
+            lease_held: gauges(
+                "siskin_lease_held",
+                "Whether this router holds the lease for orders.",
+                &["pool"],
+            )?,
+            lease_fencing: gauges(
+                "siskin_lease_fencing",
+                "Fencing number of the lease that is held, 0 without one.",
+                &["pool"],
+            )?,
+            lease_seconds_left: gauges(
+                "siskin_lease_seconds_left",
+                "Seconds in which orders may be sent unless the lease is extended.",
+                &["pool"],
+            )?,
+            suspects: gauges(
+                "siskin_suspects",
+                "Requests suspected of crashing endpoints.",
+                &["pool"],
+            )?,
+            config_age_seconds: gauge(
+                "siskin_config_age_seconds",
+                "Seconds since the version in force was confirmed, -1 before the first time.",
+            )?,
+            config_versions_behind: gauge(
+                "siskin_config_versions_behind",
+                "Versions between the newest announced one and the one in force.",
+            )?,
             config_version: gauge("siskin_config_version", "Configuration version in force.")?,
             members: gauges("siskin_members", "Routers known, by state.", &["state"])?,
             owned_pools: gauge("siskin_owned_pools", "Pools that this router owns.")?,
--- a/siskin-router/src/orders.rs
+++ b/siskin-router/src/orders.rs
@@ -16,10 +16,11 @@
         Request, StatusCode,
         header::{CONTENT_TYPE, HOST},
     },
+    log::Level,
     serde_json::json,
     siskin_config::document::{Endpoint as Configured, Fencing, Service},
     siskin_lease::{
-        holder::{self, Answer, Entry, Holder, Operation, Unanswered},
+        holder::{self, Answer, Entry, Holder, Operation, Reason, Tenure, Unanswered},
         orders::{self, Action, Engine, Planner, Report, Versions, Wanted},
     },
     siskin_store::{Error, LeaseId, Store, Write},
@@ -93,6 +94,16 @@
         blocked.collect()
     }
 
+    /// The time in which this router may send orders.
+    pub(crate) fn tenure(&self, now: Instant) -> Option<Tenure> {
+        lock(&self.holder).tenure(now)
+    }
+
+    /// Changes the shortest time between two loads.
+    pub(crate) fn set_load_spacing(&self, spacing: Duration) {
+        lock(&self.planner).set_load_spacing(spacing);
+    }
+
     /// Whether an engine is being drained for an order.
     pub(crate) fn drains(&self, endpoint: Endpoint) -> bool {
         lock(&self.drains).contains_key(&endpoint)
@@ -246,7 +257,8 @@
                 log::info!(pool = pool.name(), fencing; "lease for orders is held");
             }
             holder::Action::Lost { reason } => {
-                log::info!(pool = pool.name(), reason:? = reason; "lease for orders is no longer held");
+                let level = if reason == Reason::Resigned { Level::Info } else { Level::Warn };
+                log::log!(level, pool = pool.name(), reason:? = reason; "lease for orders is no longer held");
             }
         }
     }
@@ -300,7 +312,10 @@
         None => return,
     };
     let answer = answer.unwrap_or(orders::Answer::Unanswered);
-    log::info!(pool = pool.name(), endpoint:% = endpoint, fencing, answer:? = answer; "order was sent");
+    log::info!(
+        pool = pool.name(), endpoint:% = endpoint, fencing, answer:? = answer, wanted:? = wanted;
+        "order was sent"
+    );
     let now = shared.clock.now();
     let actions = lock(&orders.planner).order_answered(now, endpoint, fencing, answer);
     perform(&shared, &pool, actions);
@@ -362,8 +377,7 @@
         }
     };
     let answer = answer.map_err(|error| {
-        shared.metrics.store_errors.with_label_values(&["lease"]).inc();
-        log::debug!(pool = pool.name(); "store call failed: {error}");
+        shared.store_failed("lease", &error);
         Unanswered
     });
     let actions = lock(&pool.orders().holder).stored(shared.clock.now(), call, answer);
--- a/siskin-router/src/pool.rs
+++ b/siskin-router/src/pool.rs
@@ -123,6 +123,13 @@
             && self.options.max_catch_up == config.catch_up()
     }
 
+    /// Applies settings of the fleet that may change while the pool stays.
+    pub(crate) fn set_limits(&self, fleet: &document::Fleet) {
+        self.budget().set_percent(fleet.retry_budget_percent);
+        self.suspects.set_hold(fleet.poison_expiry());
+        self.orders.set_load_spacing(fleet.load_spacing());
+    }
+
     /// The pool's number.
     #[must_use]
     pub const fn id(&self) -> Id {
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -11,6 +11,7 @@
         control::Control,
         endpoints::Ability,
         exchange::{Call, Kind},
+        failures::Limiter,
         metrics::Metrics,
         pool::Pool,
         settings::{Scheduling, Settings},
@@ -34,6 +35,7 @@
     siskin_wire::Message,
     std::{
         collections::HashMap,
+        fmt,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError, RwLock,
             atomic::{AtomicBool, AtomicU64, Ordering},
@@ -65,6 +67,8 @@
     /// What engines said they can serve.
     pub(crate) loaded: Mutex<HashMap<Endpoint, Ability>>,
     pub(crate) refresh: Notify,
+    /// Which failures of the store are logged.
+    failures: Mutex<Limiter>,
     /// VMs that the platform lists as leaving.
     pub(crate) listed_leaving: Mutex<Vec<vms::Address>>,
     view: RwLock<Arc<View>>,
@@ -110,6 +114,7 @@
             health: Mutex::new(Tracker::new(health::Options::default())),
             loaded: Mutex::default(),
             refresh: Notify::new(),
+            failures: Mutex::default(),
             listed_leaving: Mutex::default(),
             view: RwLock::new(Arc::new(View::new(Arc::clone(
                 Follower::new(Options::default()).state(),
@@ -223,9 +228,53 @@
             self.metrics.queued.with_label_values(&[pool.name()]).set(queued);
             self.metrics.in_flight.with_label_values(&[pool.name()]).set(in_flight);
         }
+        self.measure_leases();
+        self.measure_configuration();
         self.metrics.page()
     }
 
+    /// Gauges of the leases for orders and of suspects. Pools that are gone are dropped from the page.
+    fn measure_leases(&self) {
+        let now = self.clock.now();
+        let metrics = &self.metrics;
+        for gauges in [&metrics.lease_held, &metrics.lease_fencing, &metrics.lease_seconds_left] {
+            gauges.reset();
+        }
+        metrics.suspects.reset();
+        for pool in self.pools() {
+            let tenure = pool.orders().tenure(now);
+            let left = tenure.map_or(Duration::ZERO, |tenure| tenure.until - now);
+            let labels = &[pool.name()];
+            metrics.lease_held.with_label_values(labels).set(i64::from(tenure.is_some()));
+            let fencing = tenure.map_or(0, |tenure| tenure.fencing);
+            metrics.lease_fencing.with_label_values(labels).set(gauge(fencing));
+            metrics.lease_seconds_left.with_label_values(labels).set(gauge(left.as_secs()));
+            let suspects = pool.suspects().list(now).len() as u64;
+            metrics.suspects.with_label_values(labels).set(gauge(suspects));
+        }
+    }
+
+    fn measure_configuration(&self) {
+        let now = self.clock.now();
+        let (version, announced, freshness) = self.config.read(|follower| {
+            (follower.version(), follower.announced_version(now), follower.freshness(now))
+        });
+        let age = freshness.map_or(NEVER_CONFIRMED, |age| gauge(age.as_secs()));
+        self.metrics.config_age_seconds.set(age);
+        self.metrics.config_versions_behind.set(gauge(announced.saturating_sub(version)));
+    }
+
+    /// Counts a failed call of the store and logs it, unless one of its kind was logged a moment ago.
+    pub(crate) fn store_failed(&self, kind: &'static str, error: &impl fmt::Display) {
+        self.metrics.store_errors.with_label_values(&[kind]).inc();
+        if let Some(left_out) = lock(&self.failures).failed(self.clock.now(), kind) {
+            log::warn!(
+                kind, left_out;
+                "store call failed: {error}; it is repeated, check that the store can be reached"
+            );
+        }
+    }
+
     /// Sends messages to other routers.
     pub(crate) fn send_all(&self, messages: Vec<(Node, Message)>) {
         for (node, message) in messages {
@@ -236,9 +285,11 @@
     /// Sends a message to another router.
     pub(crate) fn send(&self, node: Node, message: &Message) {
         let address = lock(&self.member).address(node);
-        match address {
-            Some(address) => self.control.send(Some(node), address, message),
-            None => log::debug!(node:% = node; "message was dropped: the router is not known"),
+        if let Some(address) = address {
+            self.control.send(Some(node), address, message);
+        } else {
+            self.metrics.frames_unsent.with_label_values(&["unknown_router"]).inc();
+            log::debug!(node:% = node; "message was dropped: the router is not known");
         }
     }
 
@@ -266,6 +317,13 @@
     }
 }
 
+/// Age of a configuration that the store has never confirmed to this router.
+const NEVER_CONFIRMED: i64 = -1;
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
 /// The client for the configuration, with the budget of the design.
 fn config_store(settings: &Settings, seed: u64) -> siskin_store::http::Client {
     siskin_store::http::Client::new(siskin_store::http::Options {
--- a/siskin-router/src/suspect.rs
+++ b/siskin-router/src/suspect.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Changes how long a suspect is remembered or refused, also for those that are known.
+    pub(crate) fn set_hold(&self, hold: Duration) {
+        lock(&self.detector).set_hold(hold);
+        self.wake.notify_one();
+    }
+
     /// Whether the suspects that other routers know are known here too.
     pub(crate) fn synced(&self) -> bool {
         lock(&self.detector).synced()
--- a/siskin-site/tests/site/operators.rs
+++ b/siskin-site/tests/site/operators.rs
@@ -198,3 +198,51 @@
     expect_true!(time::timeout(Duration::from_secs(40), healed).await.is_ok(), "it serves again");
     site.stop().await;
 }
+
+/// Guards against settings that wait for a restart, and against a page that does not tell who holds the lease.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_limits_apply_at_once_and_gauges_are_shown() {
+    let site = start(options()).await;
+    let page = |router: usize| site.router(router).metrics().page();
+    let call = |bytes: usize| {
+        let key = Customer::new("agency").key();
+        let call = Call::chat(site.router(0).callers(), &key, "short", 2, false);
+        call.header("x-long", &"x".repeat(bytes))
+    };
+    expect_that!(send(&call(2_000)).await.unwrap().outcome(), eq("completed"));
+    let limits = json!({ "fleet": { "max_head_bytes": 1_024, "retry_budget_percent": 0 } });
+    expect_that!(patch(&site, 0, "limits", 1, &limits).await.status.as_u16(), eq(200));
+    expect_true!(in_force(&site, 2).await);
+    let refused = send(&call(2_000)).await.unwrap();
+    expect_that!((refused.status.as_u16(), refused.reason()), eq((431, "head_too_large")));
+    expect_that!(refused.body, contains_substring("send fewer or shorter headers"));
+    expect_that!(send(&call(100)).await.unwrap().outcome(), eq("completed"));
+    let holders = async {
+        loop {
+            let mut held = 0;
+            for router in 0..2 {
+                // The page of the operators' interface reads the gauges anew.
+                let address = site.router(router).operators();
+                let call = Call { method: Method::GET, ..Call::post(address, "/metrics", "", "") };
+                let text = send(&call).await.map(|answer| answer.body).unwrap_or_default();
+                held += text.matches("siskin_lease_held{pool=\"chat\"} 1").count();
+            }
+            if held == 1 {
+                return;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    expect_true!(time::timeout(Duration::from_secs(60), holders).await.is_ok(), "one holder");
+    for line in [
+        "siskin_lease_fencing{pool=\"chat\"}",
+        "siskin_lease_seconds_left{pool=\"chat\"}",
+        "siskin_suspects{pool=\"chat\"} 0",
+        "siskin_config_age_seconds ",
+        "siskin_config_versions_behind 0",
+    ] {
+        expect_that!(page(0), contains_substring(line));
+    }
+    site.stop().await;
+}
