--- a/siskin-router/tests/router/main.rs
+++ b/siskin-router/tests/router/main.rs
@@ -1,4 +1,7 @@
-//! The program itself: its settings and its stop.
+//! The program itself: its settings, its stop, and processes that are frozen and woken.
 
+mod lease;
+mod measured;
 mod process;
 mod program;
+mod relay;
