Tell the loser of a patch race that its patch is stale

Cause: a submission reads the log while the winner's entry may arrive from another router.

Ruled out: a store that lost the entry; the next read shows it.

Conclusion: of two racing operators the loser gets the current version and the changes.

--- a/siskin-config/src/submit.rs
+++ b/siskin-config/src/submit.rs
@@ -295,7 +295,7 @@
                 if head.is_some_and(|head| head.version >= missing) {
                     return self.decide(now, follower, view);
                 }
-                vec![self.give_up(Refusal::CatchingUp)]
+                self.behind(now)
             }
             (Step::Creating { version, bytes }, Answer::Created(true)) => {
                 self.was_created(now, follower, version, &bytes)
@@ -397,8 +397,8 @@
         }]
     }
 
-    /// Another router announced a version that this read of the store did not show. Either it was
-    /// created after the read, or the store has lost it; a repeated read tells.
+    /// Another router announced or sent a version that this read of the store did not show. Either it
+    /// was created after the read, or the store has lost it; a repeated read tells.
     fn behind(&mut self, now: Instant) -> Vec<Action> {
         self.reads_behind += 1;
         if self.reads_behind >= MAX_READS_BEHIND {
--- a/siskin-config/tests/main/outage.rs
+++ b/siskin-config/tests/main/outage.rs
@@ -87,20 +87,20 @@
 }
 
 /// A router alone with a store that answers at once.
-struct Alone {
-    follower: Follower,
-    store: Store,
-    now: Instant,
+pub(crate) struct Alone {
+    pub(crate) follower: Follower,
+    pub(crate) store: Store,
+    pub(crate) now: Instant,
 }
 
 impl Alone {
-    fn new(store: Store) -> Self {
+    pub(crate) fn new(store: Store) -> Self {
         let mut follower = Follower::new(Options { seed: 1, snapshot_interval: 8 });
         follower.watcher(Instant::ZERO, Some(0));
         Self { follower, store, now: Instant::ZERO }
     }
 
-    fn pass(&mut self, seconds: u64) {
+    pub(crate) fn pass(&mut self, seconds: u64) {
         for _ in 0..seconds * 10 {
             self.now = self.now + Duration::from_millis(100);
             let mut actions = self.follower.tick(self.now);
@@ -112,7 +112,7 @@
     }
 
     /// Submits a patch whose changes follow from its identifier, so that it can be sent again.
-    fn submit(&mut self, id: &str) -> Result<submit::Accepted, submit::Refusal> {
+    pub(crate) fn submit(&mut self, id: &str) -> Result<submit::Accepted, submit::Refusal> {
         let number: u64 = id[1..].parse().unwrap();
         self.submit_changes(id, &serde_json::json!({ "fleet": { "poison_expiry_s": number } }))
     }
