Hold copies of a request that are sent at the same moment

Cause: copies of a crashing request that are sent at the same moment are all dispatched before the news of the first crash, each to another endpoint.

Change: at each router a copy waits while another one of the same fingerprint is in flight, until one has completed there and for 0.5 s at most. A suspect waits until no copy of it is in flight at its router, and for its router's turn of 0.2 s each. Held requests have a counter.

Conclusion: the limit of 3 holds for copies sent at once through up to two routers; through r routers it is r + 1, for requests that crash an endpoint within 0.2 s.

--- a/siskin-outcome/src/poison.rs
+++ b/siskin-outcome/src/poison.rs
@@ -5,7 +5,9 @@
 //!
 //! **Bound.** Copies of a crashing request that are sent one after another take down at most 2 endpoints if
 //! the news of the first crash reaches each router before it dispatches the next copy, and at most 3 if one
-//! dispatch of a suspect overtakes the news of a crash; each further one that does adds at most one. This assumes that the scheduler keeps two suspects from one endpoint.
+//! dispatch of a suspect overtakes the news of a crash; each further one that does adds at most one. Copies that
+//! are sent at the same moment are held back by [`copies::Copies`]: one endpoint for each router that has one, and
+//! one more. This assumes that the scheduler keeps two suspects from one endpoint.
 //! [`Detector::crashed`] gives [`Action::Confirmed`] once the owner of the pool has sent the news to all
 //! routers; a router that answers the caller only then gives the caller no cause to resend earlier.
 //!
@@ -16,6 +18,7 @@
 //! having copies at two endpoints that fail together. It waits for an endpoint without a suspect: with `k` suspects and `n` endpoints at most
 //! `k / n`, rounded up, times the longest run, and never for longer than the hold.
 
+pub mod copies;
 mod outbox;
 mod table;
 
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -24,7 +24,7 @@
     siskin_outcome::{
         life::{self, Action, Attempt, Life},
         outcome::{Outcome, Reason},
-        poison::{Fingerprint, InFlight, Verdict},
+        poison::{Fingerprint, InFlight, Verdict, copies::Entry},
     },
     siskin_route::prefix::Chain,
     siskin_sched::{pool as scheduled, ticket::Ticket},
@@ -122,6 +122,17 @@
 /// Service that is reported to the scheduler at once while a stream runs.
 const PROGRESS_STEP: Units = Units(32);
 
+/// Where a request stands among its copies at this router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    /// It has not asked to go on.
+    New,
+    /// It waits since then, as a suspect or not.
+    Waiting(Instant, bool),
+    /// It counts as in flight.
+    InFlight,
+}
+
 /// One request on its way.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -151,6 +162,10 @@
     deaths: watch::Receiver<()>,
     /// When a queued request is refused, if no endpoint that could serve it comes back.
     dead_at: Option<time::Instant>,
+    /// Where it stands among the copies of its request.
+    turn: Turn,
+    /// Departures of copies.
+    departures: watch::Receiver<()>,
     /// When a queued request next looks for a live endpoint.
     look_at: time::Instant,
 }
@@ -167,6 +182,8 @@
         life: Life::new(options),
         deaths: shared.deaths.subscribe(),
         dead_at: None,
+        turn: Turn::New,
+        departures: call.pool.suspects().departures(),
         look_at: time::Instant::now(),
         shared,
         call,
@@ -212,12 +229,16 @@
         let quiet = self.quiet_at();
         let queued = matches!(self.stage, Stage::Queued { .. });
         let dead = self.dead_at.filter(|_| queued);
+        let held = matches!(self.stage, Stage::Held { .. });
+        let turn = self.stage.turn().map(|turn| clock.deadline(turn));
         tokio::select! {
             biased;
             event = self.stage.advance() => event,
             () = self.responder.gone() => Event::CallerGone,
             () = time::sleep_until(timer) => Event::Timer,
             Ok(()) = self.deaths.changed(), if queued => Event::EndpointDied,
+            Ok(()) = self.departures.changed(), if held => Event::CopyLeft,
+            () = time::sleep_until(turn.unwrap_or(timer)), if turn.is_some() => Event::CopyLeft,
             () = time::sleep_until(self.look_at), if queued => Event::Waited,
             () = time::sleep_until(dead.unwrap_or(timer)), if dead.is_some() => Event::EndpointDied,
             () = time::sleep_until(quiet.unwrap_or(timer)), if quiet.is_some() => Event::Quiet,
@@ -258,6 +279,13 @@
             Event::Quiet => self.quiet().await,
             Event::Timer => self.life.tick(now),
             Event::EndpointDied => self.endpoint_died(now),
+            Event::CopyLeft => match std::mem::replace(&mut self.stage, Stage::Idle) {
+                Stage::Held { attempt, exclude, .. } => self.submit(attempt, exclude),
+                stage => {
+                    self.stage = stage;
+                    Vec::new()
+                }
+            },
             Event::Waited => {
                 self.look_at = time::Instant::now() + LOOK_AFTER;
                 self.shared.look_for_life(&self.call.pool, self.call.model);
@@ -309,6 +337,10 @@
             return self.life.refused(now, Reason::SuspectRefused);
         }
         self.alone = verdict == Verdict::RunAlone;
+        if let Entry::Wait { until } = self.enter(now) {
+            self.stage = Stage::Held { attempt, exclude, until };
+            return Vec::new();
+        }
         let prefer = match &self.call.kind {
             Kind::Chat { chain, .. } => lock(&self.shared.prefixes).prefer(chain),
             Kind::Application(_) => Vec::new(),
@@ -339,6 +371,26 @@
         }
     }
 
+    /// Asks to go on among the copies of the request.
+    fn enter(&mut self, now: Instant) -> Entry {
+        self.departures.mark_unchanged();
+        let since = match self.turn {
+            Turn::Waiting(since, suspect) if suspect == self.alone => since,
+            _ => now,
+        };
+        let suspects = self.call.pool.suspects();
+        let entry = suspects.enter(now, self.call.fingerprint, self.alone, since);
+        if entry == Entry::Go {
+            self.turn = Turn::InFlight;
+            return entry;
+        }
+        if self.turn == Turn::New {
+            self.shared.metrics.held_copies.inc();
+        }
+        self.turn = Turn::Waiting(since, self.alone);
+        entry
+    }
+
     /// Whether no endpoint that could serve the request has answered for the grace. Notes when that will be so.
     fn is_dead(&mut self, now: Instant) -> bool {
         self.deaths.mark_unchanged();
@@ -457,6 +509,9 @@
             self.call.pool.suspects().ended(endpoint, self.call.request);
             self.call.pool.finish(&self.shared, self.now(), self.call.request, self.used);
         }
+        if std::mem::replace(&mut self.turn, Turn::New) == Turn::InFlight {
+            self.call.pool.suspects().left(self.call.fingerprint);
+        }
     }
 
     /// Raises the service of this dispatch and reports it in steps.
--- a/siskin-router/src/exchange/stage.rs
+++ b/siskin-router/src/exchange/stage.rs
@@ -8,7 +8,7 @@
     },
     futures_util::{StreamExt, future::BoxFuture, stream::BoxStream},
     siskin_outcome::life::Attempt,
-    siskin_types::id::Endpoint,
+    siskin_types::{id::Endpoint, time::Instant},
     std::{fmt, future},
     tokio::sync::oneshot,
 };
@@ -29,6 +29,8 @@
     Timer,
     /// An endpoint died, or the time has come to refuse a request that none is left for.
     EndpointDied,
+    /// A copy of a request has left, or the request need not wait for one any longer.
+    CopyLeft,
     /// The request has waited for a slot for a while.
     Waited,
     /// The caller went away.
@@ -39,6 +41,15 @@
 pub(super) enum Stage {
     /// Nothing but a timer.
     Idle,
+    /// Other copies of the request.
+    Held {
+        /// The attempt.
+        attempt: Attempt,
+        /// Endpoints that have failed the request.
+        exclude: Vec<Endpoint>,
+        /// When it need not wait any longer, or has its turn.
+        until: Option<Instant>,
+    },
     /// A slot.
     Queued {
         /// The attempt.
@@ -81,7 +92,7 @@
     /// Waits for the next event of this stage. Dropping the future loses nothing.
     pub(super) async fn advance(&mut self) -> Event {
         match self {
-            Self::Idle => future::pending().await,
+            Self::Idle | Self::Held { .. } => future::pending().await,
             Self::Queued { attempt, assignment } => {
                 let attempt = *attempt;
                 // The scheduler drops the sender only when the pool is removed, which is an expiry too.
@@ -107,13 +118,21 @@
     /// The attempt and endpoint of a stage that has one.
     pub(super) const fn attempt(&self) -> Option<(Attempt, Endpoint)> {
         match self {
-            Self::Idle | Self::Queued { .. } => None,
+            Self::Idle | Self::Held { .. } | Self::Queued { .. } => None,
             Self::Connecting { attempt, endpoint, .. }
             | Self::Sending { attempt, endpoint, .. }
             | Self::Reading { attempt, endpoint, .. } => Some((*attempt, *endpoint)),
         }
     }
 
+    /// When a request that waits for copies need not wait any longer.
+    pub(super) const fn turn(&self) -> Option<Instant> {
+        match self {
+            Self::Held { until, .. } => *until,
+            _ => None,
+        }
+    }
+
     /// Whether the endpoint has to do the next step.
     pub(super) const fn waits_for_endpoint(&self) -> bool {
         matches!(self, Self::Sending { .. } | Self::Reading { .. })
@@ -129,6 +148,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Idle => "Idle",
+            Self::Held { .. } => "Held",
             Self::Queued { .. } => "Queued",
             Self::Connecting { .. } => "Connecting",
             Self::Sending { .. } => "Sending",
--- a/siskin-router/src/metrics.rs
+++ b/siskin-router/src/metrics.rs
@@ -54,6 +54,8 @@
     pub endpoint_crashes: IntCounter,
     /// Connections found silent.
     pub silent_connections: IntCounter,
+    /// Requests that waited for another copy of themselves.
+    pub held_copies: IntCounter,
 }
 
 impl Metrics {
@@ -128,6 +130,10 @@
                 "siskin_silent_connections_total",
                 "Connections to endpoints found silent.",
             )?,
+            held_copies: counter(
+                "siskin_held_copies_total",
+                "Requests that waited for another copy of themselves.",
+            )?,
             registry,
         })
     }
--- a/siskin-router/src/suspect.rs
+++ b/siskin-router/src/suspect.rs
@@ -5,6 +5,7 @@
     indexmap::IndexMap,
     siskin_outcome::poison::{
         Action, Crash, Detector, Fingerprint, InFlight, Message, Options, Suspect, Verdict,
+        copies::{self, Copies, Entry},
     },
     siskin_types::{
         id::{Endpoint, Node, Pool, Request},
@@ -35,6 +36,9 @@
 #[derive(Debug)]
 pub(crate) struct Suspects {
     detector: Mutex<Detector>,
+    copies: Mutex<Copies>,
+    /// Changes when a copy of a request has left or was completed.
+    copy_left: watch::Sender<()>,
     in_flight: Mutex<IndexMap<Endpoint, IndexMap<Request, InFlight>>>,
     confirmed: watch::Sender<VecDeque<Crash>>,
     wake: Notify,
@@ -45,6 +49,8 @@
         let options = Options { hold, ..Options::new(pool, node) };
         Self {
             detector: Mutex::new(Detector::new(options)),
+            copies: Mutex::new(Copies::new(copies::Options::default())),
+            copy_left: watch::Sender::default(),
             in_flight: Mutex::default(),
             confirmed: watch::Sender::default(),
             wake: Notify::new(),
@@ -63,6 +69,28 @@
         verdict
     }
 
+    /// Whether a copy of a request that has waited since `since` may go on.
+    pub(crate) fn enter(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        suspect: bool,
+        since: Instant,
+    ) -> Entry {
+        lock(&self.copies).enter(now, fingerprint, suspect, since)
+    }
+
+    /// Notes that a copy that went on is no longer in flight.
+    pub(crate) fn left(&self, fingerprint: Fingerprint) {
+        lock(&self.copies).left(fingerprint);
+        self.copy_left.send_replace(());
+    }
+
+    /// Tells when copies leave.
+    pub(crate) fn departures(&self) -> watch::Receiver<()> {
+        self.copy_left.subscribe()
+    }
+
     /// Notes that a request was given to an endpoint.
     pub(crate) fn started(&self, endpoint: Endpoint, request: Request, in_flight: InFlight) {
         lock(&self.in_flight).entry(endpoint).or_default().insert(request, in_flight);
@@ -77,6 +105,7 @@
 
     /// Clears a request that an endpoint has answered.
     pub(crate) fn completed(&self, shared: &Shared, now: Instant, fingerprint: Fingerprint) {
+        lock(&self.copies).completed(fingerprint);
         let actions = lock(&self.detector).completed(now, fingerprint);
         self.perform(shared, actions);
     }
@@ -109,6 +138,8 @@
 
     /// Takes the members that this router sees and the owner of the pool.
     pub(crate) fn members(&self, shared: &Shared, now: Instant, owner: Node, visible: &[Node]) {
+        let before = visible.iter().filter(|node| **node < shared.settings.node).count();
+        lock(&self.copies).set_place(before, visible.len());
         let actions = {
             let mut detector = lock(&self.detector);
             let mut actions = detector.members(now, visible);
--- a/siskin-site/tests/site/poison.rs
+++ b/siskin-site/tests/site/poison.rs
@@ -76,3 +76,39 @@
     expect_that!(last.header("retry-after"), not(eq("")), "{name}: {last:?}");
     site.stop().await;
 }
+
+/// Guards against copies that are held for good: each copy of a harmless and of a crashing request that are sent at
+/// the same moment gets its answer, and the crashing one is refused in the end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_sent_at_the_same_moment_are_all_answered() {
+    let mut setup = options();
+    setup.engines = vec![setup.engines[0].clone(); 6];
+    let site = start(setup).await;
+    for engine in &site.engines {
+        let fault = Fault::CrashOn { text: CRASHING.to_owned(), restart_ms: 50 };
+        engine.command(Command::always(fault));
+    }
+    let key = Customer::new("agency").key();
+    let copies = |content: &'static str| {
+        let copy =
+            |index: usize| Call::chat(site.router(index % 2).callers(), &key, content, 40, false);
+        let calls: Vec<Call> = (0..12).map(copy).collect();
+        calls.into_iter().map(|call| tokio::spawn(async move { send(&call).await }))
+    };
+    for answer in copies("harmless").collect::<Vec<_>>() {
+        let answer = answer.await.unwrap().expect("an answer");
+        expect_that!(answer.outcome(), eq("completed"), "{answer:?}");
+    }
+    for answer in copies(CRASHING).collect::<Vec<_>>() {
+        let answer = answer.await.unwrap().expect("an answer");
+        expect_that!(answer.outcome(), not(eq("completed")), "{answer:?}");
+    }
+    let call = Call::chat(site.router(0).callers(), &key, CRASHING, 40, false);
+    let mut reason = String::new();
+    for _ in 0..CRASHES_MAX {
+        reason = send(&call).await.expect("an answer").reason().to_owned();
+    }
+    expect_that!(reason, eq("suspect_refused"));
+    site.stop().await;
+}
