--- a/siskin-site/src/client.rs
+++ b/siskin-site/src/client.rs
@@ -131,6 +131,13 @@
         Self { client: builder.retry_canceled_requests(false).build_http() }
     }
 
+    /// Makes a client that speaks only HTTP/2 and sends all calls to one address over one connection.
+    #[must_use]
+    pub fn http2() -> Self {
+        let mut builder = legacy::Client::builder(TokioExecutor::new());
+        Self { client: builder.retry_canceled_requests(false).http2_only(true).build_http() }
+    }
+
     /// Sends a call and returns as soon as the head of the answer is there.
     ///
     /// # Errors
