Merge the guards of attempts and the entry points of claims

Cause: life.rs repeated the same guard of the current attempt in nine events, and the claim writer had an entry point that only tests used, with a release of its own that the service repeats.

Change: events match on the state of the current attempt; one function judges answers. Writer::claim has the rule that production uses: a claim that is given up is released by the attempt. The outage test releases it as the service does; what the next attempt gets is checked as before.

Conclusion: no change of behaviour outside of the tests' own use of the writer.

--- a/siskin-claim/src/bucket.rs
+++ b/siskin-claim/src/bucket.rs
@@ -26,11 +26,6 @@
     pub(crate) token: Token,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
-    /// Whether a write that contains it was sent, so that it may be in the store.
-    pub(crate) sent: bool,
-    /// Whether another writer may grant the same attempt's claim, so that only the router that made the
-    /// attempt may release it.
-    pub(crate) shared: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/siskin-claim/src/remote.rs
+++ b/siskin-claim/src/remote.rs
@@ -177,7 +177,7 @@
         let actions = match message {
             Message::Claim { key, body, token, remaining_ms } => {
                 let deadline = now + Duration::from_millis(u64::from(*remaining_ms));
-                self.writer.claim_shared(now, *key, *body, *token, deadline)
+                self.writer.claim(now, *key, *body, *token, deadline)
             }
             Message::Record { key, token, record } => {
                 self.writer.record(now, *key, *token, record.clone())
@@ -282,7 +282,7 @@
         let job = wanted.job.clone();
         let deadline = wanted.deadline;
         let done = match job {
-            Job::Claim(body) => self.writer.claim_shared(now, key, body, token, deadline),
+            Job::Claim(body) => self.writer.claim(now, key, body, token, deadline),
             Job::Record(record) => self.writer.record(now, key, token, record),
             Job::Release => self.writer.release(now, key, token),
         };
--- a/siskin-claim/src/writer.rs
+++ b/siskin-claim/src/writer.rs
@@ -316,7 +316,8 @@
         self.options.longest_deadline = longest_deadline;
     }
 
-    /// Claims a key for an attempt. Repeating it is harmless.
+    /// Claims a key for an attempt. Repeating it is harmless. A claim that is given up is not released here:
+    /// another writer may have granted it, and only the attempt knows.
     pub fn claim(
         &mut self,
         now: Instant,
@@ -324,31 +325,6 @@
         body: BodyHash,
         token: Token,
         deadline: Instant,
-    ) -> Vec<Action> {
-        self.add_claim(now, key, body, token, deadline, false)
-    }
-
-    /// Claims a key for an attempt that may ask other writers too. Such a claim is not released when it is
-    /// given up: another writer may have granted it, and only the attempt knows.
-    pub fn claim_shared(
-        &mut self,
-        now: Instant,
-        key: Key,
-        body: BodyHash,
-        token: Token,
-        deadline: Instant,
-    ) -> Vec<Action> {
-        self.add_claim(now, key, body, token, deadline, true)
-    }
-
-    fn add_claim(
-        &mut self,
-        now: Instant,
-        key: Key,
-        body: BodyHash,
-        token: Token,
-        deadline: Instant,
-        shared: bool,
     ) -> Vec<Action> {
         if now >= deadline || self.waiting >= self.options.max_waiting {
             self.counts.unavailable += 1;
@@ -359,10 +335,7 @@
         if self.waiting_op(index, &kind, &key, token).is_some() {
             return Vec::new();
         }
-        let id = self.add(now, index, kind, key, token, deadline);
-        if let Some(op) = self.buckets[usize::from(index)].ops.get_mut(&id) {
-            op.shared = shared;
-        }
+        self.add(now, index, kind, key, token, deadline);
         let mut actions = Vec::new();
         self.advance(now, index, &mut actions);
         actions
@@ -549,7 +522,7 @@
     ) -> u64 {
         self.next_op += 1;
         let id = self.next_op;
-        let op = Op { id, kind, key, token, arrived: now, deadline, sent: false, shared: false };
+        let op = Op { id, kind, key, token, arrived: now, deadline };
         self.buckets[usize::from(index)].ops.insert(id, op);
         self.timers.insert((deadline, index, id));
         self.waiting += 1;
@@ -573,7 +546,7 @@
                 continue;
             };
             match op.kind {
-                Kind::Claim(_) => self.give_up(now, index, &op, actions),
+                Kind::Claim(_) => self.give_up(&op, actions),
                 Kind::Record(_) | Kind::Release => {
                     self.counts.unsettled += 1;
                     log::warn!(bucket = index; "claim record given up; repeats of its key stay unknown");
@@ -582,15 +555,11 @@
         }
     }
 
-    /// Ends a claim whose caller no longer waits. If it may be in the store it is released there.
-    fn give_up(&mut self, now: Instant, index: u8, op: &Op, actions: &mut Vec<Action>) {
+    /// Ends a claim whose caller no longer waits.
+    fn give_up(&mut self, op: &Op, actions: &mut Vec<Action>) {
         self.counts.unavailable += 1;
         let decision = Decision::Unavailable;
         actions.push(Action::Decide { key: op.key, token: op.token, decision });
-        if op.sent && !op.shared {
-            let deadline = now + self.options.settle_for;
-            self.add(now, index, Kind::Release, op.key, op.token, deadline);
-        }
     }
 
     /// Starts whatever the bucket needs next.
@@ -817,11 +786,6 @@
     fn write_head(&mut self, now: Instant, index: u8, call: Call, mut plan: Plan) -> Action {
         self.tidy(index, &mut plan.next);
         let bucket = &mut self.buckets[usize::from(index)];
-        for (id, _) in &plan.verdicts {
-            if let Some(op) = bucket.ops.get_mut(id) {
-                op.sent = true;
-            }
-        }
         let expected = bucket.base.as_ref().map_or(0, |base| base.revision);
         let value = format::encode(&plan.next);
         bucket.outstanding = Some((call, Outstanding::Head { plan, issued: now }));
@@ -957,14 +921,14 @@
         actions: &mut Vec<Action>,
     ) {
         for (id, verdict) in verdicts {
-            // A claim that was given up in the meantime has been replaced by a release.
+            // A claim that was given up in the meantime has been decided.
             let Some(op) = self.take(index, id) else { continue };
             let (key, token) = (op.key, op.token);
             match verdict {
                 Verdict::Settled => actions.push(Action::Settled { key, token }),
                 // The process was paused for so long that the caller has been answered.
                 Verdict::Decide(Decision::Granted) if now >= op.deadline => {
-                    self.give_up(now, index, &Op { sent: true, ..op }, actions);
+                    self.give_up(&op, actions);
                 }
                 Verdict::Decide(decision) => {
                     self.counts.granted += u64::from(decision == Decision::Granted);
--- a/siskin-claim/tests/main/outage.rs
+++ b/siskin-claim/tests/main/outage.rs
@@ -107,7 +107,11 @@
         };
         let decisions: Vec<_> = decided.iter().filter_map(decision).collect();
         assert_eq!(decisions, [case.want], "{}", case.name);
-        // Lets a release of the given-up claim through.
+        // The attempt releases what it gave up, whether or not the claim was stored.
+        if decisions == [Decision::Unavailable] {
+            let actions = bench.writer.release(bench.now, key(1), token(1));
+            bench.settle(actions);
+        }
         bench.now = bench.now + Duration::from_secs(20);
         let actions = bench.writer.tick(bench.now);
         bench.settle(actions);
--- a/siskin-outcome/src/life.rs
+++ b/siskin-outcome/src/life.rs
@@ -216,8 +216,7 @@
     /// The request was admitted, and its claim granted if it needs one.
     pub fn accepted(&mut self, now: Instant) -> Vec<Action> {
         if self.state != State::New {
-            self.ignored.stale += 1;
-            return Vec::new();
+            return self.ignore();
         }
         if now >= self.options.deadline {
             return self.finish(Reason::QueueDeadline);
@@ -229,10 +228,7 @@
     pub fn refused(&mut self, _now: Instant, reason: Reason) -> Vec<Action> {
         match self.state {
             State::New | State::Queued | State::Waiting(_) => self.finish(reason),
-            _ => {
-                self.ignored.stale += 1;
-                Vec::new()
-            }
+            _ => self.ignore(),
         }
     }
 
@@ -297,11 +293,8 @@
         echoed: Option<Request>,
         budget: &mut Budget,
     ) -> Vec<Action> {
-        if !self.sent(attempt) {
-            return self.unasked(now, attempt, budget);
-        }
-        if echoed.is_some_and(|echoed| echoed != self.options.request) {
-            return self.crossed(now, attempt, budget);
+        if let Some(actions) = self.misplaced(now, attempt, echoed, budget) {
+            return actions;
         }
         self.answering = true;
         Vec::new()
@@ -318,8 +311,8 @@
         used: Units,
         budget: &mut Budget,
     ) -> Vec<Action> {
-        if !self.sent(attempt) {
-            return self.unasked(now, attempt, budget);
+        if let Some(actions) = self.misplaced(now, attempt, None, budget) {
+            return actions;
         }
         // An engine that starts a resumed stream anew would have the caller get a mixture of two runs.
         let resumed = matches!(self.state, State::Resumed(_));
@@ -354,8 +347,8 @@
         budget: &mut Budget,
     ) -> Vec<Action> {
         assert!(outcome.reason().is_none(), "an endpoint's answer is completed or failed");
-        if !self.sent(attempt) {
-            return self.unasked(now, attempt, budget);
+        if let Some(actions) = self.misplaced(now, attempt, None, budget) {
+            return actions;
         }
         self.used_now = self.used_now.max(used);
         if end != self.delivered {
@@ -373,11 +366,8 @@
         echoed: Option<Request>,
         budget: &mut Budget,
     ) -> Vec<Action> {
-        if !self.sent(attempt) {
-            return self.unasked(now, attempt, budget);
-        }
-        if echoed.is_some_and(|echoed| echoed != self.options.request) {
-            return self.crossed(now, attempt, budget);
+        if let Some(actions) = self.misplaced(now, attempt, echoed, budget) {
+            return actions;
         }
         match self.state {
             State::Sent(endpoint) if !self.answering => {
@@ -403,20 +393,13 @@
         attempt: Attempt,
         budget: &mut Budget,
     ) -> Vec<Action> {
-        if !self.current(attempt) {
-            self.ignored.stale += 1;
-            return Vec::new();
-        }
-        match self.state {
-            State::Assigned(endpoint) => {
+        match self.state_of(attempt) {
+            Some(State::Assigned(endpoint)) => {
                 self.exclude(endpoint);
                 self.retry(now, Reason::ConnectFailed, budget)
             }
-            State::Resuming(endpoint) => self.run_lost(now, endpoint, Reason::Broken, budget),
-            _ => {
-                self.ignored.stale += 1;
-                Vec::new()
-            }
+            Some(State::Resuming(endpoint)) => self.run_lost(now, endpoint, Reason::Broken, budget),
+            _ => self.ignore(),
         }
     }
 
@@ -433,19 +416,12 @@
         probe: Probe,
         budget: &mut Budget,
     ) -> Vec<Action> {
-        if !self.current(attempt) {
-            self.ignored.stale += 1;
-            return Vec::new();
-        }
-        let endpoint = match self.state {
-            State::Assigned(_) | State::Resuming(_) => {
+        let endpoint = match self.state_of(attempt) {
+            Some(State::Assigned(_) | State::Resuming(_)) => {
                 return self.connect_failed(now, attempt, budget);
             }
-            State::Sent(endpoint) | State::Resumed(endpoint) => endpoint,
-            _ => {
-                self.ignored.stale += 1;
-                return Vec::new();
-            }
+            Some(State::Sent(endpoint) | State::Resumed(endpoint)) => endpoint,
+            _ => return self.ignore(),
         };
         if probe == Probe::Answered && !self.options.idempotent && !self.options.resumable {
             // The answer may still come; without it the deadline ends the request as unknown.
@@ -464,8 +440,7 @@
     /// The caller went away.
     pub fn cancelled(&mut self, _now: Instant) -> Vec<Action> {
         if self.outcome().is_some() {
-            self.ignored.stale += 1;
-            return Vec::new();
+            return self.ignore();
         }
         self.abandon(Reason::CallerGone)
     }
@@ -473,8 +448,7 @@
     /// The deadline passed.
     pub fn deadline(&mut self, _now: Instant) -> Vec<Action> {
         if self.outcome().is_some() {
-            self.ignored.stale += 1;
-            return Vec::new();
+            return self.ignore();
         }
         let reason = match (self.exposed, self.silent) {
             (0, _) => Reason::QueueDeadline,
@@ -539,19 +513,37 @@
         attempt.0 == self.attempt && self.outcome().is_none()
     }
 
-    /// Whether the attempt is the current one and has sent its request.
-    fn sent(&self, attempt: Attempt) -> bool {
-        self.current(attempt) && matches!(self.state, State::Sent(_) | State::Resumed(_))
+    /// The state, if the attempt is the current one.
+    fn state_of(&self, attempt: Attempt) -> Option<State> {
+        self.current(attempt).then_some(self.state)
     }
 
-    /// An answer came for an attempt that is over or has not asked yet.
-    fn unasked(&mut self, now: Instant, attempt: Attempt, budget: &mut Budget) -> Vec<Action> {
-        if !self.current(attempt) || self.endpoint().is_none() {
-            self.ignored.stale += 1;
-            return Vec::new();
+    /// Counts an event that does not belong to the current attempt.
+    fn ignore(&mut self) -> Vec<Action> {
+        self.ignored.stale += 1;
+        Vec::new()
+    }
+
+    /// What follows from an answer to an attempt that is over or has not asked yet, or to another request;
+    /// `None` if the answer is one to the current attempt.
+    fn misplaced(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        echoed: Option<Request>,
+        budget: &mut Budget,
+    ) -> Option<Vec<Action>> {
+        match self.state_of(attempt) {
+            Some(State::Sent(_) | State::Resumed(_)) => {
+                let other = echoed.is_some_and(|echoed| echoed != self.options.request);
+                other.then(|| self.crossed(now, attempt, budget))
+            }
+            // The connection carried an answer that an earlier request had left unread.
+            Some(State::Assigned(_) | State::Resuming(_)) => {
+                Some(self.crossed(now, attempt, budget))
+            }
+            _ => Some(self.ignore()),
         }
-        // The connection carried an answer that an earlier request had left unread.
-        self.crossed(now, attempt, budget)
     }
 
     fn endpoint(&self) -> Option<Endpoint> {
@@ -580,13 +572,11 @@
         reason: Reason,
         budget: &mut Budget,
     ) -> Vec<Action> {
-        if !self.current(attempt) {
-            self.ignored.stale += 1;
-            return Vec::new();
-        }
-        match self.state {
-            State::Assigned(_) | State::Resuming(_) => self.connect_failed(now, attempt, budget),
-            State::Sent(endpoint) | State::Resumed(endpoint) => {
+        match self.state_of(attempt) {
+            Some(State::Assigned(_) | State::Resuming(_)) => {
+                self.connect_failed(now, attempt, budget)
+            }
+            Some(State::Sent(endpoint) | State::Resumed(endpoint)) => {
                 if self.options.resumable
                     && self.answering
                     && self.resumes < self.options.max_resumes
@@ -596,10 +586,7 @@
                 }
                 self.run_lost(now, endpoint, reason, budget)
             }
-            _ => {
-                self.ignored.stale += 1;
-                Vec::new()
-            }
+            _ => self.ignore(),
         }
     }
 
