Test how long copies of a request wait

Cause: only the limit on crashes was tested, not the stated 0.5 s by which an ordinary customer's copies may be slowed.

Change: a table of the hold, its end by a completion, and the turns of suspects.

Conclusion: a copy waits 0.5 s at most, and a suspect for its turn and its copy.

--- a/siskin-outcome/tests/main/poison.rs
+++ b/siskin-outcome/tests/main/poison.rs
@@ -3,6 +3,7 @@
 use {
     siskin_outcome::poison::{
         Action, Crash, Detector, Fact, Fingerprint, InFlight, Message, Options, Verdict,
+        copies::{self, Copies, Entry},
     },
     siskin_types::{
         id::{Endpoint, Node, Pool},
@@ -298,3 +299,58 @@
         assert_eq!(second.admit(at(millis), fingerprint(1)), want, "{}", case.name);
     }
 }
+
+/// Guards against a copy of an ordinary request that waits longer than the hold or after one has completed, and
+/// against a suspect that starts next to its copy or out of turn.
+#[test]
+fn copies_wait() {
+    struct Case {
+        name: &'static str,
+        suspect: bool,
+        busy: bool,
+        completed: bool,
+        /// Place of the router, of eight.
+        place: usize,
+        waited_ms: u64,
+        want: Entry,
+    }
+    let case = Case {
+        name: "first copy",
+        suspect: false,
+        busy: false,
+        completed: false,
+        place: 3,
+        waited_ms: 0,
+        want: Entry::Go,
+    };
+    let wait = |ms| Entry::Wait { until: Some(at(ms)) };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "second copy", busy: true, want: wait(500), ..case },
+        Case { name: "second copy, almost over", busy: true, waited_ms: 499, want: wait(500), ..case },
+        Case { name: "hold is over", busy: true, waited_ms: 500, ..case },
+        Case { name: "one has completed", busy: true, completed: true, ..case },
+        Case { name: "suspect before its turn", suspect: true, completed: true, waited_ms: 599, want: wait(600), ..case },
+        Case { name: "suspect at its turn", suspect: true, waited_ms: 600, ..case },
+        Case { name: "suspect beside its copy", suspect: true, busy: true, completed: true, waited_ms: 60_000, want: Entry::Wait { until: None }, ..case },
+        case,
+    ];
+    for case in cases {
+        let mut copies = Copies::new(copies::Options::default());
+        copies.set_place(case.place, 8);
+        let (start, request) = (Instant::ZERO, Fingerprint([0; 16]));
+        if case.busy {
+            assert_eq!(copies.enter(start, request, false, start), Entry::Go, "{}", case.name);
+        }
+        if case.completed {
+            copies.completed(request);
+        }
+        let entry = copies.enter(at(case.waited_ms), request, case.suspect, start);
+        assert_eq!(entry, case.want, "{}", case.name);
+        if case.busy && entry != Entry::Go {
+            copies.left(request);
+            let entry = copies.enter(at(60_000), request, case.suspect, start);
+            assert_eq!(entry, Entry::Go, "{}, after its copy has left", case.name);
+        }
+    }
+}
