Share the cap on requests in flight over the fleet

Cause: a customer's cap on requests in flight held at each router, so a customer spread over n routers could run n times its cap, and the reason in_flight_cap was never given.

Change: where the cap is below the slots of the pool, a request needs a permit of the owner besides the slot. Permits are counted and lapse like slots. Routers keep idle permits; when some router lacks permits and none is free, the owner tells every router its share, and routers return what they hold beyond it. A customer held back by its cap does not lower the floor. A full queue behind a used cap is refused with in_flight_cap and Retry-After. With two owners each grants the whole cap, which is the one excess. Queue length and rate stay per router.

Tests: faults::caps_hold_over_the_fleet runs nine cases (one router, all routers, fewer permits than routers, loss, death and restart of the owner, partitions) against the cap, against the customer's use of it and against the utilisation of the same fleet without caps.

Open: a rate over the fleet, and the traffic of customers that run near their cap.

--- a/siskin-config/src/document.rs
+++ b/siskin-config/src/document.rs
@@ -75,7 +75,7 @@
     /// Share relative to the other customers.
     #[serde(default, skip_serializing_if = "is_default")]
     pub weight: Weight,
-    /// Most requests in flight at one router and pool; further ones wait.
+    /// Most requests in flight in one pool, over the fleet; further ones wait.
     pub max_in_flight: u32,
     /// Most requests that wait at one router.
     pub max_queue: u32,
--- a/siskin-router/src/pool.rs
+++ b/siskin-router/src/pool.rs
@@ -430,6 +430,7 @@
 pub const fn reason(refusal: &Refusal) -> Reason {
     match refusal {
         Refusal::QueueFull { .. } | Refusal::Duplicate { .. } => Reason::QueueFull,
+        Refusal::InFlightCap { .. } => Reason::InFlightCap,
         Refusal::RateLimited { .. } => Reason::RateLimit,
         Refusal::UnknownCustomer { .. } | Refusal::NoEndpoint { .. } => Reason::NoEndpoint,
         Refusal::DeadlinePassed { .. } => Reason::QueueDeadline,
--- a/siskin-sched/examples/decision_cost.rs
+++ b/siskin-sched/examples/decision_cost.rs
@@ -124,6 +124,7 @@
         customer: id::Customer(customer),
         charged,
         clock: None,
+        permits: None,
         lines: vec![Line {
             model: MODEL,
             waiting: 2 * SLOTS,
--- a/siskin-sched/src/owner.rs
+++ b/siskin-sched/src/owner.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::pool,
+    cap::Cap,
     demand::Table,
     peer::{Ledger, Peer, Promise},
     siskin_types::{id, time::Instant},
@@ -12,6 +13,7 @@
     },
 };
 
+mod cap;
 mod demand;
 mod peer;
 
@@ -49,6 +51,10 @@
     sites: BTreeMap<id::Endpoint, Site>,
     peers: BTreeMap<id::Node, Peer>,
     table: Table,
+    /// Caps on requests in flight of all configured customers.
+    caps: BTreeMap<id::Customer, Cap>,
+    /// Customers whose permits have to be shared out, and the routers whose wants changed.
+    unshared: BTreeMap<id::Customer, BTreeSet<id::Node>>,
     /// Models for which all routers with slots know that others wait.
     announced: BTreeSet<id::Model>,
     /// Routers that get a grant at once.
@@ -127,6 +133,8 @@
             sites: BTreeMap::new(),
             peers: BTreeMap::new(),
             table: Table::default(),
+            caps: BTreeMap::new(),
+            unshared: BTreeMap::new(),
             announced: BTreeSet::new(),
             urgent: BTreeSet::new(),
         }
@@ -187,6 +195,21 @@
     pub fn customers(&mut self, now: Instant, customers: &[pool::Customer]) -> Vec<Action> {
         for customer in customers {
             self.table.weight(customer.id, customer.weight);
+            let cap = self.caps.entry(customer.id).or_insert_with(|| {
+                // Routers may have heard of the customer earlier.
+                let mut cap = Cap::new(customer.max_in_flight);
+                for (node, peer) in &self.peers {
+                    let Some(queue) = peer.queues.get(&customer.id) else { continue };
+                    cap.held += queue.permitted();
+                    cap.want(*node, if peer.away { 0 } else { queue.wanted() });
+                }
+                self.unshared.entry(customer.id).or_default().extend(cap.nodes());
+                cap
+            });
+            if cap.limit != customer.max_in_flight {
+                cap.limit = customer.max_in_flight;
+                self.unshared.entry(customer.id).or_default().extend(cap.nodes());
+            }
         }
         self.step(now)
     }
@@ -212,6 +235,7 @@
         self.take_back(now);
         self.review(now);
         if !self.collecting {
+            self.share_caps(now);
             self.allocate(now);
             self.announce();
         }
@@ -243,12 +267,14 @@
         if visible < known {
             return View::Part { visible, known };
         }
-        // Slots granted in an earlier term have lapsed after this time.
+        if self.unreported(now) { View::Unreported } else { View::Whole }
+    }
+
+    /// Whether a visible router that has not reported may hold slots or permits of an earlier term.
+    fn unreported(&self, now: Instant) -> bool {
+        // What was granted in an earlier term has lapsed after this time.
         let young = self.started.is_none_or(|at| now - at < self.options.owner_lapse());
-        if young && self.visible.iter().any(|node| !self.peers.contains_key(node)) {
-            return View::Unreported;
-        }
-        View::Whole
+        young && self.visible.iter().any(|node| !self.peers.contains_key(node))
     }
 
     /// Asks the router for a full report in a new account.
@@ -276,6 +302,11 @@
             self.table.redeem(promise.customer, promise.units);
         }
         for (customer, queue) in std::mem::take(&mut peer.queues) {
+            if let Some(cap) = self.caps.get_mut(&customer) {
+                cap.held -= queue.permitted();
+                cap.want(node, 0);
+                self.unshared.entry(customer).or_default().insert(node);
+            }
             for (model, line) in queue.lines {
                 self.table.reported(customer, model, line.waiting, 0, false);
             }
@@ -295,8 +326,13 @@
         let Some(peer) = self.peers.get_mut(&node).filter(|peer| peer.away != away) else { return };
         peer.away = away;
         for (customer, queue) in &peer.queues {
+            if let Some(cap) = self.caps.get_mut(customer) {
+                cap.want(node, if away { 0 } else { queue.wanted() });
+                self.unshared.entry(*customer).or_default().insert(node);
+            }
             for (model, line) in &queue.lines {
-                let (before, after) = if away { (line.open(), 0) } else { (0, line.open()) };
+                let open = line.open(queue.room());
+                let (before, after) = if away { (open, 0) } else { (0, open) };
                 self.table.wait(*customer, *model, node, before, after);
             }
         }
@@ -334,11 +370,12 @@
             }
             peer.promises.pop_front();
             self.table.redeem(promise.customer, promise.units);
-            let queue = peer.queues.get_mut(&promise.customer);
-            if let Some(line) = queue.and_then(|queue| queue.lines.get_mut(&promise.model)) {
-                let before = line.open();
+            let Some(queue) = peer.queues.get_mut(&promise.customer) else { continue };
+            let room = queue.room();
+            if let Some(line) = queue.lines.get_mut(&promise.model) {
+                let before = line.open(room);
                 line.promised = line.promised.saturating_sub(1);
-                self.table.wait(promise.customer, promise.model, node, before, line.open());
+                self.table.wait(promise.customer, promise.model, node, before, line.open(room));
             }
         }
     }
@@ -355,11 +392,21 @@
         if !entry.lines.is_empty() {
             peer.mention.insert(entry.customer);
         }
+        let (held, old_room) = (queue.permitted(), queue.room());
+        match &entry.permits {
+            Some(permits) => {
+                let ledger = queue.permits.get_or_insert_default();
+                ledger.report(permits.opening, permits.returned, permits.busy);
+            }
+            None => queue.permits = None,
+        }
+        let room = queue.room();
+        let after = queue.permitted();
         let old = queue.lines.keys().copied();
         let models: BTreeSet<_> = old.chain(entry.lines.iter().map(|line| line.model)).collect();
         for model in models {
             let line = queue.lines.entry(model).or_default();
-            let (waited, open) = (line.waiting, line.open());
+            let (waited, open) = (line.waiting, line.open(old_room));
             match entry.lines.iter().find(|line| line.model == model) {
                 Some(news) => {
                     line.waiting = news.waiting;
@@ -370,11 +417,86 @@
                 None => line.waiting = 0,
             }
             self.table.reported(entry.customer, model, waited, line.waiting, merged);
-            self.table.wait(entry.customer, model, node, open, line.open());
+            self.table.wait(entry.customer, model, node, open, line.open(room));
             if line.waiting == 0 && line.promised == 0 {
                 queue.lines.remove(&model);
             }
         }
+        if let Some(cap) = self.caps.get_mut(&entry.customer) {
+            debug_assert!(cap.held >= held, "permits are not conserved for {}", entry.customer);
+            cap.held = cap.held - held + after;
+            cap.want(node, queue.wanted());
+            self.unshared.entry(entry.customer).or_default().insert(node);
+        }
+    }
+
+    /// Shares out the permits of customers whose wants or permits changed.
+    fn share_caps(&mut self, now: Instant) {
+        if self.unreported(now) {
+            return;
+        }
+        for (customer, nodes) in std::mem::take(&mut self.unshared) {
+            self.share_cap(customer, nodes);
+        }
+    }
+
+    /// While the free permits suffice, each router gets what it wants. Otherwise each is told an equal share or, if
+    /// it wants less, what it wants, and gives back what it holds beyond that as it becomes idle.
+    fn share_cap(&mut self, customer: id::Customer, mut nodes: BTreeSet<id::Node>) {
+        let Some(cap) = self.caps.get_mut(&customer) else { return };
+        let was_scarce = cap.scarce;
+        if was_scarce {
+            nodes.extend(cap.nodes());
+        }
+        let lack = |node: &id::Node| {
+            let queue = self.peers.get(node).and_then(|peer| peer.queues.get(&customer));
+            queue.map_or(0, |queue| cap.wanted(*node).saturating_sub(queue.permitted()))
+        };
+        let lacking = nodes.iter().map(lack).fold(0, u32::saturating_add);
+        let scarce = cap.exceeded() || lacking > cap.free();
+        cap.scarce = scarce;
+        if scarce {
+            // Routers that want nothing may hold idle permits.
+            let holds = |peer: &Peer| peer.queues.get(&customer).is_some_and(|q| q.permitted() > 0);
+            let holders = self.peers.iter().filter(|(_, peer)| holds(peer));
+            nodes.extend(holders.map(|(node, _)| *node));
+            nodes.extend(cap.nodes());
+        }
+        let shares = if scarce { cap.shares() } else { BTreeMap::new() };
+        self.table.cap(customer, cap.exceeded());
+        for node in nodes {
+            let share = scarce.then(|| shares.get(&node).copied().unwrap_or(0));
+            self.permit(customer, node, share);
+        }
+    }
+
+    /// Tells a router its share, and grants the permits that it lacks and that are free.
+    fn permit(&mut self, customer: id::Customer, node: id::Node, share: Option<u32>) {
+        let Some(cap) = self.caps.get_mut(&customer) else { return };
+        let Some(peer) = self.peers.get_mut(&node).filter(|peer| !peer.lapsed && !peer.away) else {
+            return;
+        };
+        let Some(queue) = peer.queues.get_mut(&customer) else { return };
+        let (held, old_room) = (queue.permitted(), queue.room());
+        let Some(ledger) = queue.permits.as_mut() else { return };
+        let target = share.unwrap_or(cap.wanted(node)).min(held.saturating_add(cap.free()));
+        let more = target.saturating_sub(ledger.held());
+        ledger.grant(more);
+        let recalled = share.is_some_and(|share| share < held) && queue.share != share;
+        if more > 0 || queue.share != share {
+            queue.share = share;
+            peer.touch_permits(customer);
+        }
+        if more > 0 || recalled {
+            self.urgent.insert(node);
+        }
+        let Some(queue) = peer.queues.get(&customer) else { return };
+        cap.held = cap.held - held + queue.permitted();
+        debug_assert!(more == 0 || cap.held <= cap.limit, "{customer} exceeds its cap");
+        let room = queue.room();
+        for (model, line) in &queue.lines {
+            self.table.wait(customer, *model, node, line.open(old_room), line.open(room));
+        }
     }
 
     fn update_slots(&mut self, node: id::Node, entry: &sched::Slots) {
@@ -382,7 +504,7 @@
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let ledger = peer.ledgers.entry(entry.endpoint).or_default();
         let (before, was_busy) = (ledger.held(), ledger.busy());
-        ledger.report(entry);
+        ledger.report(entry.opening, entry.returned, entry.busy);
         let after = ledger.held();
         if after > 0 && self.sites.get(&entry.endpoint).is_some_and(|site| !site.keep) {
             peer.touch(entry.endpoint);
@@ -480,15 +602,16 @@
 
     fn grant(&mut self, pick: Pick) {
         let Some(peer) = self.peers.get_mut(&pick.node) else { return };
-        peer.ledgers.entry(pick.endpoint).or_default().grant();
+        peer.ledgers.entry(pick.endpoint).or_default().grant(1);
         peer.touch(pick.endpoint);
         peer.mention.insert(pick.customer);
         if let Some(site) = self.sites.get_mut(&pick.endpoint) {
             site.held += 1;
         }
-        let queue = peer.queues.get_mut(&pick.customer);
-        let Some(line) = queue.and_then(|queue| queue.lines.get_mut(&pick.model)) else { return };
-        let open = line.open();
+        let Some(queue) = peer.queues.get_mut(&pick.customer) else { return };
+        let room = queue.room();
+        let Some(line) = queue.lines.get_mut(&pick.model) else { return };
+        let open = line.open(room);
         line.promised += 1;
         let units = line.estimate;
         let sequence = peer.sent + 1;
@@ -498,7 +621,7 @@
             model: pick.model,
             units,
         });
-        self.table.wait(pick.customer, pick.model, pick.node, open, line.open());
+        self.table.wait(pick.customer, pick.model, pick.node, open, line.open(room));
         self.table.promise(pick.customer, units);
         self.urgent.insert(pick.node);
     }
@@ -568,6 +691,7 @@
             floors,
             clocks,
             slots,
+            permits: peer.permits(),
         };
         Some(Action::Send { to, message })
     }
--- a/siskin-sched/src/owner/demand.rs
+++ b/siskin-sched/src/owner/demand.rs
@@ -26,6 +26,8 @@
     /// Requests that wait by the routers' reports, whether or not a slot is under way.
     reported: u32,
     demands: BTreeMap<id::Model, Demand>,
+    /// Whether the customer uses its whole cap on requests in flight.
+    capped: bool,
 }
 
 impl Account {
@@ -143,7 +145,13 @@
         }
     }
 
-    /// Sets the number of requests that wait at a router without a slot under way.
+    /// Notes whether a customer uses its whole cap on requests in flight.
+    pub(super) fn cap(&mut self, customer: id::Customer, capped: bool) {
+        self.accounts.entry(customer).or_default().capped = capped;
+    }
+
+    /// Sets the number of requests that wait at a router without a slot under way. A customer that its cap held
+    /// back is raised to the floor: like idleness, the cap gives no credit.
     pub(super) fn wait(
         &mut self,
         customer: id::Customer,
@@ -155,8 +163,12 @@
         if before == after {
             return;
         }
+        let floor = self.floor(model);
         self.change(customer, |account| {
             let demand = account.demands.entry(model).or_default();
+            if account.capped && demand.total == 0 && after > 0 {
+                account.clock = account.clock.max(floor);
+            }
             demand.holders.remove(&(before, node));
             if after > 0 {
                 demand.holders.insert((after, node));
--- a/siskin-sched/src/owner/peer.rs
+++ b/siskin-sched/src/owner/peer.rs
@@ -29,19 +29,19 @@
         self.busy
     }
 
-    pub(super) fn grant(&mut self) {
-        self.granted += 1;
+    pub(super) fn grant(&mut self, count: u32) {
+        self.granted += u64::from(count);
     }
 
     pub(super) fn granted(&self) -> u64 {
         self.granted
     }
 
-    pub(super) fn report(&mut self, entry: &sched::Slots) {
-        debug_assert!(entry.returned >= self.returned, "the total of returned slots went down");
-        self.opening = entry.opening;
-        self.returned = entry.returned.max(self.returned);
-        self.busy = entry.busy;
+    pub(super) fn report(&mut self, opening: u32, returned: u64, busy: u32) {
+        debug_assert!(returned >= self.returned, "the total of returned slots went down");
+        self.opening = opening;
+        self.returned = returned.max(self.returned);
+        self.busy = busy;
     }
 }
 
@@ -57,9 +57,9 @@
 }
 
 impl Line {
-    /// Requests for which no slot is under way.
-    pub(super) fn open(&self) -> u32 {
-        self.waiting.saturating_sub(self.promised)
+    /// Requests for which no slot is under way, of those that `room` permits to run.
+    pub(super) fn open(&self, room: u32) -> u32 {
+        self.waiting.min(room).saturating_sub(self.promised)
     }
 }
 
@@ -68,6 +68,30 @@
 pub(super) struct Queue {
     pub(super) charged: i64,
     pub(super) lines: BTreeMap<id::Model, Line>,
+    /// Permits, if the router says that it needs them.
+    pub(super) permits: Option<Ledger>,
+    /// The share of a scarce cap that the router was told.
+    pub(super) share: Option<u32>,
+}
+
+impl Queue {
+    /// Permits held. Requests that started before the cap was bound count as if they had one.
+    pub(super) fn permitted(&self) -> u32 {
+        self.permits.as_ref().map_or(0, |ledger| ledger.held().max(ledger.busy()))
+    }
+
+    /// Requests that the router may start.
+    pub(super) fn room(&self) -> u32 {
+        let idle = |ledger: &Ledger| ledger.held().saturating_sub(ledger.busy());
+        self.permits.as_ref().map_or(u32::MAX, idle)
+    }
+
+    /// Permits that the router can use.
+    pub(super) fn wanted(&self) -> u32 {
+        let Some(ledger) = &self.permits else { return 0 };
+        let waiting = self.lines.values().map(|line| line.waiting);
+        waiting.fold(ledger.busy(), u32::saturating_add)
+    }
 }
 
 /// A slot granted but not yet heard of, and the request for which it was meant.
@@ -98,6 +122,8 @@
     pub(super) promises: VecDeque<Promise>,
     /// Endpoints whose entry the router has not acknowledged, with the grant that first carries it.
     changed: BTreeMap<id::Endpoint, u64>,
+    /// Customers whose permits the router has not acknowledged, likewise.
+    permitted: BTreeMap<id::Customer, u64>,
     /// Models for which the router was told that others wait.
     pub(super) told: BTreeSet<id::Model>,
     /// Customers whose virtual time the next grant carries.
@@ -121,6 +147,7 @@
             queues: BTreeMap::new(),
             promises: VecDeque::new(),
             changed: BTreeMap::new(),
+            permitted: BTreeMap::new(),
             told: BTreeSet::new(),
             mention: BTreeSet::new(),
             cursor: id::Customer(0),
@@ -133,12 +160,28 @@
         self.changed.insert(endpoint, self.sent + 1);
     }
 
+    /// Notes that the permits of `customer` go into grants until acknowledged.
+    pub(super) fn touch_permits(&mut self, customer: id::Customer) {
+        self.permitted.insert(customer, self.sent + 1);
+    }
+
+    /// Permits that the next grant carries.
+    pub(super) fn permits(&self) -> Vec<sched::Permitted> {
+        let entry = |customer: &id::Customer| {
+            let queue = self.queues.get(customer)?;
+            let granted = queue.permits.as_ref()?.granted();
+            Some(sched::Permitted { customer: *customer, granted, share: queue.share })
+        };
+        self.permitted.keys().filter_map(entry).collect()
+    }
+
     pub(super) fn changed(&self) -> impl Iterator<Item = id::Endpoint> {
         self.changed.keys().copied()
     }
 
     pub(super) fn heard(&mut self, sequence: u64) {
         self.changed.retain(|_, first| *first > sequence);
+        self.permitted.retain(|_, first| *first > sequence);
     }
 
     /// Slots held at `endpoint`.
--- a/siskin-sched/src/pool.rs
+++ b/siskin-sched/src/pool.rs
@@ -133,14 +133,15 @@
     }
 }
 
-/// A customer as the configuration has it. The caps hold at each router.
+/// A customer as the configuration has it. The cap on requests in flight holds over the fleet, the others at each
+/// router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Customer {
     /// The customer.
     pub id: id::Customer,
     /// Its share relative to others.
     pub weight: Weight,
-    /// Requests in flight; further ones wait.
+    /// Requests in flight in the pool; further ones wait.
     pub max_in_flight: u32,
     /// Requests waiting; further ones are refused.
     pub max_queued: u32,
--- a/siskin-sched/src/refusal.rs
+++ b/siskin-sched/src/refusal.rs
@@ -15,6 +15,18 @@
         /// When to try again.
         retry_after: Duration,
     },
+    /// The customer's queue is full, and its cap on requests in flight holds the queue back.
+    #[error(
+        "{customer} has {limit} requests in flight and a full queue; retry later or raise max_in_flight"
+    )]
+    InFlightCap {
+        /// The customer.
+        customer: id::Customer,
+        /// Its cap.
+        limit: u32,
+        /// When to try again.
+        retry_after: Duration,
+    },
     /// The customer exceeds its rate.
     #[error("{customer} exceeds its rate; retry after {retry_after:?} or raise the rate")]
     RateLimited {
@@ -64,6 +76,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::QueueFull { .. } => "queue_full",
+            Self::InFlightCap { .. } => "in_flight_cap",
             Self::RateLimited { .. } => "rate_limited",
             Self::UnknownCustomer { .. } => "unknown_customer",
             Self::NoEndpoint { .. } => "no_endpoint",
@@ -76,9 +89,9 @@
     #[must_use]
     pub fn retry_after(&self) -> Duration {
         match self {
-            Self::QueueFull { retry_after, .. } | Self::RateLimited { retry_after, .. } => {
-                *retry_after
-            }
+            Self::QueueFull { retry_after, .. }
+            | Self::InFlightCap { retry_after, .. }
+            | Self::RateLimited { retry_after, .. } => *retry_after,
             Self::UnknownCustomer { .. } | Self::NoEndpoint { .. } => CONFIGURATION_RETRY,
             Self::DeadlinePassed { .. } | Self::Duplicate { .. } => Duration::ZERO,
         }
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -11,7 +11,7 @@
         id,
         time::Instant,
     },
-    siskin_wire::sched::{self, Clock, Grant, Line, Report, Term},
+    siskin_wire::sched::{self, Clock, Grant, Line, Permitted, Report, Term},
     slots::Slots,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -21,6 +21,7 @@
 
 mod floor;
 mod outbox;
+mod permits;
 mod queue;
 mod slots;
 
@@ -99,6 +100,8 @@
     waiting: BTreeMap<id::Model, u32>,
     /// Waiting tickets that the owner knows of and has not granted a slot for.
     announced: BTreeMap<id::Model, u32>,
+    /// Customers with permits to give back.
+    surplus: BTreeSet<id::Customer>,
     slots: BTreeMap<id::Endpoint, Slots>,
     /// Endpoints with idle slots.
     idle: BTreeSet<id::Endpoint>,
@@ -154,6 +157,7 @@
             ready: BTreeMap::new(),
             waiting: BTreeMap::new(),
             announced: BTreeMap::new(),
+            surplus: BTreeSet::new(),
             slots: BTreeMap::new(),
             idle: BTreeSet::new(),
             tickets: HashMap::new(),
@@ -191,8 +195,13 @@
         });
         let mut actions = Vec::new();
         self.settle(now, &mut actions);
-        if self.queues.get(&customer).is_some_and(|queue| queue.queued == 1) {
-            self.outbox.soon();
+        if let Some(queue) = self.queues.get(&customer) {
+            if queue.queued == 1 {
+                self.outbox.soon();
+            }
+            if queue.lacks_permits(KNOWN_WAITING) {
+                self.outbox.hurry();
+            }
         }
         self.report(now, &mut actions);
         Ok(actions)
@@ -277,6 +286,7 @@
                 .and_modify(|slots| slots.config = endpoint.clone())
                 .or_insert_with(|| Slots::new(endpoint.clone()));
         }
+        self.bind();
         self.settle(now, &mut actions);
         self.report(now, &mut actions);
         actions
@@ -296,6 +306,7 @@
                 self.change(customer.id, |queue| queue.config = customer.clone());
             }
         }
+        self.bind();
         self.settle(now, &mut actions);
         self.report(now, &mut actions);
         actions
@@ -354,6 +365,18 @@
             .collect()
     }
 
+    /// Decides which customers need permits: those whose cap is below the slots of the pool.
+    fn bind(&mut self) {
+        let limits = self.slots.values().map(|slots| slots.config.limit);
+        let slots = limits.fold(0, u32::saturating_add);
+        let bound = |queue: &Queue| queue.config.max_in_flight < slots;
+        let changed = self.queues.iter().filter(|(_, queue)| queue.bound != bound(queue));
+        let changed: Vec<_> = changed.map(|(customer, _)| *customer).collect();
+        for customer in changed {
+            self.change(customer, |queue| queue.bound = !queue.bound);
+        }
+    }
+
     fn check(&self, now: Instant, ticket: &Ticket) -> Result<(), Refusal> {
         let request = ticket.request;
         if self.tickets.contains_key(&request) || self.flights.contains_key(&request) {
@@ -394,6 +417,11 @@
                 *self.waiting.entry(model).or_default() += waiting;
             }
         }
+        if queue.surplus() > 0 {
+            self.surplus.insert(customer);
+        } else {
+            self.surplus.remove(&customer);
+        }
     }
 
     fn change_slots(&mut self, endpoint: id::Endpoint, change: impl FnOnce(&mut Slots)) {
@@ -443,6 +471,7 @@
         let recalled = self.apply_floors(now, &grant.floors);
         self.apply_clocks(grant.answers, &grant.clocks);
         self.apply_slots(now, grant);
+        self.apply_permits(now, &grant.permits);
         if recalled && !self.idle.is_empty() {
             self.outbox.answer_recall();
         }
@@ -488,6 +517,23 @@
         }
     }
 
+    fn apply_permits(&mut self, now: Instant, entries: &[Permitted]) {
+        let mut consistent = true;
+        for entry in entries {
+            let mut recalled = false;
+            self.reorder(entry.customer, |queue| {
+                consistent &= queue.permits.grant(entry);
+                recalled = queue.surplus() > 0;
+            });
+            if recalled {
+                self.outbox.answer_recall();
+            }
+        }
+        if !consistent {
+            self.reopen(now);
+        }
+    }
+
     /// Opens a new slot account, so that grants under way in the old one are void.
     fn reopen(&mut self, now: Instant) {
         self.account += 1;
@@ -500,7 +546,7 @@
         }
         let customers: Vec<_> = self.queues.keys().copied().collect();
         for customer in customers {
-            self.change(customer, Queue::reopen);
+            self.change(customer, |queue| queue.reopen(lapsed));
         }
     }
 
@@ -513,6 +559,7 @@
             }
         }
         self.release(now, silent);
+        self.release_permits();
         for (model, waiting) in &self.waiting {
             let known = self.announced.get(model).copied().unwrap_or(0);
             if known < (*waiting).min(KNOWN_WAITING) {
@@ -640,6 +687,14 @@
         }
     }
 
+    /// Returns the permits beyond the shares of scarce caps.
+    fn release_permits(&mut self) {
+        for customer in std::mem::take(&mut self.surplus) {
+            self.change(customer, |queue| queue.permits.give_back(queue.surplus()));
+            self.outbox.hurry();
+        }
+    }
+
     fn report(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(to) = self.owner else { return };
         if now < self.outbox.due(&self.options, !self.tickets.is_empty()) {
@@ -653,7 +708,10 @@
         for customer in customers {
             let Some(queue) = self.queues.get_mut(&customer) else { continue };
             // An idle customer that is not ahead of the others is raised to the floor anyway.
-            let blank = queue.queued == 0 && queue.charged == 0 && queue.clock() <= floor;
+            let blank = queue.queued == 0
+                && (!queue.bound || queue.in_flight == 0)
+                && queue.charged == 0
+                && queue.clock() <= floor;
             if full && blank {
                 continue;
             }
@@ -706,7 +764,7 @@
     };
     let mut lines = Vec::new();
     for model in queue.models() {
-        let waiting = queue.waiting(model);
+        let waiting = queue.demand(model);
         if let Some((_, next)) = queue.lane(model).next().filter(|_| waiting > 0) {
             lines.push(Line {
                 model,
@@ -721,6 +779,7 @@
         customer: queue.config.id,
         charged: queue.charged,
         clock: queue.remembered().filter(|_| full),
+        permits: queue.bound.then(|| queue.permits.report(queue.in_flight)),
         lines,
     }
 }
--- a/siskin-sched/src/router/queue.rs
+++ b/siskin-sched/src/router/queue.rs
@@ -1,6 +1,7 @@
 //! A customer's waiting tickets, charges and caps at one router.
 
 use {
+    super::permits::Permits,
     crate::{pool, refusal::Refusal, ticket::Ticket},
     siskin_types::{
         cost::{Units, Virtual},
@@ -45,6 +46,11 @@
     pub(super) charged: i64,
     pub(super) in_flight: u32,
     pub(super) queued: u32,
+    /// Whether a request needs a permit to run.
+    pub(super) bound: bool,
+    pub(super) permits: Permits,
+    /// Waiting requests that the owner knows of.
+    announced: u32,
     lanes: BTreeMap<id::Model, BTreeMap<Place, Ticket>>,
     /// Charges at the reports that are not yet superseded by an answered one.
     sent: VecDeque<(u64, i64)>,
@@ -85,6 +91,9 @@
             charged: 0,
             in_flight: 0,
             queued: 0,
+            bound: false,
+            permits: Permits::default(),
+            announced: 0,
             lanes: BTreeMap::new(),
             sent: VecDeque::new(),
             bucket: Bucket::default(),
@@ -94,6 +103,13 @@
     /// Takes one request from the caps.
     pub(super) fn admit(&mut self, now: Instant) -> Result<(), Refusal> {
         let customer = self.config.id;
+        if self.queued >= self.config.max_queued && self.at_cap() {
+            return Err(Refusal::InFlightCap {
+                customer,
+                limit: self.config.max_in_flight,
+                retry_after: QUEUE_RETRY,
+            });
+        }
         if self.queued >= self.config.max_queued {
             return Err(Refusal::QueueFull {
                 customer,
@@ -119,6 +135,7 @@
             self.lanes.remove(&model);
         }
         self.queued -= 1;
+        self.announced = self.announced.min(self.queued);
         Some(ticket)
     }
 
@@ -131,15 +148,47 @@
         self.lanes.keys().copied()
     }
 
-    /// How many more requests the cap allows in flight.
-    pub(super) fn room(&self) -> u32 {
+    /// How many more requests the cap allows in flight, wherever the permits are.
+    fn limit(&self) -> u32 {
         self.config.max_in_flight.saturating_sub(self.in_flight)
     }
 
-    /// Tickets for `model` that the cap on requests in flight lets run.
+    /// How many more requests may run at this router.
+    fn room(&self) -> u32 {
+        let permitted = if self.bound { self.permits.usable(self.in_flight) } else { u32::MAX };
+        self.limit().min(permitted)
+    }
+
+    /// Whether the cap, rather than a lack of slots, keeps requests waiting here.
+    fn at_cap(&self) -> bool {
+        self.room() == 0 && (self.limit() == 0 || self.permits.share.is_some())
+    }
+
+    fn length(&self, model: id::Model) -> u32 {
+        self.lanes.get(&model).map_or(0, |lane| u32::try_from(lane.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Tickets for `model` that may run at this router.
     pub(super) fn waiting(&self, model: id::Model) -> u32 {
-        let queued = self.lanes.get(&model).map_or(0, BTreeMap::len);
-        u32::try_from(queued).unwrap_or(u32::MAX).min(self.room())
+        self.length(model).min(self.room())
+    }
+
+    /// Tickets for `model` that could run with all permits of the fleet.
+    pub(super) fn demand(&self, model: id::Model) -> u32 {
+        self.length(model).min(self.limit())
+    }
+
+    /// Permits to give back.
+    pub(super) fn surplus(&self) -> u32 {
+        self.permits.surplus(self.in_flight)
+    }
+
+    /// Whether tickets wait for permits and the owner knows of fewer than `known`.
+    pub(super) fn lacks_permits(&self, known: u32) -> bool {
+        let wanted = self.queued.min(self.limit());
+        self.bound
+            && wanted > self.permits.usable(self.in_flight)
+            && self.announced < wanted.min(known)
     }
 
     /// The virtual time with this router's charges.
@@ -207,6 +256,7 @@
             self.sent.remove(1);
         }
         self.sent.push_back((sequence, self.charged));
+        self.announced = self.queued;
     }
 
     /// Takes the owner's word, which covers the charges up to report `answered`.
@@ -225,7 +275,9 @@
     }
 
     /// Starts a new account with nothing charged.
-    pub(super) fn reopen(&mut self) {
+    pub(super) fn reopen(&mut self, lapsed: bool) {
+        self.permits.reopen(self.in_flight, lapsed);
+        self.announced = 0;
         self.told = self.clock();
         self.charged = 0;
         self.covered = 0;
--- a/siskin-sched/tests/harness.rs
+++ b/siskin-sched/tests/harness.rs
@@ -103,6 +103,8 @@
     /// Models of each endpoint.
     pub models: Vec<Vec<u32>>,
     pub weights: Vec<u32>,
+    /// Caps on requests in flight, of the first customers.
+    pub caps: Vec<u32>,
     pub sources: Vec<Source>,
     pub net: Net,
     /// How far clock rates lie apart, in millionths.
@@ -127,6 +129,7 @@
             endpoints: endpoints.to_vec(),
             models: vec![vec![MODEL]; endpoints.len()],
             weights: vec![1; customers],
+            caps: Vec::new(),
             sources: Vec::new(),
             net: Net::default(),
             drift: 0,
@@ -151,6 +154,7 @@
         let customer = |(index, weight): (u32, &u32)| pool::Customer {
             weight: Weight::new(*weight).unwrap(),
             max_queued: 100_000,
+            max_in_flight: self.caps.get(index as usize).copied().unwrap_or(u32::MAX),
             ..pool::Customer::new(id::Customer(index))
         };
         (0..).zip(&self.weights).map(customer).collect()
@@ -244,7 +248,9 @@
     pub refused: u64,
     /// Most requests in flight above an endpoint's limit.
     pub excess: u32,
-    /// Longest time in microseconds that a slot was idle while work waited.
+    /// Most requests of one customer in flight above its cap.
+    pub cap_excess: u32,
+    /// Longest time in microseconds that a slot was idle while work of uncapped customers waited.
     pub idle: u64,
     /// Largest difference in weighted service of two customers that both stayed backlogged.
     pub gap: f64,
@@ -298,6 +304,8 @@
     /// For each router and model, since when it has had 1, 2 and more requests waiting.
     waits: BTreeMap<(usize, u32), VecDeque<u64>>,
     served: Vec<f64>,
+    /// Requests in flight by customer.
+    running: Vec<u32>,
     pairs: Pairs,
 }
 
@@ -351,6 +359,7 @@
             queued: vec![0; setup.sources.len()],
             waits: BTreeMap::new(),
             served: vec![0.0; setup.weights.len()],
+            running: vec![0; setup.weights.len()],
             pairs: Pairs::default(),
             setup,
         };
@@ -641,7 +650,9 @@
         );
         self.waiting[source.customer as usize] += 1;
         self.queued[index] += 1;
-        self.waits.entry((node, source.model)).or_default().push_back(self.now);
+        if !self.capped(source.customer) {
+            self.waits.entry((node, source.model)).or_default().push_back(self.now);
+        }
         if let Some(baseline) = &mut self.baseline {
             for Dispatch { request, endpoint } in baseline.submit(now, name(node), ticket) {
                 self.start(request.node.0 as usize, request, endpoint);
@@ -662,10 +673,17 @@
         }
     }
 
+    /// Whether a customer has a cap, so that its requests may wait while slots are idle.
+    fn capped(&self, customer: u32) -> bool {
+        self.setup.caps.get(customer as usize).is_some_and(|cap| *cap < u32::MAX)
+    }
+
     fn stop_waiting(&mut self, source: usize) {
         self.note_idle();
         let Source { router, model, customer, .. } = self.setup.sources[source];
-        self.waits.entry((router, model)).or_default().pop_front();
+        if !self.capped(customer) {
+            self.waits.entry((router, model)).or_default().pop_front();
+        }
         let customer = customer as usize;
         self.queued[source] -= 1;
         self.waiting[customer] -= 1;
@@ -698,6 +716,11 @@
         let (cost, source) = (run.cost, run.source);
         let wait = &mut self.figures.longest_wait[run.customer as usize];
         *wait = (*wait).max(self.now.saturating_sub(run.submitted.max(self.measure_from)));
+        let customer = run.customer as usize;
+        self.running[customer] += 1;
+        let cap = self.setup.caps.get(customer).copied().unwrap_or(u32::MAX);
+        let above = self.running[customer].saturating_sub(cap);
+        self.figures.cap_excess = self.figures.cap_excess.max(above);
         let place = &mut self.places[endpoint.0 as usize];
         place.running += 1;
         place.idle_since.pop_front();
@@ -716,6 +739,7 @@
 
     /// Frees the slot of a request and counts its service.
     fn vacate(&mut self, run: &Run, started: u64, endpoint: u32) {
+        self.running[run.customer as usize] -= 1;
         let place = &mut self.places[endpoint as usize];
         place.running -= 1;
         if place.running < place.limit {
@@ -830,6 +854,7 @@
         self.measure_from = self.now;
         self.figures.busy = 0;
         self.figures.excess = 0;
+        self.figures.cap_excess = 0;
         self.figures.idle = 0;
         self.figures.gap = 0.0;
     }
@@ -848,6 +873,11 @@
         figures
     }
 
+    /// Number of routers that run.
+    pub fn alive(&self) -> usize {
+        self.machines.iter().filter(|machine| machine.alive).count()
+    }
+
     /// Requests in flight at an endpoint as the routers count them.
     pub fn in_flight(&self, endpoint: u32) -> u32 {
         let usage = self.machines.iter().flat_map(|machine| machine.scheduler.usage());
--- a/siskin-sched/tests/owner.rs
+++ b/siskin-sched/tests/owner.rs
@@ -36,6 +36,7 @@
         customer: id::Customer(customer),
         charged: 0,
         clock: Some(Virtual::ZERO),
+        permits: None,
         lines: vec![line],
     };
     Report {
--- a/siskin-wire/src/sched.rs
+++ b/siskin-wire/src/sched.rs
@@ -40,6 +40,8 @@
     pub charged: i64,
     /// The customer's virtual time, in full reports of routers that an owner has told of it.
     pub clock: Option<Virtual>,
+    /// Permits for requests in flight; none if the customer's cap exceeds the slots of the pool.
+    pub permits: Option<Permits>,
     /// Waiting requests by model; models without waiting requests are left out.
     pub lines: Vec<Line>,
 }
@@ -59,6 +61,17 @@
     pub exclude: Vec<Endpoint>,
 }
 
+/// What a router says about a customer's permits for requests in flight.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permits {
+    /// Permits that the router held when it opened the account.
+    pub opening: u32,
+    /// Total of permits returned in this account.
+    pub returned: u64,
+    /// Requests in flight.
+    pub busy: u32,
+}
+
 /// What a router says about its slots at one endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Slots {
@@ -104,6 +117,19 @@
     pub clocks: Vec<Clock>,
     /// Endpoints whose entry changed since the last grant that the router acknowledged.
     pub slots: Vec<Granted>,
+    /// Customers whose permits changed since the last grant that the router acknowledged.
+    pub permits: Vec<Permitted>,
+}
+
+/// Permits of a router for requests of one customer in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permitted {
+    /// The customer.
+    pub customer: Customer,
+    /// Total of permits granted in this account.
+    pub granted: u64,
+    /// The router's share: permits beyond it are returned as they become idle. None while nobody lacks permits.
+    pub share: Option<u32>,
 }
 
 /// The lowest virtual time of the customers that wait for a model.
