Test undecided entries with slow messages and case by case

Conclusion: both halves of the rule, more than half to decide and more than half to serve while undecided, are covered.

--- a/siskin-config/tests/main/outage.rs
+++ b/siskin-config/tests/main/outage.rs
@@ -14,7 +14,7 @@
     },
     siskin_types::{id, time::Instant},
     siskin_wire::config::Announcement,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Guards against patches that are accepted or lost while the store is down.
@@ -62,21 +62,36 @@
         name: &'static str,
         store: bool,
         visible: usize,
+        /// Whether the router holds an entry that is not decided.
+        undecided: bool,
         want: Serving,
     }
+    let case =
+        |name, store, visible, undecided, want| Case { name, store, visible, undecided, want };
     let isolated = Serving::Refuse(Refusal::Isolated);
     let cases = [
-        Case { name: "store and nobody else", store: true, visible: 1, want: Serving::Serve },
-        Case { name: "no store, half", store: false, visible: 3, want: Serving::Serve },
-        Case { name: "no store, less than half", store: false, visible: 2, want: isolated },
+        case("store and nobody else", true, 1, false, Serving::Serve),
+        case("no store, half", false, 3, false, Serving::Serve),
+        case("no store, less than half", false, 2, false, isolated),
+        case("undecided, store, half", true, 3, true, isolated),
+        case("undecided, no store, half", false, 3, true, isolated),
+        case("undecided, store, more than half", true, 4, true, Serving::Serve),
+        case("undecided, no store, more than half", false, 4, true, Serving::Serve),
     ];
-    for Case { name, store, visible, want } in cases {
+    let first = first_entry();
+    for Case { name, store, visible, undecided, want } in cases {
         let mut follower = Follower::new(Options { seed: 1, ..Options::default() });
         let announcement = Announcement { ready: true, ..follower.announcement(Instant::ZERO) };
         follower.announced(Instant::ZERO, id::Node(2), &announcement);
+        if undecided {
+            follower.members(Instant::ZERO, id::Node(1), vec![id::Node(1), id::Node(2)], 6);
+            follower.entry(Instant::ZERO, 1, &first).unwrap();
+            assert_eq!((follower.version(), follower.newest()), (0, 1), "{name}");
+        }
         let view = View { visible, known: 6 };
         let grace = [0, 1_000_000, 2_999_000].map(Instant::from_micros);
-        for now in grace {
+        let short = undecided && !store;
+        for now in grace.into_iter().take(if short { 2 } else { 3 }) {
             assert_eq!(follower.serving(now, store, view), Serving::Serve, "{name} at {now:?}");
         }
         let late = Instant::from_micros(3_000_000);
@@ -86,6 +101,14 @@
     }
 }
 
+/// The bytes of an entry of version 1.
+fn first_entry() -> Arc<[u8]> {
+    let mut alone = Alone::new(Store::default());
+    alone.pass(1);
+    alone.submit("p1").unwrap();
+    Arc::clone(alone.follower.history().bytes(1).unwrap())
+}
+
 /// A router alone with a store that answers at once.
 struct Alone {
     follower: Follower,
--- a/siskin-config/tests/main/partition.rs
+++ b/siskin-config/tests/main/partition.rs
@@ -16,6 +16,8 @@
 #[test]
 fn accepted_before_the_split_is_noticed() {
     check(&[&[Fault::Partition], &[Fault::Race, Fault::Partition]], 40);
+    // With slow messages a split falls between the creation of an entry and its decision.
+    check(&[&[Fault::BadWatch, Fault::Partition]], 120);
 }
 
 /// Guards against holders that are counted wrongly in a fleet that is large enough for groups.
