Stop a router within the notice and one timeout

Cause: the stop waited for connections for the stop timeout, and then as long again for the tasks of requests.

Change: both share one deadline.

Conclusion: a platform may kill a router after the notice and one timeout.

--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -146,16 +146,18 @@
         self.shared.control.block(nodes.iter().copied());
     }
 
-    /// Stops in order: takes nothing new, finishes what is in flight within the stop timeout, tells the other
-    /// routers, and ends.
+    /// Stops in order: takes nothing new, finishes what is in flight, tells the other routers, and ends. This takes at
+    /// most the notice and the stop timeout.
     pub async fn stop(self) {
         log::info!("router stops: it takes no new requests");
         self.shared.stop();
         // Readiness fails while the listener is still open, so that the balancer moves on first.
         time::sleep(self.shared.settings.stop_notice.min(self.shared.settings.stop_timeout)).await;
+        // Connections and requests share one timeout.
+        let deadline = time::Instant::now() + self.shared.settings.stop_timeout;
         let _ = self.stop.send(true);
         let _ = self.server.await;
-        self.shared.drained(self.shared.settings.stop_timeout).await;
+        self.shared.drained(deadline).await;
         let now = self.shared.clock.now();
         let actions = lock(&self.shared.member).leave(now);
         perform(&self.shared, actions);
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -184,11 +184,11 @@
         Running { shared: Arc::clone(self) }
     }
 
-    /// Waits until no request is in flight, at most for `limit`.
-    pub(crate) async fn drained(&self, limit: Duration) {
+    /// Waits until no request is in flight, at most until `deadline`.
+    pub(crate) async fn drained(&self, deadline: time::Instant) {
         let mut in_flight = self.in_flight.subscribe();
         let drained = in_flight.wait_for(|&count| count == 0);
-        if time::timeout(limit, drained).await.is_err() {
+        if time::timeout_at(deadline, drained).await.is_err() {
             log::warn!(in_flight = *self.in_flight.borrow(); "stop timeout ended with requests in flight");
         }
     }
--- a/siskin-site/tests/site/stop.rs
+++ b/siskin-site/tests/site/stop.rs
@@ -14,6 +14,9 @@
 
 const TOKENS: u32 = 200;
 
+/// The stop timeout of the routers of a site.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopped_router_finishes_streams() {
@@ -31,6 +34,26 @@
     site.stop().await;
 }
 
+/// Guards against a stop that waits for connections and then as long again for their requests. The stop is compared
+/// with a timer of the same run that takes twice the timeout.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_takes_one_timeout() {
+    let mut site = start(options()).await;
+    let router = site.router(0).callers();
+    let call = Call::chat(router, &Customer::new("agency").key(), "endless", 1_000_000, true);
+    let response = Client::new().begin(&call).await.expect("the stream begins");
+    let stopped = site.routers[0].take().expect("the router runs");
+    let twice = STOP_TIMEOUT * 2;
+    let in_time = tokio::select! {
+        () = stopped.stop() => true,
+        () = time::sleep(twice) => false,
+    };
+    expect_true!(in_time, "the stop takes twice the timeout");
+    drop(response);
+    site.stop().await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_goes_away_frees_its_engine() {
