Send calls only to engines that are not known to lack their model

Cause: the owner of a pool grants slots only for models that an engine reports, but a router that held such a slot reused it for any model of the configuration. A call for a model that the engine had not loaded was refused and sent again, again and again during a load, out of the retry budget.

Change: `siskin_sched::pool::Endpoint` names the models that it cannot serve now. Requests for them wait and are not refused. Every router learns what an engine reports when it first uses it and when the engine refuses a call, and asks it again every 2 s while it lacks a model. The role matters to the owner only, which grants no slots of engines that serve no whole requests.

Conclusion: a load does not use up the retry budget of other routers.

--- a/siskin-router/src/endpoints.rs
+++ b/siskin-router/src/endpoints.rs
@@ -16,7 +16,7 @@
     siskin_route::health::{self, Change},
     siskin_sched::pool::{self as scheduled, Load},
     siskin_types::{
-        id::{Endpoint, Request},
+        id::{Endpoint, Model, Request},
         role::Role,
         time::Instant,
     },
@@ -86,6 +86,7 @@
                     || pool.orders().drains(endpoint.id)
                     || self.is_listed_leaving(endpoint.address);
                 let mut scheduled = view.scheduled(endpoint, unusable);
+                scheduled.unready = self.unready(view, &scheduled);
                 if self.settings.scheduling == Scheduling::Isolated {
                     scheduled.limit = isolated_slots(&self.settings, scheduled.limit);
                 }
@@ -115,21 +116,46 @@
         view: &View,
         scheduled: &[scheduled::Endpoint],
     ) -> Vec<scheduled::Endpoint> {
-        let loaded = lock(&self.loaded);
         let mut endpoints = scheduled.to_vec();
         for endpoint in &mut endpoints {
-            let known = loaded.get(&endpoint.id);
+            let known = lock(&self.loaded).get(&endpoint.id).map(|known| known.whole);
             let wanted = || view.endpoint(endpoint.id).is_none_or(|it| it.role.serves_requests());
-            if !known.map_or_else(wanted, |known| known.whole) {
+            if !known.unwrap_or_else(wanted) {
                 endpoint.models.clear();
             }
-            let Some(names) = known.and_then(|known| known.models.as_ref()) else { continue };
-            let ready: Vec<_> = names.iter().filter_map(|name| view.model(name)).collect();
-            endpoint.models.retain(|model| ready.contains(model));
+            endpoint.models.retain(|model| !endpoint.unready.contains(model));
         }
         endpoints
     }
 
+    /// The models that an endpoint shall serve and does not report. Its role does not matter here, because the owner of
+    /// the pool grants no slots of an engine whose role does not serve whole requests.
+    fn unready(&self, view: &View, endpoint: &scheduled::Endpoint) -> Vec<Model> {
+        let loaded = lock(&self.loaded);
+        let known = loaded.get(&endpoint.id).and_then(|known| known.models.as_ref());
+        let Some(names) = known else { return Vec::new() };
+        let ready: Vec<_> = names.iter().filter_map(|name| view.model(name)).collect();
+        endpoint.models.iter().filter(|model| !ready.contains(model)).copied().collect()
+    }
+
+    /// Asks the engines again that this router knows to lack a model, although another router owns their pool. Without
+    /// this it would not use the model there when it is loaded.
+    pub(crate) fn ask_lacking(self: &Arc<Self>, view: &View, pool: &Arc<Pool>) {
+        for endpoint in view.endpoints(pool.name()) {
+            if !self.unready(view, &view.scheduled(endpoint, false)).is_empty() {
+                self.ask_again(pool, endpoint.id);
+            }
+        }
+    }
+
+    /// Learns what an engine can serve, for example after it has refused a call.
+    pub(crate) fn ask_again(self: &Arc<Self>, pool: &Arc<Pool>, endpoint: Endpoint) {
+        let (shared, pool) = (Arc::clone(self), Arc::clone(pool));
+        self.spawn(async move {
+            shared.probe(&pool, endpoint).await;
+        });
+    }
+
     /// Whether an endpoint may be used as far as its health goes.
     pub(crate) fn usable(&self, now: Instant, endpoint: Endpoint) -> bool {
         let health = lock(&self.health);
@@ -223,9 +249,22 @@
             lock(&self.prefixes).forget(endpoint);
             pool.suspects().crashed(self, endpoint, before).await;
         }
+        self.learn_ability(endpoint, &probe);
         Some(probe)
     }
 
+    /// Notes what an endpoint can serve. This comes before the planner hears of it, which may end a drain.
+    fn learn_ability(&self, endpoint: Endpoint, probe: &Probe) {
+        let ability = Ability {
+            models: probe.models.clone(),
+            whole: probe.role.is_some_and(Role::serves_requests),
+        };
+        let before = lock(&self.loaded).insert(endpoint, ability.clone());
+        if before != Some(ability) {
+            self.refresh.notify_one();
+        }
+    }
+
     async fn ask_load(&self, address: SocketAddr) -> Option<Probe> {
         let mut connection = self.upstream.open(address).await.ok()?;
         let request = HttpRequest::get("/load").header(HOST, address.to_string());
@@ -285,16 +324,7 @@
             }
             return;
         };
-        let ability = Ability {
-            models: probe.models.clone(),
-            whole: probe.role.is_some_and(Role::serves_requests),
-        };
-        // Before the planner hears of it, which may end a drain.
-        let before = lock(&self.loaded).insert(endpoint, ability.clone());
         pool.orders().reported(self, asked, endpoint, &probe);
-        if before != Some(ability) {
-            self.refresh.notify_one();
-        }
         let report = probe.report;
         let load = Load { running: report.running + report.waiting, leaving: report.leaving };
         pool.load(self, self.clock.now(), endpoint, load);
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -60,6 +60,9 @@
             Err(error) => return self.unanswered(now, attempt, &error).await,
         };
         if response.headers().get(NOT_STARTED).is_some_and(|value| value == "true") {
+            if let Some(endpoint) = self.slot {
+                self.shared.ask_again(&self.call.pool, endpoint);
+            }
             return self.life.endpoint_refused(now, attempt, &mut self.call.pool.budget());
         }
         let echoed = echoed(&response, self.call.request);
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -35,6 +35,9 @@
 /// Time between load reports that the owner of a pool asks an endpoint for.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Rounds of load reports after which a router that does not own a pool asks engines that lack a model again.
+const LACKING_ROUNDS: u32 = 4;
+
 /// Frames received from other routers that wait to be handled.
 const QUEUE_FRAMES: usize = 4_096;
 
@@ -251,11 +254,14 @@
 /// Asks the endpoints of owned pools for their load.
 async fn loads(shared: Arc<Shared>) {
     let mut interval = time::interval(LOAD_INTERVAL);
-    loop {
+    for round in 0_u32.. {
         interval.tick().await;
         let view = shared.view();
         for pool in shared.pools() {
             if !pool.owned() {
+                if round.is_multiple_of(LACKING_ROUNDS) {
+                    shared.ask_lacking(&view, &pool);
+                }
                 continue;
             }
             for endpoint in view.endpoints(pool.name()) {
--- a/siskin-sched/src/pool.rs
+++ b/siskin-sched/src/pool.rs
@@ -120,15 +120,23 @@
     pub limit: u32,
     /// Models that it serves.
     pub models: Vec<id::Model>,
+    /// Those of its models that it cannot serve now. Requests for them wait, but are not refused.
+    pub unready: Vec<id::Model>,
     /// Whether it is leaving and gets no new work.
     pub leaving: bool,
 }
 
 impl Endpoint {
+    /// Whether it can serve a model now.
+    #[must_use]
+    pub fn serves(&self, model: id::Model) -> bool {
+        self.models.contains(&model) && !self.unready.contains(&model)
+    }
+
     /// An endpoint that stays.
     #[must_use]
     pub fn new(id: id::Endpoint, limit: u32, models: Vec<id::Model>) -> Self {
-        Self { id, limit, models, leaving: false }
+        Self { id, limit, models, unready: Vec::new(), leaving: false }
     }
 }
 
--- a/siskin-sched/src/router.rs
+++ b/siskin-sched/src/router.rs
@@ -547,7 +547,7 @@
                 .idle
                 .iter()
                 .filter_map(|id| self.slots.get(id))
-                .filter(|slots| slots.open() && slots.config.models.contains(&model))
+                .filter(|slots| slots.open() && slots.config.serves(model))
                 .filter(|slots| silent || self.may_reuse(slots, queue.clock()))
                 .collect();
             if usable.is_empty() {
--- a/siskin-site/tests/site/orders.rs
+++ b/siskin-site/tests/site/orders.rs
@@ -188,6 +188,45 @@
     tokio::join!(checked, ignored);
 }
 
+/// Guards against calls that go to an engine which does not report their model, over and over, while it waits for its
+/// load: a router that does not know the engine may try once, and each such call is sent to another engine.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_where_their_model_is_loaded() {
+    let mut options = site_options(true);
+    options.engines[1].models.push("large".to_owned());
+    // The other engine does not load the model within the test.
+    options.fleet = json!({ "load_spacing_ms": 600_000 });
+    let site = start(options).await;
+    let large = json!({
+        "models": { "large": { "id": 2, "pool": "chat" } },
+        "endpoints": {
+            "engine-1": { "models": ["small", "large"] },
+            "engine-2": { "models": ["small", "large"] }
+        }
+    });
+    expect_that!(patch(&site, 0, "large", 1, &large).await.status.as_u16(), eq(200));
+    let known = async {
+        while (0..2).any(|router| site.router(router).config_version() < 2) {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    time::timeout(CARRIED_OUT, known).await.expect("the patch is in force");
+    for router in (0..2).cycle().take(100) {
+        let (small, large) =
+            tokio::join!(ask_router(&site, router, "small"), ask_router(&site, router, "large"));
+        expect_that!(small.outcome(), eq("completed"), "{small:?}");
+        expect_that!(large.outcome(), eq("completed"), "{large:?}");
+    }
+    for router in 0..2 {
+        let retries = &site.router(router).metrics().retries;
+        let refused = retries.with_label_values(&["endpoint_refused"]).get();
+        expect_that!(refused, le(1), "router {router}");
+    }
+    expect_that!(loaded(&site, 0), eq(&["small"]));
+    site.stop().await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_last_engine_of_a_model_keeps_it() {
