Measure the memory of a router by customers and pools

Cause: each pool of a router keeps its own copy of the customers, and the cost of a further pool was an estimate.

Change: the footprint example has cases with 1, 4 and 16 pools of engines.

Most of the cost is the queue that the scheduler of each pool makes for every customer; sharing only the configuration of the customers would not meet the target.

--- a/siskin-site/examples/footprint.rs
+++ b/siskin-site/examples/footprint.rs
@@ -1,5 +1,5 @@
-//! Prints the memory and processor time of one router at several numbers of customers, idle, with configuration
-//! changes, and with calls. Stand-ins run in the same process, so the processor figures are upper bounds.
+//! Prints the memory and processor time of one router at several numbers of customers and of pools, idle, with
+//! configuration changes, and with calls. Stand-ins run in the same process, so the processor figures are upper bounds.
 //!
 //! Run with `cargo run --release -p siskin-site --example footprint -- [CUSTOMERS]`. Reads `/proc`, so it needs Linux.
 
@@ -22,6 +22,9 @@
 /// Customers in all.
 const SIZES: [u32; 4] = [16, 870, 4_350, 8_700];
 
+/// Pools in all.
+const POOLS: [u32; 3] = [1, 4, 16];
+
 /// Customers in one patch, which keeps it below the limit of 128 KB.
 const CUSTOMERS_PER_PATCH: u32 = 400;
 
@@ -39,19 +42,20 @@
 
 fn main() -> anyhow::Result<()> {
     println!(
-        "customers  memory MB  idle % of a core  ms of processor per change  ms of processor per call"
+        "customers  pools  memory MB  idle % of a core  ms of processor per change  ms of processor per call"
     );
     let wanted = std::env::args().nth(1).map(|text| text.parse()).transpose()?;
     let sizes = wanted.map_or(SIZES.to_vec(), |customers| vec![customers]);
     if let Ok(filter) = std::env::var("SISKIN_LOG") {
         siskin_settings::logging::start(&filter);
     }
-    for customers in sizes {
+    let cases = sizes.into_iter().flat_map(|size| POOLS.map(|pools| (size, pools)));
+    for (customers, pools) in cases {
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-        let figures = runtime.block_on(measure(customers))?;
+        let figures = runtime.block_on(measure(customers, pools))?;
         println!(
-            "{customers:9}  {:9.1}  {:16.2}  {:26.2}  {:24.3}",
+            "{customers:9}  {pools:5}  {:9.1}  {:16.2}  {:26.2}  {:24.3}",
             figures.memory_mb, figures.idle_percent, figures.change_ms, figures.call_ms
         );
     }
@@ -65,11 +69,16 @@
     call_ms: f64,
 }
 
-async fn measure(customers: u32) -> anyhow::Result<Figures> {
-    let site = Site::start(Options { routers: 1, ..Options::default() }).await?;
+async fn measure(customers: u32, pools: u32) -> anyhow::Result<Figures> {
+    let options = Options { routers: 1, applications: Vec::new(), ..Options::default() };
+    let site = Site::start(options).await?;
     site.ready().await?;
     let client = Client::new();
-    let mut version = 1;
+    let others = (2..=pools).map(|id| {
+        (format!("pool-{id}"), json!({ "id": id, "unit": "tokens", "max_request": 8_000 }))
+    });
+    let others: Map<String, Value> = others.collect();
+    let mut version = patch(&site, &client, 1, &json!({ "pools": others })).await?;
     for first in (0..customers).step_by(CUSTOMERS_PER_PATCH as usize) {
         let last = customers.min(first + CUSTOMERS_PER_PATCH);
         let section: Map<String, Value> = (first..last).map(customer).collect();
