--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -61,6 +61,9 @@
         };
         let echoed = echoed(&response, self.call.request);
         if response.headers().get(NOT_STARTED).is_some_and(|value| value == "true") {
+            if let Some(endpoint) = self.slot {
+                self.shared.ask_again(&self.call.pool, endpoint);
+            }
             let mut budget = self.call.pool.budget();
             return self.life.endpoint_refused(now, attempt, echoed, &mut budget);
         }
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -35,6 +35,9 @@
 /// Time between load reports that the owner of a pool asks an endpoint for.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Rounds of load reports after which a router that does not own a pool asks engines that lack a model again.
+const LACKING_ROUNDS: u32 = 4;
+
 /// Frames received from other routers that wait to be handled.
 const QUEUE_FRAMES: usize = 4_096;
 
@@ -146,16 +149,18 @@
         self.shared.control.block(nodes.iter().copied());
     }
 
-    /// Stops in order: takes nothing new, finishes what is in flight within the stop timeout, tells the other
-    /// routers, and ends.
+    /// Stops in order: takes nothing new, finishes what is in flight, tells the other routers, and ends. This takes at
+    /// most the notice and the stop timeout.
     pub async fn stop(self) {
         log::info!("router stops: it takes no new requests");
         self.shared.stop();
         // Readiness fails while the listener is still open, so that the balancer moves on first.
         time::sleep(self.shared.settings.stop_notice.min(self.shared.settings.stop_timeout)).await;
+        // Connections and requests share one timeout.
+        let deadline = time::Instant::now() + self.shared.settings.stop_timeout;
         let _ = self.stop.send(true);
         let _ = self.server.await;
-        self.shared.drained(self.shared.settings.stop_timeout).await;
+        self.shared.drained(deadline).await;
         let now = self.shared.clock.now();
         let actions = lock(&self.shared.member).leave(now);
         perform(&self.shared, actions);
@@ -249,11 +254,14 @@
 /// Asks the endpoints of owned pools for their load.
 async fn loads(shared: Arc<Shared>) {
     let mut interval = time::interval(LOAD_INTERVAL);
-    loop {
+    for round in 0_u32.. {
         interval.tick().await;
         let view = shared.view();
         for pool in shared.pools() {
             if !pool.owned() {
+                if round.is_multiple_of(LACKING_ROUNDS) {
+                    shared.ask_lacking(&view, &pool);
+                }
                 continue;
             }
             for endpoint in view.endpoints(pool.name()) {
