Share what engine and application stand-ins have in common

Cause: the engine and application stand-ins each had their own fault commands, crash and restart, load and control requests, and guard of the counters; the site of siskin-measure wrote its own sections of the configuration beside those of siskin-site.

Change: siskin-standin has one Endpoint with these parts, which both use; stopping an application now also ends its waiting calls, as for an engine. siskin-site offers the sections of customers, endpoints and application pools, and siskin-measure and the footprint example build on them. The customers of siskin-measure have the keys of siskin-site's.

Conclusion: a fault command is written once for both kinds of endpoint.

--- a/siskin-measure/src/bin/siskin-standin.rs
+++ b/siskin-measure/src/bin/siskin-standin.rs
@@ -139,7 +139,7 @@
         })
     }
 
-    const fn address(&self) -> SocketAddr {
+    fn address(&self) -> SocketAddr {
         match self {
             Self::Engine(server) => server.address(),
             Self::Application(server) => server.address(),
--- a/siskin-measure/src/caller.rs
+++ b/siskin-measure/src/caller.rs
@@ -115,9 +115,9 @@
     format!("customer-{customer}")
 }
 
-/// API key of a customer.
-pub(crate) fn key(customer: usize) -> String {
-    format!("key-of-customer-{customer}")
+/// A customer as the configuration knows it.
+pub(crate) fn party(customer: usize) -> siskin_site::Customer {
+    siskin_site::Customer::new(&user(customer))
 }
 
 impl Caller {
@@ -182,7 +182,7 @@
         for next in 0..self.routers.len() {
             let router = self.routers[(first + next) % self.routers.len()];
             let mut request = Request::post(format!("http://{router}{path}"))
-                .header("authorization", format!("Bearer {}", key(call.customer)));
+                .header("authorization", format!("Bearer {}", party(call.customer).key()));
             for (name, value) in headers {
                 request = request.header(*name, *value);
             }
--- a/siskin-measure/src/site.rs
+++ b/siskin-measure/src/site.rs
@@ -9,10 +9,12 @@
     },
     anyhow::Context,
     serde_json::{Map, Value, json},
-    siskin_config::document::{Document, Hash},
+    siskin_config::document::Document,
     siskin_router::{router, settings::Settings},
     siskin_site::{
+        Endpoint,
         client::{Call, Client},
+        options,
         process::{Process, Usage},
     },
     siskin_standin::{application, engine, fault, kv, vms},
@@ -53,6 +55,12 @@
 /// Requests of a customer that wait at one router.
 const MAX_QUEUE: u32 = 100;
 
+/// Requests of a customer in flight.
+const MAX_IN_FLIGHT: u32 = 10_000;
+
+/// Route of the application, and its pool.
+const ROUTE: &str = "bookings";
+
 /// Data centres that routers and endpoints are spread over.
 const DATA_CENTRES: u32 = 4;
 
@@ -420,7 +428,7 @@
         for number in 0..count {
             time::sleep_until(start + spacing * number).await;
             // The limit is far above what waits, so the change alters nothing in the run.
-            let limit = 10_000 + number % 2;
+            let limit = MAX_IN_FLIGHT + number % 2;
             let changes = json!({ "customers": { caller::user(0): { "max_in_flight": limit } } });
             match self.patch(&changes).await {
                 Ok(()) => accepted += 1,
@@ -560,11 +568,8 @@
 /// A customer that sends nothing.
 fn registered(number: u32) -> (String, Value) {
     let name = format!("registered-{number}");
-    let value = json!({
-        "id": FIRST_REGISTERED + number, "max_in_flight": 64, "max_queue": MAX_QUEUE,
-        "key_hashes": [Hash::of(name.as_bytes())],
-    });
-    (name, value)
+    let customer = siskin_site::Customer { max_in_flight: 64, ..siskin_site::Customer::new(&name) };
+    (name, customer.section(FIRST_REGISTERED + number))
 }
 
 /// Starts a router. A router needs the same port number for UDP and TCP, which another connection of this
@@ -614,12 +619,15 @@
     let mut endpoints = Map::new();
     for (number, engine) in (1..).zip(engines) {
         let model = (number - 1) % options.models;
-        let endpoint = json!({
-            "id": number, "kind": "engine", "pool": pool(model), "address": engine.address(),
-            "data_centre": data_centre(number), "models": [workload::model(model)],
-            "slots": options.engine_slots,
-        });
-        endpoints.insert(format!("engine-{number}"), endpoint);
+        let endpoint = Endpoint {
+            id: number,
+            pool: &pool(model),
+            address: engine.address(),
+            data_centre: &data_centre(number),
+            slots: options.engine_slots,
+        };
+        let section = endpoint.engine(&workload::model(model), false);
+        endpoints.insert(format!("engine-{number}"), section);
     }
     let mut pools = Map::new();
     let mut models = Map::new();
@@ -631,27 +639,30 @@
         pools.insert(pool(model), section);
         models.insert(workload::model(model), json!({ "id": id, "pool": pool(model) }));
     }
-    let section = json!({ "id": 2, "unit": "milliseconds", "max_request": 30_000 });
-    pools.insert("bookings".to_owned(), section);
-    let endpoint = json!({
-        "id": 1_000, "kind": "application", "pool": "bookings", "address": bookings.address(),
-        "data_centre": data_centre(0), "route": "bookings", "slots": APPLICATION_SLOTS,
-    });
-    endpoints.insert("bookings-1".to_owned(), endpoint);
-    let mut parties = Map::new();
-    for (index, customer) in customers.iter().enumerate() {
-        let party = json!({
-            "id": index + 1, "weight": customer.weight,
-            "max_in_flight": 10_000, "max_queue": MAX_QUEUE,
-            "key_hashes": [Hash::of(caller::key(index).as_bytes())],
-        });
-        parties.insert(caller::user(index), party);
-    }
+    pools.insert(ROUTE.to_owned(), options::application_pool(2));
+    let endpoint = Endpoint {
+        id: 1_000,
+        pool: ROUTE,
+        address: bookings.address(),
+        data_centre: &data_centre(0),
+        slots: APPLICATION_SLOTS,
+    };
+    endpoints.insert("bookings-1".to_owned(), endpoint.application(ROUTE));
+    let party = |(index, customer): (usize, &Customer)| {
+        let party = siskin_site::Customer {
+            weight: customer.weight,
+            max_queue: MAX_QUEUE,
+            max_in_flight: MAX_IN_FLIGHT,
+            ..caller::party(index)
+        };
+        (party.name.clone(), party.section(u32::try_from(index + 1).unwrap_or(u32::MAX)))
+    };
+    let parties: Map<String, Value> = customers.iter().enumerate().map(party).collect();
     let document = json!({
         "customers": parties,
         "pools": pools,
         "models": models,
-        "routes": { "bookings": { "pool": "bookings" } },
+        "routes": { ROUTE: { "pool": ROUTE } },
         "endpoints": endpoints,
     });
     serde_json::from_value(document).context("the site's configuration is malformed")
--- a/siskin-site/examples/footprint.rs
+++ b/siskin-site/examples/footprint.rs
@@ -5,7 +5,6 @@
 
 use {
     serde_json::{Map, Value, json},
-    siskin_config::document::Hash,
     siskin_site::{
         Customer, Options, Site,
         client::{Call, Client},
@@ -106,11 +105,8 @@
 
 fn customer(number: u32) -> (String, Value) {
     let name = format!("extra-{number}");
-    let value = json!({
-        "id": number + 1_000, "max_in_flight": 64, "max_queue": 100,
-        "key_hashes": [Hash::of(name.as_bytes())]
-    });
-    (name, value)
+    let customer = Customer { max_in_flight: 64, max_queue: 100, ..Customer::new(&name) };
+    (name, customer.section(number + 1_000))
 }
 
 async fn patch(site: &Site, client: &Client, base: u64, changes: &Value) -> anyhow::Result<u64> {
--- a/siskin-site/src/lib.rs
+++ b/siskin-site/src/lib.rs
@@ -6,6 +6,6 @@
 mod site;
 
 pub use {
-    options::{Application, Customer, Options},
+    options::{Application, Customer, Endpoint, Options},
     site::{OPERATOR_TOKEN, Site, settings},
 };
--- a/siskin-site/src/options.rs
+++ b/siskin-site/src/options.rs
@@ -7,9 +7,12 @@
     std::net::SocketAddr,
 };
 
-/// Slots of an engine or application unless the stand-in's options say otherwise.
+/// Largest cost of one model call in tokens.
 const MAX_CHAT_TOKENS: u64 = 8_000;
 
+/// Data centre of everything on a site without data centres.
+const DATA_CENTRE: &str = "loopback";
+
 /// Longest application call in milliseconds.
 const MAX_CALL_MS: u64 = 30_000;
 
@@ -22,13 +25,15 @@
     pub weight: u32,
     /// Requests that may wait at one router.
     pub max_queue: u32,
+    /// Requests that may be in flight.
+    pub max_in_flight: u32,
 }
 
 impl Customer {
     /// A customer of weight one.
     #[must_use]
     pub fn new(name: &str) -> Self {
-        Self { name: name.to_owned(), weight: 1, max_queue: 1_000 }
+        Self { name: name.to_owned(), weight: 1, max_queue: 1_000, max_in_flight: 100_000 }
     }
 
     /// The API key.
@@ -40,6 +45,63 @@
     pub fn key(&self) -> String {
         format!("{}-key", self.name)
     }
+
+    /// Its section of the configuration.
+    ///
+    /// ```
+    /// let section = siskin_site::Customer::new("agency").section(7);
+    /// assert_eq!(section["id"], 7);
+    /// ```
+    #[must_use]
+    pub fn section(&self, id: u32) -> Value {
+        json!({
+            "id": id, "weight": self.weight, "max_in_flight": self.max_in_flight,
+            "max_queue": self.max_queue, "key_hashes": [Hash::of(self.key().as_bytes())]
+        })
+    }
+}
+
+/// An endpoint of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Endpoint<'a> {
+    /// Number, unique in the site.
+    pub id: u32,
+    /// Name of its pool.
+    pub pool: &'a str,
+    /// Address of the stand-in.
+    pub address: SocketAddr,
+    /// Data centre that it is in.
+    pub data_centre: &'a str,
+    /// Requests that it serves at the same time.
+    pub slots: u32,
+}
+
+impl Endpoint<'_> {
+    /// Section of an engine that serves one model. `fencing`: the routers may rely on it to reject orders with an old
+    /// number.
+    #[must_use]
+    pub fn engine(&self, model: &str, fencing: bool) -> Value {
+        json!({
+            "id": self.id, "kind": "engine", "pool": self.pool, "address": self.address,
+            "data_centre": self.data_centre, "models": [model], "slots": self.slots,
+            "fencing": if fencing { "checked" } else { "ignored" }
+        })
+    }
+
+    /// Section of an application that serves one route.
+    #[must_use]
+    pub fn application(&self, route: &str) -> Value {
+        json!({
+            "id": self.id, "kind": "application", "pool": self.pool, "address": self.address,
+            "data_centre": self.data_centre, "route": route, "slots": self.slots
+        })
+    }
+}
+
+/// Section of a pool of application endpoints.
+#[must_use]
+pub fn application_pool(id: u32) -> Value {
+    json!({ "id": id, "unit": "milliseconds", "max_request": MAX_CALL_MS })
 }
 
 /// An application of the site, served by one endpoint each.
@@ -112,30 +174,35 @@
             json!({ "id": 1, "unit": "tokens", "max_request": MAX_CHAT_TOKENS }),
         );
         for (number, (address, options)) in (1..).zip(engines.iter().zip(&self.engines)) {
-            let endpoint = json!({
-                "id": number, "kind": "engine", "pool": "chat", "address": address,
-                "data_centre": "loopback", "models": ["small"], "slots": options.slots,
-                "fencing": if options.check_fencing { "checked" } else { "ignored" }
-            });
-            endpoints.insert(format!("engine-{number}"), endpoint);
+            let endpoint = Endpoint {
+                id: number,
+                pool: "chat",
+                address: *address,
+                data_centre: DATA_CENTRE,
+                slots: options.slots,
+            };
+            let section = endpoint.engine("small", options.check_fencing);
+            endpoints.insert(format!("engine-{number}"), section);
         }
         let mut number = FIRST_APPLICATION;
         for (index, (application, addresses)) in
             (2..).zip(self.applications.iter().zip(applications))
         {
             let route = &application.route;
-            let pool = json!({ "id": index, "unit": "milliseconds", "max_request": MAX_CALL_MS });
-            pools.insert(route.clone(), pool);
+            pools.insert(route.clone(), application_pool(index));
             routes.insert(
                 route.clone(),
                 json!({ "pool": route, "idempotent": application.idempotent }),
             );
             for (options, address) in application.endpoints.iter().zip(addresses) {
-                let endpoint = json!({
-                    "id": number, "kind": "application", "pool": route, "address": address,
-                    "data_centre": "loopback", "route": route, "slots": options.slots
-                });
-                endpoints.insert(format!("{route}-{number}"), endpoint);
+                let endpoint = Endpoint {
+                    id: number,
+                    pool: route,
+                    address: *address,
+                    data_centre: DATA_CENTRE,
+                    slots: options.slots,
+                };
+                endpoints.insert(format!("{route}-{number}"), endpoint.application(route));
                 number += 1;
             }
         }
@@ -150,14 +217,8 @@
     }
 
     fn customer_section(&self) -> Map<String, Value> {
-        let section = |(id, customer): (u32, &Customer)| {
-            let value = json!({
-                "id": id, "weight": customer.weight, "max_in_flight": 100_000,
-                "max_queue": customer.max_queue,
-                "key_hashes": [Hash::of(customer.key().as_bytes())]
-            });
-            (customer.name.clone(), value)
-        };
+        let section =
+            |(id, customer): (u32, &Customer)| (customer.name.clone(), customer.section(id));
         (1..).zip(&self.customers).map(section).collect()
     }
 }
--- a/siskin-standin/src/application.rs
+++ b/siskin-standin/src/application.rs
@@ -13,23 +13,21 @@
     crate::{
         Error,
         body::{self, Body},
-        fault::{Applied, Command, Fault, Plan},
-        load::{Lagged, Load},
-        run::{End, History, Number, Run, Service},
+        endpoint::{self, Endpoint, Guard, Life},
+        fault::{Applied, Command},
+        load::Load,
+        run::{End, Run, Service},
         server::Listener,
     },
     http_body_util::BodyExt,
-    hyper::{
-        HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header, http::request,
-    },
+    hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header, http::request},
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::{
         net::{Ipv4Addr, SocketAddr},
-        sync::{Arc, Mutex},
+        sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::sync::{OwnedSemaphorePermit, Semaphore},
 };
 
 /// How an application behaves.
@@ -79,7 +77,6 @@
 /// A running application; dropping it stops it.
 #[derive(Debug)]
 pub struct Server {
-    listener: Listener,
     application: Arc<Application>,
 }
 
@@ -91,57 +88,57 @@
     /// Returns an error if the address cannot be bound.
     pub fn start(options: Options) -> Result<Self, Error> {
         let (listener, bound) = Listener::bind(options.address)?;
-        let application = Arc::new(Application::new(options, listener.clone()));
+        let control = options.control;
+        let application = Arc::new(Application(Endpoint::new(options, listener, control)));
         let handler = Arc::clone(&application);
         bound.serve(move |request| Arc::clone(&handler).handle(request));
-        Ok(Self { listener, application })
+        Ok(Self { application })
     }
 
     /// The address it listens on.
     #[must_use]
-    pub const fn address(&self) -> SocketAddr {
-        self.listener.address()
+    pub fn address(&self) -> SocketAddr {
+        self.application.0.listener.address()
     }
 
     /// Stops it and drops all connections.
     pub fn stop(&self) {
-        self.listener.stop();
-        self.application.history.crashed();
+        self.application.0.stop();
     }
 
     /// Carries out a fault command, as `POST /control` does.
     pub fn command(&self, command: Command) {
-        self.application.command(command);
+        self.application.0.command(command);
     }
 
     /// The true load, without lag.
     #[must_use]
     pub fn load(&self) -> Load {
-        self.application.instance().load.current()
+        self.application.0.load()
     }
 
     /// How many runs of a call started, by idempotency key, request identifier or body.
     #[must_use]
     pub fn runs(&self, name: &str) -> u64 {
-        self.application.history.runs(name)
+        self.application.0.history.runs(name)
     }
 
     /// All names with the number of runs started.
     #[must_use]
     pub fn counts(&self) -> IndexMap<String, u64> {
-        self.application.history.counts()
+        self.application.0.history.counts()
     }
 
     /// Service by the header `X-Standin-User`, in milliseconds of an occupied slot.
     #[must_use]
     pub fn service(&self) -> IndexMap<String, Service> {
-        self.application.history.service()
+        self.application.0.history.service()
     }
 
     /// The true history of runs.
     #[must_use]
     pub fn log(&self) -> Vec<Run> {
-        self.application.history.log()
+        self.application.0.history.log()
     }
 }
 
@@ -151,34 +148,29 @@
     }
 }
 
-/// One life of the application process.
+/// One life of the application process. It keeps nothing in memory.
 #[derive(Debug)]
-struct Instance {
-    number: u64,
-    load: Lagged<Load>,
-    slots: Arc<Semaphore>,
-}
+struct Instance(Arc<Life>);
+
+impl endpoint::Instance for Instance {
+    type Options = Options;
 
-impl Instance {
     fn new(number: u64, options: &Options, leaving: bool) -> Self {
         let slots = options.slots;
         let load = Load { slots, leaving, instance: number, ..Load::default() };
-        Self {
-            number,
-            load: Lagged::new(options.load_lag, load),
-            slots: Arc::new(Semaphore::new(slots as usize)),
-        }
+        Self(Life::new(options.load_lag, load))
     }
+
+    fn life(&self) -> &Arc<Life> {
+        &self.0
+    }
+
+    /// Calls run on without effect, because a plain service does not notice that callers have gone.
+    fn abort(&self) {}
 }
 
 #[derive(Debug)]
-struct Application {
-    options: Options,
-    listener: Listener,
-    plan: Plan,
-    history: Arc<History>,
-    instance: Mutex<Arc<Instance>>,
-}
+struct Application(Endpoint<Instance>);
 
 /// A call as it was received.
 struct Call {
@@ -188,68 +180,21 @@
 }
 
 impl Application {
-    fn new(options: Options, listener: Listener) -> Self {
-        let instance = Instance::new(crate::instance_after(0), &options, false);
-        Self {
-            options,
-            listener,
-            plan: Plan::default(),
-            history: Arc::default(),
-            instance: Mutex::new(Arc::new(instance)),
-        }
-    }
-
-    fn instance(&self) -> Arc<Instance> {
-        Arc::clone(&crate::lock(&self.instance))
-    }
-
-    fn command(&self, command: Command) {
-        if let Fault::Crash { restart_ms } = command.fault {
-            return self.crash(Duration::from_millis(restart_ms));
-        }
-        self.plan.command(command);
-        let leaving = self.plan.leaving();
-        self.instance().load.change(|load| load.leaving = leaving);
-    }
-
-    fn crash(&self, pause: Duration) {
-        self.listener.restart(pause);
-        self.history.crashed();
-        let mut instance = crate::lock(&self.instance);
-        instance.slots.close();
-        let number = crate::instance_after(instance.number);
-        *instance = Arc::new(Instance::new(number, &self.options, self.plan.leaving()));
-    }
-
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
         let Ok(collected) = incoming.collect().await else {
             return body::error(StatusCode::BAD_REQUEST, "the request body ended early");
         };
         let bytes = collected.to_bytes();
-        match (&head.method, head.uri.path()) {
-            (&Method::GET, "/load") => body::json(StatusCode::OK, &self.instance().load.reported()),
-            (&Method::POST, "/control") if self.options.control => self.control(&bytes),
-            (&Method::GET, "/control") if self.options.control => {
-                body::json(StatusCode::OK, &self.history.counts())
-            }
-            _ => self.call(&head, &String::from_utf8_lossy(&bytes)).await,
-        }
-    }
-
-    fn control(&self, bytes: &[u8]) -> Response<Body> {
-        match serde_json::from_slice::<Command>(bytes) {
-            Ok(command) => {
-                self.command(command);
-                body::json(StatusCode::OK, &serde_json::json!({}))
-            }
-            Err(error) => body::error(StatusCode::BAD_REQUEST, &error.to_string()),
+        if let Some(answer) = self.0.handle(&head.method, head.uri.path(), &bytes) {
+            return answer;
         }
+        self.call(&head, &String::from_utf8_lossy(&bytes)).await
     }
 
     /// Runs a call to its end even if the connection closes, as a plain service does.
     async fn call(self: Arc<Self>, head: &request::Parts, text: &str) -> Response<Body> {
-        let applied = self.plan.take(text);
+        let applied = self.0.plan.take(text);
         if applied.refuse {
             return body::not_started(StatusCode::SERVICE_UNAVAILABLE, "refused on command");
         }
@@ -285,19 +230,19 @@
                 runs: 0,
             },
             user: field("x-standin-user").unwrap_or_default(),
-            delay: delay.map_or(self.options.delay, Duration::from_millis),
+            delay: delay.map_or(self.0.options.delay, Duration::from_millis),
         }
     }
 
     /// Waits for a slot and runs the call; nothing if the process dies meanwhile.
     async fn run(self: Arc<Self>, call: Call, applied: Applied) -> Option<Answer> {
-        let instance = self.instance();
+        let life = Arc::clone(&self.0.instance().0);
         let Call { mut answer, user, delay } = call;
-        let number = self.history.arrived(Run {
+        let number = self.0.history.arrived(Run {
             request: answer.request.clone(),
             idempotency: answer.idempotency.clone(),
             user,
-            instance: instance.number,
+            instance: life.number,
             resumed: false,
             arrived: Instant::now(),
             started: None,
@@ -305,26 +250,27 @@
             units: 0,
             end: End::Open,
         });
-        let mut guard = Guard::new(Arc::clone(&instance), Arc::clone(&self.history), number);
-        let slots = Arc::clone(&instance.slots);
-        let Ok(slot) = slots.acquire_owned().await else { return None };
-        guard.running(slot);
+        let history = Arc::clone(&self.0.history);
+        let mut guard = Guard::new(Arc::clone(&life), history, number, None);
+        if !guard.wait().await {
+            return None;
+        }
         let all = [&answer.request, &answer.body].into_iter().chain(&answer.idempotency);
         let names = all.map(String::as_str).filter(|name| !name.is_empty());
-        self.history.started(number, names);
+        self.0.history.started(number, names);
         if let Some(pause) = applied.crash {
-            self.crash(pause);
+            self.0.crash(pause);
         }
-        let delay = delay.saturating_mul(self.plan.factor());
+        let delay = delay.saturating_mul(self.0.plan.factor());
         tokio::time::sleep(delay).await;
-        if instance.slots.is_closed() {
+        if life.is_dead() {
             return None;
         }
-        self.history.served(number, u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
+        self.0.history.served(number, u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
         guard.completed = true;
         let either = answer.idempotency.as_ref().filter(|key| !key.is_empty());
         let id = Some(&answer.request).filter(|id| !id.is_empty());
-        answer.runs = self.history.runs(either.or(id).unwrap_or(&answer.body));
+        answer.runs = self.0.history.runs(either.or(id).unwrap_or(&answer.body));
         Some(answer)
     }
 }
@@ -336,40 +282,3 @@
 fn crossed(answer: Answer) -> Answer {
     Answer { request: "crossed".to_owned(), body: "crossed".to_owned(), ..answer }
 }
-
-/// Keeps the counters right however a call ends.
-struct Guard {
-    instance: Arc<Instance>,
-    history: Arc<History>,
-    number: Number,
-    /// Dropped after the counters are updated, so that they never exceed the slots.
-    slot: Option<OwnedSemaphorePermit>,
-    completed: bool,
-}
-
-impl Guard {
-    fn new(instance: Arc<Instance>, history: Arc<History>, number: Number) -> Self {
-        instance.load.change(|load| load.waiting += 1);
-        Self { instance, history, number, slot: None, completed: false }
-    }
-
-    fn running(&mut self, slot: OwnedSemaphorePermit) {
-        self.slot = Some(slot);
-        self.instance.load.change(|load| {
-            load.waiting -= 1;
-            load.running += 1;
-        });
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        let running = self.slot.is_some();
-        self.instance.load.change(|load| {
-            let count = if running { &mut load.running } else { &mut load.waiting };
-            *count -= 1;
-        });
-        let end = if self.completed { End::Completed } else { End::Cancelled };
-        self.history.ended(self.number, end);
-    }
-}
--- a/siskin-standin/src/engine/batch.rs
+++ b/siskin-standin/src/engine/batch.rs
@@ -3,9 +3,10 @@
 use {
     super::{Options, cache::Cache, chat::Answer},
     crate::{
+        endpoint::{self, Guard, Life},
         fault::Plan,
-        load::{Lagged, Load},
-        run::{End, History, Number, Run},
+        load::Load,
+        run::{End, History, Run},
     },
     std::{
         collections::{HashMap, VecDeque},
@@ -15,11 +16,7 @@
         },
         time::Duration,
     },
-    tokio::{
-        sync::{OwnedSemaphorePermit, Semaphore, watch},
-        task::AbortHandle,
-        time::Instant,
-    },
+    tokio::{sync::watch, task::AbortHandle, time::Instant},
 };
 
 /// Ended jobs kept so that their streams can be resumed.
@@ -70,10 +67,8 @@
 /// One life of the engine process; a crash begins a new one.
 #[derive(Debug)]
 pub(crate) struct Instance {
-    pub(crate) number: u64,
-    pub(crate) load: Lagged<Load>,
+    pub(crate) life: Arc<Life>,
     pub(crate) cache: Mutex<Cache>,
-    slots: Arc<Semaphore>,
     jobs: Mutex<Jobs>,
 }
 
@@ -102,9 +97,11 @@
     pub(crate) resumed: bool,
 }
 
-impl Instance {
+impl endpoint::Instance for Instance {
+    type Options = Options;
+
     /// Starts an instance with an empty cache and `models` loaded.
-    pub(crate) fn new(number: u64, options: &Options, leaving: bool) -> Self {
+    fn new(number: u64, options: &Options, leaving: bool) -> Self {
         let slots = options.slots;
         let load = Load {
             slots,
@@ -114,14 +111,25 @@
             ..Load::default()
         };
         Self {
-            number,
-            load: Lagged::new(options.load_lag, load),
+            life: Life::new(options.load_lag, load),
             cache: Mutex::new(Cache::new(options.cache_tokens, options.events_gap, number)),
-            slots: Arc::new(Semaphore::new(slots as usize)),
             jobs: Mutex::default(),
         }
     }
 
+    fn life(&self) -> &Arc<Life> {
+        &self.life
+    }
+
+    /// Ends all jobs.
+    fn abort(&self) {
+        for job in crate::lock(&self.jobs).by_request.values() {
+            job.task.abort();
+        }
+    }
+}
+
+impl Instance {
     /// The job of a request.
     pub(crate) fn job(&self, request: &str) -> Option<Arc<Job>> {
         crate::lock(&self.jobs).by_request.get(request).cloned()
@@ -133,7 +141,7 @@
             request: work.answer.request.clone(),
             idempotency: work.idempotency.clone(),
             user: work.user.clone(),
-            instance: self.number,
+            instance: self.life.number,
             resumed: work.resumed,
             arrived: std::time::Instant::now(),
             started: None,
@@ -144,11 +152,12 @@
         let first = Progress { produced: work.produced, ..Progress::default() };
         let (sender, progress) = watch::channel(first);
         // A free slot is taken at once. If requests wait, the semaphore keeps free slots for them.
-        let slot = Arc::clone(&self.slots).try_acquire_owned().ok();
-        let guard = Guard::new(Arc::clone(self), Arc::clone(&context.history), number, slot);
+        let slot = Arc::clone(&self.life.slots).try_acquire_owned().ok();
+        let history = Arc::clone(&context.history);
+        let guard = Guard::new(Arc::clone(&self.life), history, number, slot);
         let (answer, user) = (work.answer.clone(), work.user.clone());
         let prompt = Arc::clone(&work.prompt);
-        let task = tokio::spawn(run(guard, context.clone(), work, sender));
+        let task = tokio::spawn(run(Arc::clone(self), guard, context.clone(), work, sender));
         let deliveries = AtomicU64::new(0);
         let task = task.abort_handle();
         let job = Arc::new(Job { answer, progress, user, prompt, task, deliveries });
@@ -182,19 +191,6 @@
         job.is_some()
     }
 
-    /// Whether the process has died.
-    pub(crate) fn is_dead(&self) -> bool {
-        self.slots.is_closed()
-    }
-
-    /// Ends all jobs, as the death of the process does.
-    pub(crate) fn kill(&self) {
-        self.slots.close();
-        for job in crate::lock(&self.jobs).by_request.values() {
-            job.task.abort();
-        }
-    }
-
     fn keep(&self, job: Arc<Job>) {
         let mut jobs = crate::lock(&self.jobs);
         let request = job.answer.request.clone();
@@ -209,63 +205,22 @@
     }
 }
 
-/// Keeps the counters right however a job ends.
-struct Guard {
-    instance: Arc<Instance>,
-    history: Arc<History>,
-    number: Number,
-    /// Dropped after the counters are updated, so that they never exceed the slots.
-    slot: Option<OwnedSemaphorePermit>,
-    completed: bool,
-}
-
-impl Guard {
-    fn new(
-        instance: Arc<Instance>,
-        history: Arc<History>,
-        number: Number,
-        slot: Option<OwnedSemaphorePermit>,
-    ) -> Self {
-        instance.load.change(|load| match slot {
-            Some(_) => load.running += 1,
-            None => load.waiting += 1,
-        });
-        Self { instance, history, number, slot, completed: false }
-    }
-
-    fn running(&mut self, slot: OwnedSemaphorePermit) {
-        self.slot = Some(slot);
-        self.instance.load.change(|load| {
-            load.waiting -= 1;
-            load.running += 1;
-        });
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        let running = self.slot.is_some();
-        self.instance.load.change(|load| {
-            let count = if running { &mut load.running } else { &mut load.waiting };
-            *count -= 1;
-        });
-        let end = if self.completed { End::Completed } else { End::Cancelled };
-        self.history.ended(self.number, end);
-    }
-}
-
 /// Runs a job: waits for a slot, reads the prompt, then produces tokens at a steady rate.
-async fn run(mut guard: Guard, context: Context, work: Work, progress: watch::Sender<Progress>) {
-    if guard.slot.is_none() {
-        let slots = Arc::clone(&guard.instance.slots);
-        let Ok(slot) = slots.acquire_owned().await else { return };
-        guard.running(slot);
+async fn run(
+    instance: Arc<Instance>,
+    mut guard: Guard,
+    context: Context,
+    work: Work,
+    progress: watch::Sender<Progress>,
+) {
+    if !guard.wait().await {
+        return;
     }
     let answer = &work.answer;
     let names = std::iter::once(answer.request.as_str()).chain(work.idempotency.as_deref());
     context.history.started(guard.number, names);
     let cached = {
-        let mut cache = crate::lock(&guard.instance.cache);
+        let mut cache = crate::lock(&instance.cache);
         cache.admit(&answer.request, &answer.model, &work.prompt).min(answer.prompt_tokens)
     };
     progress.send_modify(|progress| {
--- a/siskin-standin/src/engine/handler.rs
+++ b/siskin-standin/src/engine/handler.rs
@@ -9,9 +9,8 @@
     },
     crate::{
         body::{self, Body},
-        fault::{Applied, Command, Fault, Plan},
-        load::Load,
-        run::History,
+        endpoint::Endpoint,
+        fault::Applied,
         server::Listener,
     },
     bytes::Bytes,
@@ -33,11 +32,7 @@
 /// The engine behind its listener.
 #[derive(Debug)]
 pub(crate) struct Engine {
-    options: Arc<Options>,
-    listener: Listener,
-    plan: Arc<Plan>,
-    history: Arc<History>,
-    instance: Mutex<Arc<Instance>>,
+    pub(crate) endpoint: Endpoint<Instance>,
     /// Numbers requests that come without an identifier.
     unnamed: AtomicU64,
     /// Answer that a crossed answer takes the place of.
@@ -46,59 +41,16 @@
 
 impl Engine {
     pub(crate) fn new(options: Options, listener: Listener) -> Self {
-        let instance = Arc::new(Instance::new(crate::instance_after(0), &options, false));
+        let control = options.control;
         Self {
-            options: Arc::new(options),
-            listener,
-            plan: Arc::default(),
-            history: Arc::default(),
-            instance: Mutex::new(instance),
+            endpoint: Endpoint::new(options, listener, control),
             unnamed: AtomicU64::new(0),
             previous: Mutex::default(),
         }
     }
 
     pub(crate) fn options(&self) -> &Options {
-        &self.options
-    }
-
-    pub(crate) fn history(&self) -> &History {
-        &self.history
-    }
-
-    pub(crate) fn instance(&self) -> Arc<Instance> {
-        Arc::clone(&crate::lock(&self.instance))
-    }
-
-    /// The true load.
-    pub(crate) fn load(&self) -> Load {
-        self.instance().load.current()
-    }
-
-    /// Ends all jobs.
-    pub(crate) fn kill(&self) {
-        self.history.crashed();
-        self.instance().kill();
-    }
-
-    /// Carries out a fault command.
-    pub(crate) fn command(&self, command: Command) {
-        if let Fault::Crash { restart_ms } = command.fault {
-            return self.crash(Duration::from_millis(restart_ms));
-        }
-        self.plan.command(command);
-        let leaving = self.plan.leaving();
-        self.instance().load.change(|load| load.leaving = leaving);
-    }
-
-    /// Dies; the next instance accepts connections after `pause`.
-    fn crash(&self, pause: Duration) {
-        self.listener.restart(pause);
-        self.history.crashed();
-        let mut instance = crate::lock(&self.instance);
-        instance.kill();
-        let number = crate::instance_after(instance.number);
-        *instance = Arc::new(Instance::new(number, &self.options, self.plan.leaving()));
+        &self.endpoint.options
     }
 
     /// Answers one request.
@@ -108,15 +60,13 @@
             return body::error(StatusCode::BAD_REQUEST, "the request body ended early");
         };
         let bytes = collected.to_bytes();
+        if let Some(answer) = self.endpoint.handle(&head.method, head.uri.path(), &bytes) {
+            return answer;
+        }
         match (&head.method, head.uri.path()) {
             (&Method::POST, "/v1/chat/completions") => self.chat(&head.headers, &bytes).await,
-            (&Method::GET, "/load") => body::json(StatusCode::OK, &self.instance().load.reported()),
             (&Method::GET, "/cache/events") => self.events(head.uri.query().unwrap_or_default()),
             (&Method::POST, "/orders") => orders::order(&self, &bytes),
-            (&Method::POST, "/control") if self.options.control => self.control(&bytes),
-            (&Method::GET, "/control") if self.options.control => {
-                body::json(StatusCode::OK, &self.history.counts())
-            }
             (&Method::DELETE, path) => self.cancel(path),
             _ => body::error(StatusCode::NOT_FOUND, "no such call"),
         }
@@ -125,25 +75,18 @@
     fn events(&self, query: &str) -> Response<Body> {
         let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
         let after = after.and_then(|after| after.parse().ok()).unwrap_or_default();
-        let instance = self.instance();
-        let events =
-            crate::lock(&instance.cache).events(after, self.options.events_lag, instance.number);
+        let instance = self.endpoint.instance();
+        let events = crate::lock(&instance.cache).events(
+            after,
+            self.options().events_lag,
+            instance.life.number,
+        );
         body::json(StatusCode::OK, &events)
     }
 
-    fn control(&self, bytes: &[u8]) -> Response<Body> {
-        match serde_json::from_slice::<Command>(bytes) {
-            Ok(command) => {
-                self.command(command);
-                body::json(StatusCode::OK, &serde_json::json!({}))
-            }
-            Err(error) => body::error(StatusCode::BAD_REQUEST, &error.to_string()),
-        }
-    }
-
     fn cancel(&self, path: &str) -> Response<Body> {
         let request = path.strip_prefix("/v1/requests/").unwrap_or_default();
-        if self.instance().cancel(request) {
+        if self.endpoint.instance().cancel(request) {
             body::json(StatusCode::OK, &serde_json::json!({"id": request, "cancelled": true}))
         } else {
             body::error(StatusCode::NOT_FOUND, "unknown request")
@@ -151,7 +94,7 @@
     }
 
     async fn chat(&self, headers: &HeaderMap, bytes: &Bytes) -> Response<Body> {
-        let applied = self.plan.take(&String::from_utf8_lossy(bytes));
+        let applied = self.endpoint.plan.take(&String::from_utf8_lossy(bytes));
         if applied.refuse {
             return body::not_started(StatusCode::SERVICE_UNAVAILABLE, "refused on command");
         }
@@ -159,8 +102,8 @@
             Ok(request) => request,
             Err(error) => return body::error(StatusCode::BAD_REQUEST, &error.to_string()),
         };
-        let instance = self.instance();
-        let models = instance.load.current().models;
+        let instance = self.endpoint.instance();
+        let models = instance.life.load.current().models;
         if !models.is_empty() && !models.contains(&request.model) {
             return body::not_started(StatusCode::NOT_FOUND, "the model is not loaded");
         }
@@ -194,7 +137,7 @@
     /// Crashes once the request has a slot; the caller's connection drops meanwhile.
     async fn die(&self, mut delivery: Delivery, pause: Duration) -> Response<Body> {
         if delivery.wait(|progress| progress.started).await.is_some() {
-            self.crash(pause);
+            self.endpoint.crash(pause);
         }
         std::future::pending().await
     }
@@ -208,7 +151,7 @@
     ) -> Arc<Job> {
         let prompt = request.prompt();
         let work = Work {
-            answer: request.answer(id, &prompt, self.options.default_tokens),
+            answer: request.answer(id, &prompt, self.options().default_tokens),
             user: request.user.clone(),
             idempotency: idempotency.map(str::to_owned),
             prompt: prompt.into(),
@@ -220,15 +163,15 @@
 
     fn context(&self) -> Context {
         Context {
-            options: Arc::clone(&self.options),
-            history: Arc::clone(&self.history),
-            plan: Arc::clone(&self.plan),
+            options: Arc::clone(&self.endpoint.options),
+            history: Arc::clone(&self.endpoint.history),
+            plan: Arc::clone(&self.endpoint.plan),
         }
     }
 
     fn name(&self, instance: &Instance) -> String {
         let number = self.unnamed.fetch_add(1, atomic::Ordering::Relaxed);
-        format!("standin-{}-{number}", instance.number)
+        format!("standin-{}-{number}", instance.life.number)
     }
 }
 
@@ -300,7 +243,7 @@
 
     /// The answer to a cancelled request; none if the process has died.
     async fn cancelled(&self) -> Response<Body> {
-        if self.instance.is_dead() {
+        if self.instance.life.is_dead() {
             return std::future::pending().await;
         }
         self.named(body::error(StatusCode::CONFLICT, "the request was cancelled"))
--- a/siskin-standin/src/engine/mod.rs
+++ b/siskin-standin/src/engine/mod.rs
@@ -88,7 +88,6 @@
 /// A running engine; dropping it stops it.
 #[derive(Debug)]
 pub struct Server {
-    listener: Listener,
     engine: Arc<Engine>,
 }
 
@@ -107,27 +106,26 @@
             });
         }
         let (listener, bound) = Listener::bind(options.address)?;
-        let engine = Arc::new(Engine::new(options, listener.clone()));
+        let engine = Arc::new(Engine::new(options, listener));
         let handler = Arc::clone(&engine);
         bound.serve(move |request| Arc::clone(&handler).handle(request));
-        Ok(Self { listener, engine })
+        Ok(Self { engine })
     }
 
     /// The address it listens on.
     #[must_use]
-    pub const fn address(&self) -> SocketAddr {
-        self.listener.address()
+    pub fn address(&self) -> SocketAddr {
+        self.engine.endpoint.listener.address()
     }
 
     /// Stops it and drops all connections.
     pub fn stop(&self) {
-        self.listener.stop();
-        self.engine.kill();
+        self.engine.endpoint.stop();
     }
 
     /// Carries out a fault command, as `POST /control` does.
     pub fn command(&self, command: Command) {
-        self.engine.command(command);
+        self.engine.endpoint.command(command);
     }
 
     /// Dies and accepts connections again after `pause`, as a new instance.
@@ -139,32 +137,32 @@
     /// The true load, without lag.
     #[must_use]
     pub fn load(&self) -> Load {
-        self.engine.load()
+        self.engine.endpoint.load()
     }
 
     /// How many runs of a request started, by request identifier or idempotency key. Resumed streams
     /// do not count again.
     #[must_use]
     pub fn runs(&self, name: &str) -> u64 {
-        self.engine.history().runs(name)
+        self.engine.endpoint.history.runs(name)
     }
 
     /// All names with the number of runs started.
     #[must_use]
     pub fn counts(&self) -> IndexMap<String, u64> {
-        self.engine.history().counts()
+        self.engine.endpoint.history.counts()
     }
 
     /// Service by the `user` of the requests, in tokens.
     #[must_use]
     pub fn service(&self) -> IndexMap<String, Service> {
-        self.engine.history().service()
+        self.engine.endpoint.history.service()
     }
 
     /// The true history of runs.
     #[must_use]
     pub fn log(&self) -> Vec<Run> {
-        self.engine.history().log()
+        self.engine.endpoint.history.log()
     }
 }
 
--- a/siskin-standin/src/engine/orders.rs
+++ b/siskin-standin/src/engine/orders.rs
@@ -21,9 +21,9 @@
         Ok(order) => order,
         Err(error) => return body::error(StatusCode::BAD_REQUEST, &error.to_string()),
     };
-    let instance = engine.instance();
+    let instance = engine.endpoint.instance();
     let mut rejected = None;
-    instance.load.change(|load| {
+    instance.life.load.change(|load| {
         if engine.options().check_fencing && order.fencing < load.fencing {
             rejected = Some(load.fencing);
             return;
@@ -37,17 +37,17 @@
         return body::json(StatusCode::CONFLICT, &serde_json::json!({"fencing": fencing}));
     }
     tokio::spawn(load(Arc::clone(engine), Arc::clone(&instance), order.models));
-    body::json(StatusCode::OK, &instance.load.current())
+    body::json(StatusCode::OK, &instance.life.load.current())
 }
 
 /// Loads the missing models one after the other, unless a later order no longer wants them.
 async fn load(engine: Arc<Engine>, instance: Arc<Instance>, models: Vec<String>) {
     for model in models {
-        if !instance.load.current().loading.contains(&model) {
+        if !instance.life.load.current().loading.contains(&model) {
             continue;
         }
         tokio::time::sleep(engine.options().load_time).await;
-        instance.load.change(|load| {
+        instance.life.load.change(|load| {
             let wanted = load.loading.iter().position(|loading| *loading == model);
             if let Some(position) = wanted {
                 load.loading.remove(position);
--- a/siskin-standin/src/lib.rs
+++ b/siskin-standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod vms;
 
 mod body;
+mod endpoint;
 mod server;
 mod tap;
 
