Measure how long a change takes to be everywhere

Cause: the limit of 19 s for a configuration change had no measurement beyond six routers.

Change: siskin-measure reports the time from the first router at which a version is in force to the last one, for routers in its own process.

--- a/siskin-measure/src/lib.rs
+++ b/siskin-measure/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod page;
 pub mod phase;
 pub mod report;
+pub mod rollout;
 pub mod tally;
 pub mod workload;
 
--- a/siskin-measure/src/observe.rs
+++ b/siskin-measure/src/observe.rs
@@ -1,7 +1,10 @@
 //! Watches the stand-ins and routers while a run lasts.
 
 use {
-    crate::{caller, gap::Gap, phase::Phases, site::Site, tally::Tally, workload::Customer},
+    crate::{
+        caller, gap::Gap, phase::Phases, rollout::Rollout, site::Site, tally::Tally,
+        workload::Customer,
+    },
     indexmap::IndexMap,
     std::{
         collections::HashMap,
@@ -43,6 +46,7 @@
     backlogged: usize,
     samples: u32,
     pub(crate) phases: Phases,
+    pub(crate) rollout: Rollout,
     /// Gap since the end of the faults.
     pub(crate) gap_after: Gap,
 }
@@ -66,6 +70,7 @@
             backlogged: 0,
             samples: 0,
             phases,
+            rollout: Rollout::default(),
             gap_after: Gap::new(customers.len()),
         }
     }
@@ -166,7 +171,10 @@
     }
 
     fn check_versions(&mut self, site: &Site, tally: &Tally) {
-        for seen in site.versions() {
+        let versions = site.versions();
+        let in_force: Vec<_> = versions.iter().map(|seen| seen.in_force).collect();
+        self.rollout.sample(Instant::now(), &in_force);
+        for seen in versions {
             let last = self.versions.entry((seen.router, seen.start)).or_default();
             if seen.in_force < *last {
                 let case = format!("router {} from {last} to {}", seen.router, seen.in_force);
--- a/siskin-measure/src/report.rs
+++ b/siskin-measure/src/report.rs
@@ -130,6 +130,9 @@
     pub broken: Broken,
     /// Configuration changes accepted.
     pub changes: u32,
+    /// Time from the first router to the last one at which a version was in force. Versions of processes are read every
+    /// 2 s, so there is none for them.
+    pub rollout: Option<Percentiles>,
     /// Customers that were backlogged at the same time, on average.
     pub backlogged_customers: f64,
     /// What the faults did; none without faults.
@@ -242,7 +245,7 @@
     ("tokens/s", |figures| Some(figures.tokens_per_second), 0),
 ];
 
-const LINES: [Line; 17] = [
+const LINES: [Line; 18] = [
     ("gap, bound", |figures| format!("{:.0}", figures.fairness.bound)),
     ("gap, samples", |figures| figures.fairness.samples.to_string()),
     ("control B/s per router", |figures| format!("{:.0}", figures.control_bytes_per_second)),
@@ -258,6 +261,9 @@
     ("resident memory MB, mean/largest", |figures| cost(figures.cost(|cost| cost.resident_mb), 1)),
     ("backlogged customers, mean", |figures| format!("{:.1}", figures.backlogged_customers)),
     ("configuration changes", |figures| figures.changes.to_string()),
+    ("change everywhere p50/p95/p99 ms", |figures| {
+        figures.rollout.as_ref().map_or_else(|| "-".to_owned(), times)
+    }),
     ("load average of the machine", |figures| {
         figures.load_average.map_or_else(|| "-".to_owned(), |load| format!("{load:.1}"))
     }),
--- a/siskin-measure/src/run.rs
+++ b/siskin-measure/src/run.rs
@@ -267,6 +267,8 @@
             retries: page.by("siskin_retries_total", "reason"),
             broken: sheet.broken.clone(),
             changes,
+            rollout: (self.options.program.is_none() && changes > 0)
+                .then(|| Percentiles::of(self.observer.rollout.times())),
             backlogged_customers: self.observer.backlogged(),
             aftermath: self.observer.phases.aftermath(self.observer.gap_after.largest()),
             load_average: load_average(),
