--- a/siskin-router/src/metrics.rs
+++ b/siskin-router/src/metrics.rs
@@ -46,12 +46,8 @@
     pub store_errors: IntCounterVec,
     /// Frames that could not be sent, by reason.
     pub frames_unsent: IntCounterVec,
-    /// Whether this router holds the lease for orders, by pool.
-    pub lease_held: IntGaugeVec,
-    /// Fencing number of the lease that is held, by pool.
-    pub lease_fencing: IntGaugeVec,
-    /// Whole seconds in which orders may still be sent, by pool.
-    pub lease_seconds_left: IntGaugeVec,
+    /// The lease for orders.
+    pub lease: Lease,
     /// Requests suspected of crashing endpoints, by pool.
     pub suspects: IntGaugeVec,
     /// Configuration version in force.
@@ -72,6 +68,73 @@
     pub held_copies: IntCounter,
 }
 
+/// Metrics of the lease for orders.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// Whether this router holds it, by pool.
+    pub held: IntGaugeVec,
+    /// Fencing number of the lease that is held, by pool.
+    pub fencing: IntGaugeVec,
+    /// Whole seconds in which orders may still be sent, by pool.
+    pub seconds_left: IntGaugeVec,
+}
+
+impl Lease {
+    fn new(create: &Creator<'_>) -> prometheus::Result<Self> {
+        Ok(Self {
+            held: create.gauges(
+                "siskin_lease_held",
+                "Whether this router holds the lease for orders.",
+                &["pool"],
+            )?,
+            fencing: create.gauges(
+                "siskin_lease_fencing",
+                "Fencing number of the lease that is held, 0 without one.",
+                &["pool"],
+            )?,
+            seconds_left: create.gauges(
+                "siskin_lease_seconds_left",
+                "Seconds in which orders may be sent unless the lease is extended.",
+                &["pool"],
+            )?,
+        })
+    }
+}
+
+/// Creates metrics and registers them.
+struct Creator<'a>(&'a Registry);
+
+impl Creator<'_> {
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> prometheus::Result<IntCounterVec> {
+        let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(counters.clone()))?;
+        Ok(counters)
+    }
+
+    fn counter(&self, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+        let counter = IntCounter::new(name, help)?;
+        self.0.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+        let gauge = IntGauge::new(name, help)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+}
+
 impl Metrics {
     /// Creates the metrics and registers them.
     ///
@@ -80,26 +143,7 @@
     /// Returns the registry's error if a name is malformed or taken.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            prometheus::Result::Ok(counters)
-        };
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            prometheus::Result::Ok(counter)
-        };
-        let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(gauges.clone()))?;
-            prometheus::Result::Ok(gauges)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            prometheus::Result::Ok(gauge)
-        };
+        let create = Creator(&registry);
         let first_byte = HistogramVec::new(
             HistogramOpts::new("siskin_first_byte_seconds", "Time to the first byte of an answer.")
                 .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
@@ -107,77 +151,85 @@
         )?;
         registry.register(Box::new(first_byte.clone()))?;
         Ok(Self {
-            requests: counters("siskin_requests_total", "Finished requests.", &["outcome"])?,
-            refusals: counters("siskin_refusals_total", "Requests refused.", &["reason"])?,
-            retries: counters("siskin_retries_total", "Requests sent again.", &["reason"])?,
-            resumes: counter("siskin_stream_resumes_total", "Streams resumed.")?,
-            crossed_answers: counter(
+            requests: create.counters(
+                "siskin_requests_total",
+                "Finished requests.",
+                &["outcome"],
+            )?,
+            refusals: create.counters("siskin_refusals_total", "Requests refused.", &["reason"])?,
+            retries: create.counters(
+                "siskin_retries_total",
+                "Requests sent again.",
+                &["reason"],
+            )?,
+            resumes: create.counter("siskin_stream_resumes_total", "Streams resumed.")?,
+            crossed_answers: create.counter(
                 "siskin_crossed_answers_total",
                 "Answers dropped because they belong to another request.",
             )?,
             first_byte,
-            queued: gauges("siskin_queued_requests", "Requests waiting.", &["pool"])?,
-            in_flight: gauges("siskin_in_flight_requests", "Requests in flight.", &["pool"])?,
-            service: counters("siskin_service_units_total", "Service in units.", &["pool"])?,
-            control_messages: counters(
+            queued: create.gauges("siskin_queued_requests", "Requests waiting.", &["pool"])?,
+            in_flight: create.gauges(
+                "siskin_in_flight_requests",
+                "Requests in flight.",
+                &["pool"],
+            )?,
+            service: create.counters(
+                "siskin_service_units_total",
+                "Service in units.",
+                &["pool"],
+            )?,
+            control_messages: create.counters(
                 "siskin_control_messages_total",
                 "Control messages between routers.",
                 &["direction", "kind"],
             )?,
-            control_bytes: counters(
+            control_bytes: create.counters(
                 "siskin_control_bytes_total",
                 "Control bytes between routers, IP and transport headers included.",
                 &["direction", "kind"],
             )?,
-            frames_rejected: counters(
+            frames_rejected: create.counters(
                 "siskin_frames_rejected_total",
                 "Frames from other routers dropped.",
                 &["reason"],
             )?,
-            store_calls: counters("siskin_store_calls_total", "Store calls.", &["kind"])?,
-            store_errors: counters("siskin_store_errors_total", "Failed store calls.", &["kind"])?,
-            frames_unsent: counters(
+            store_calls: create.counters("siskin_store_calls_total", "Store calls.", &["kind"])?,
+            store_errors: create.counters(
+                "siskin_store_errors_total",
+                "Failed store calls.",
+                &["kind"],
+            )?,
+            frames_unsent: create.counters(
                 "siskin_frames_unsent_total",
                 "Frames for other routers that could not be sent.",
                 &["reason"],
             )?,
-            lease_held: gauges(
-                "siskin_lease_held",
-                "Whether this router holds the lease for orders.",
-                &["pool"],
-            )?,
-            lease_fencing: gauges(
-                "siskin_lease_fencing",
-                "Fencing number of the lease that is held, 0 without one.",
-                &["pool"],
-            )?,
-            lease_seconds_left: gauges(
-                "siskin_lease_seconds_left",
-                "Seconds in which orders may be sent unless the lease is extended.",
-                &["pool"],
-            )?,
-            suspects: gauges(
+            lease: Lease::new(&create)?,
+            suspects: create.gauges(
                 "siskin_suspects",
                 "Requests suspected of crashing endpoints.",
                 &["pool"],
             )?,
-            config_age_seconds: gauge(
+            config_age_seconds: create.gauge(
                 "siskin_config_age_seconds",
                 "Seconds since the version in force was confirmed, -1 before the first time.",
             )?,
-            config_versions_behind: gauge(
+            config_versions_behind: create.gauge(
                 "siskin_config_versions_behind",
                 "Versions between the newest announced one and the one in force.",
             )?,
-            config_version: gauge("siskin_config_version", "Configuration version in force.")?,
-            members: gauges("siskin_members", "Routers known, by state.", &["state"])?,
-            owned_pools: gauge("siskin_owned_pools", "Pools that this router owns.")?,
-            endpoint_crashes: counter("siskin_endpoint_crashes_total", "Endpoint deaths seen.")?,
-            silent_connections: counter(
+            config_version: create
+                .gauge("siskin_config_version", "Configuration version in force.")?,
+            members: create.gauges("siskin_members", "Routers known, by state.", &["state"])?,
+            owned_pools: create.gauge("siskin_owned_pools", "Pools that this router owns.")?,
+            endpoint_crashes: create
+                .counter("siskin_endpoint_crashes_total", "Endpoint deaths seen.")?,
+            silent_connections: create.counter(
                 "siskin_silent_connections_total",
                 "Connections to endpoints found silent.",
             )?,
-            held_copies: counter(
+            held_copies: create.counter(
                 "siskin_held_copies_total",
                 "Requests that waited for another copy of themselves.",
             )?,
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -246,7 +246,7 @@
     fn measure_leases(&self) {
         let now = self.clock.now();
         let metrics = &self.metrics;
-        for gauges in [&metrics.lease_held, &metrics.lease_fencing, &metrics.lease_seconds_left] {
+        for gauges in [&metrics.lease.held, &metrics.lease.fencing, &metrics.lease.seconds_left] {
             gauges.reset();
         }
         metrics.suspects.reset();
@@ -254,10 +254,10 @@
             let tenure = pool.orders().tenure(now);
             let left = tenure.map_or(Duration::ZERO, |tenure| tenure.until - now);
             let labels = &[pool.name()];
-            metrics.lease_held.with_label_values(labels).set(i64::from(tenure.is_some()));
+            metrics.lease.held.with_label_values(labels).set(i64::from(tenure.is_some()));
             let fencing = tenure.map_or(0, |tenure| tenure.fencing);
-            metrics.lease_fencing.with_label_values(labels).set(gauge(fencing));
-            metrics.lease_seconds_left.with_label_values(labels).set(gauge(left.as_secs()));
+            metrics.lease.fencing.with_label_values(labels).set(gauge(fencing));
+            metrics.lease.seconds_left.with_label_values(labels).set(gauge(left.as_secs()));
             let suspects = pool.suspects().list(now).len() as u64;
             metrics.suspects.with_label_values(labels).set(gauge(suspects));
         }
