--- a/siskin-measure/src/site.rs
+++ b/siskin-measure/src/site.rs
@@ -47,7 +47,7 @@
 pub(crate) const MAX_REQUEST: u64 = 1_000;
 
 /// Lead up to which a router reuses a slot, in tokens per unit of weight.
-pub(crate) const REUSE_SLACK: u64 = 2_000;
+pub(crate) const REUSE_SLACK: u64 = 1_000;
 
 /// Slots of the application.
 const APPLICATION_SLOTS: u32 = 16;
