Look up the endpoints of a model in one place

Cause: when an endpoint dies, each waiting request searched the whole configuration for the endpoints of its model, and the search for a live endpoint did the same, although the view has kept the endpoints of each model since prefixes are placed by them.

Measured: a whole-configuration search with a list made for each endpoint before, a look-up after; the time was not measured.

Conclusion: one definition of which endpoints serve a model.

--- a/siskin-router/src/endpoints.rs
+++ b/siskin-router/src/endpoints.rs
@@ -172,12 +172,11 @@
             return None;
         }
         let mut since = None;
-        for endpoint in view.endpoints(pool.name()) {
-            let drained = endpoint.leaving
-                || lock(&self.health).leaving(endpoint.id)
+        for endpoint in view.servers_in(pool.name(), model) {
+            let drained = lock(&self.health).leaving(endpoint.id)
                 || pool.orders().drains(endpoint.id)
                 || self.is_listed_leaving(endpoint.address);
-            if drained || !view.models(endpoint).contains(&model) {
+            if drained {
                 continue;
             }
             since = since.max(Some(lock(&self.health).failing_since(endpoint.id)?));
@@ -199,8 +198,7 @@
         }
         let view = self.view();
         let candidates: Vec<Endpoint> = view
-            .endpoints(pool.name())
-            .filter(|endpoint| !endpoint.leaving && view.models(endpoint).contains(&model))
+            .servers_in(pool.name(), model)
             .map(|endpoint| endpoint.id)
             .filter(|endpoint| lock(&self.health).failing_since(*endpoint).is_none())
             .collect();
--- a/siskin-router/src/view.rs
+++ b/siskin-router/src/view.rs
@@ -96,6 +96,16 @@
         self.servers.get(&model).map_or(&[], Vec::as_slice)
     }
 
+    /// The endpoints of a pool that serve a model or route and are not leaving.
+    pub fn servers_in<'a>(
+        &'a self,
+        pool: &'a str,
+        model: Model,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let servers = self.servers(model).iter().filter_map(|id| self.endpoint(*id));
+        servers.filter(move |endpoint| endpoint.pool == pool)
+    }
+
     /// An endpoint as the configuration has it.
     #[must_use]
     pub fn endpoint(&self, id: id::Endpoint) -> Option<&Endpoint> {
