--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -137,7 +137,8 @@
             directory: RwLock::default(),
             table: Mutex::new(table),
             heard: Mutex::default(),
-            routers: AtomicU32::new(1),
+            // Until the fleet is known, nothing is taken from the allowance that all routers share.
+            routers: AtomicU32::new(u32::MAX),
             stopping: AtomicBool::new(false),
             options,
         })
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 pub mod gateway;
 pub mod metrics;
+pub mod peers;
 pub mod protocol;
 pub mod respond;
 pub mod stream;
--- /dev/null
+++ b/siskin-gateway/src/peers.rs
@@ -0,0 +1,301 @@
+//! Load, and newer configurations, from the other routers.
+//!
+//! Every router tells every other a few times a second what it has put on the endpoints and what its customers asked
+//! for. The digests also say which configuration is in force; a router that stays behind asks for the newer one, so a
+//! router that cannot read the store follows the others.
+
+use {
+    crate::{catalog::Catalog, directory::Directory, gateway::Gateway},
+    indexmap::IndexMap,
+    serde::{Serialize, de::DeserializeOwned},
+    siskin_dispatch::share::Usage,
+    siskin_net::{
+        control::{Control, Received},
+        lock,
+    },
+    siskin_types::id::Node,
+    siskin_wire::{
+        Message,
+        load::{self, Digest},
+        relay,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::mpsc,
+        time::{self, Instant, MissedTickBehavior},
+    },
+};
+
+/// Time between digests while there is something to tell.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Digest intervals after which a digest is sent although nothing has changed.
+const IDLE_INTERVALS: u32 = 10;
+
+/// A router that the platform does not list is told of load as long as it was heard of this recently.
+const HEARD_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time that a router is behind a peer before it asks for what is newer. The store usually tells both at once.
+const BEHIND: Duration = Duration::from_millis(300);
+
+/// Received frames that wait to be handled.
+const QUEUE_FRAMES: usize = 1_024;
+
+/// The other routers.
+#[derive(Debug)]
+pub struct Peers {
+    gateway: Arc<Gateway>,
+    node: Node,
+    control: Arc<Control>,
+    members: Mutex<IndexMap<Node, Member>>,
+    newest: Mutex<Newest>,
+}
+
+#[derive(Debug)]
+struct Member {
+    address: SocketAddr,
+    listed: bool,
+    heard: Option<Instant>,
+}
+
+/// The newest versions that peers have told of.
+#[derive(Debug, Default)]
+struct Newest {
+    config_version: u64,
+    directory_revision: u64,
+    from: Option<SocketAddr>,
+    behind_since: Option<Instant>,
+}
+
+impl Peers {
+    /// Starts to exchange digests on bound sockets, until the process ends.
+    #[must_use]
+    pub fn start(
+        gateway: Arc<Gateway>,
+        node: Node,
+        control: Control,
+        listener: TcpListener,
+    ) -> Arc<Self> {
+        let control = Arc::new(control);
+        let peers = Arc::new(Self {
+            gateway,
+            node,
+            control: Arc::clone(&control),
+            members: Mutex::default(),
+            newest: Mutex::default(),
+        });
+        let (queue, received) = mpsc::channel(QUEUE_FRAMES);
+        tokio::spawn(control.run(listener, queue));
+        tokio::spawn(Arc::clone(&peers).receive(received));
+        tokio::spawn(Arc::clone(&peers).tell());
+        peers
+    }
+
+    /// Takes over the routers that the platform lists, this one included.
+    pub fn list(&self, routers: &[(Node, SocketAddr)]) {
+        let mut members = lock(&self.members);
+        for member in members.values_mut() {
+            member.listed = false;
+        }
+        for &(node, address) in routers.iter().filter(|(node, _)| *node != self.node) {
+            let known = members.get(&node).map(|member| member.address);
+            if known != Some(address) {
+                log::info!(peer:% = node, address:% = address; "router listed");
+            }
+            let member =
+                members.entry(node).or_insert(Member { address, listed: true, heard: None });
+            member.address = address;
+            member.listed = true;
+        }
+        members.retain(|node, member| {
+            let kept = member.listed || member.heard_lately();
+            if !kept {
+                log::info!(peer:% = node; "router gone from the list");
+            }
+            kept
+        });
+        let count = u32::try_from(members.len() + 1).unwrap_or(u32::MAX);
+        drop(members);
+        self.gateway.set_routers(count);
+        self.gateway.metrics.peers.set(i64::from(count) - 1);
+    }
+
+    async fn receive(self: Arc<Self>, mut received: mpsc::Receiver<Received>) {
+        while let Some(Received { from, opened }) = received.recv().await {
+            match opened.message {
+                Message::Load(digest) => self.hear(opened.node, from, &digest),
+                Message::Relay(message) => self.relay(from, message),
+                other => {
+                    log::debug!(from:% = from; "message of another program ignored: {other:?}")
+                }
+            }
+        }
+    }
+
+    fn hear(&self, node: Node, from: SocketAddr, digest: &Digest) {
+        {
+            let mut members = lock(&self.members);
+            let member = members.entry(node).or_insert_with(|| {
+                log::info!(peer:% = node, address:% = from; "router heard of");
+                Member { address: from, listed: false, heard: None }
+            });
+            member.heard = Some(Instant::now());
+        }
+        let now = self.gateway.clock.now();
+        self.gateway.table(|table| {
+            for pool in table.pools.values_mut() {
+                pool.hear(now, node, digest);
+            }
+            for usage in &digest.usages {
+                let costs = Usage { asked: u64::from(usage.asked), begun: u64::from(usage.begun) };
+                table.ledger.add(now, usage.customer, costs);
+            }
+        });
+        let mut newest = lock(&self.newest);
+        let newer = digest.config_version > newest.config_version
+            || digest.directory_revision > newest.directory_revision;
+        if newer {
+            newest.from = Some(from);
+        }
+        newest.config_version = newest.config_version.max(digest.config_version);
+        newest.directory_revision = newest.directory_revision.max(digest.directory_revision);
+    }
+
+    fn relay(&self, from: SocketAddr, message: relay::Message) {
+        let (version, revision) = self.versions();
+        match message {
+            relay::Message::Ask { config_version, directory_revision } => {
+                if let Some(catalog) = self.gateway.catalog().filter(|_| version > config_version) {
+                    self.give(from, relay::Message::Catalog, &*catalog);
+                }
+                if revision > directory_revision {
+                    self.give(from, relay::Message::Directory, &*self.gateway.directory());
+                }
+            }
+            relay::Message::Catalog(bytes) => {
+                if let Some(catalog) = read::<Catalog>(from, &bytes) {
+                    self.gateway.set_catalog(catalog, "peer");
+                }
+            }
+            relay::Message::Directory(bytes) => {
+                if let Some(directory) = read::<Directory>(from, &bytes) {
+                    self.gateway.set_directory(directory, "peer");
+                }
+            }
+        }
+    }
+
+    fn give<T: Serialize>(
+        &self,
+        to: SocketAddr,
+        message: impl Fn(Vec<u8>) -> relay::Message,
+        content: &T,
+    ) {
+        match postcard::to_stdvec(content) {
+            Ok(bytes) => self.control.send(None, to, &Message::Relay(message(bytes))),
+            Err(error) => log::error!("content for a peer cannot be encoded: {error}"),
+        }
+    }
+
+    /// Sends digests, and asks for what is newer.
+    async fn tell(self: Arc<Self>) {
+        let mut interval = time::interval(DIGEST_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut idle = 0;
+        let mut last_loads = Vec::new();
+        loop {
+            interval.tick().await;
+            self.catch_up();
+            let digest = self.digest();
+            let same = digest.loads == last_loads;
+            if same && digest.kept.is_empty() && digest.usages.is_empty() && idle < IDLE_INTERVALS {
+                idle += 1;
+                continue;
+            }
+            idle = 0;
+            last_loads.clone_from(&digest.loads);
+            self.send_all(&Message::Load(digest));
+        }
+    }
+
+    fn send_all(&self, message: &Message) {
+        let to: Vec<(Node, SocketAddr)> = lock(&self.members)
+            .iter()
+            .filter(|(_, member)| member.listed || member.heard_lately())
+            .map(|(node, member)| (*node, member.address))
+            .collect();
+        for (node, address) in to {
+            self.control.send(Some(node), address, message);
+        }
+    }
+
+    fn digest(&self) -> Digest {
+        let (config_version, directory_revision) = self.versions();
+        let mut digest = Digest { config_version, directory_revision, ..Digest::default() };
+        self.gateway.table(|table| {
+            for pool in table.pools.values_mut() {
+                pool.report(&mut digest);
+            }
+            digest.usages = table
+                .usages
+                .drain(..)
+                .map(|(customer, usage)| load::Usage {
+                    customer,
+                    asked: u32::try_from(usage.asked).unwrap_or(u32::MAX),
+                    begun: u32::try_from(usage.begun).unwrap_or(u32::MAX),
+                })
+                .collect();
+        });
+        digest
+    }
+
+    /// Asks for what is newer if the store has not told of it for a while.
+    fn catch_up(&self) {
+        let (config_version, directory_revision) = self.versions();
+        let mut newest = lock(&self.newest);
+        let behind = newest.config_version > config_version
+            || newest.directory_revision > directory_revision;
+        let now = Instant::now();
+        if !behind {
+            newest.behind_since = None;
+            return;
+        }
+        let since = *newest.behind_since.get_or_insert(now);
+        let Some(from) = newest.from.filter(|_| now - since >= BEHIND) else { return };
+        newest.behind_since = Some(now);
+        log::info!(
+            config_version, newest = newest.config_version, directory_revision,
+            newest_directory = newest.directory_revision, peer:% = from;
+            "behind a peer; asking it"
+        );
+        let ask = relay::Message::Ask { config_version, directory_revision };
+        drop(newest);
+        self.control.send(None, from, &Message::Relay(ask));
+    }
+
+    fn versions(&self) -> (u64, u64) {
+        let version = self.gateway.catalog().map_or(0, |catalog| catalog.version);
+        (version, self.gateway.directory().revision)
+    }
+}
+
+impl Member {
+    fn heard_lately(&self) -> bool {
+        self.heard.is_some_and(|heard| heard.elapsed() < HEARD_LIFETIME)
+    }
+}
+
+fn read<T: DeserializeOwned>(from: SocketAddr, bytes: &[u8]) -> Option<T> {
+    match postcard::from_bytes(bytes) {
+        Ok(content) => Some(content),
+        Err(error) => {
+            log::warn!(from:% = from; "content of a peer cannot be read: {error}");
+            None
+        }
+    }
+}
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -331,5 +331,6 @@
         Message::Claim(_) => "claim",
         Message::Poison(_) => "poison",
         Message::Load(_) => "load",
+        Message::Relay(_) => "relay",
     }
 }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod member;
 pub mod poison;
+pub mod relay;
 pub mod sched;
 
 /// Everything that one router may say to another.
@@ -30,4 +31,6 @@
     Poison(poison::Message),
     /// Load on endpoints of requests that are forwarded unchanged.
     Load(load::Digest),
+    /// Configuration and endpoints for a router that cannot read the store.
+    Relay(relay::Message),
 }
