--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`pool`]: the endpoints of one service, their load, and the choice among them
 //! * [`share`]: what each customer asked for and got lately, and what it is owed
 //! * [`admit`]: how long a request may wait
+//! * [`sizes`]: when long prompts are behind
 //! * [`budget`]: the fleet's limit on repeated requests, split over the routers
 //!
 //! Nothing here does I/O; time comes in as an argument.
@@ -19,3 +20,4 @@
 pub mod pool;
 pub mod prompt;
 pub mod share;
+pub mod sizes;
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -39,6 +39,8 @@
     pub allowed: Duration,
     /// Share of the aim that the request may wait at an endpoint. Beyond it, the request is refused.
     pub patience: f64,
+    /// Whether requests of this size are behind the others and this one takes precedence.
+    pub behind: bool,
 }
 
 /// A request that was sent to an endpoint.
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -29,6 +29,9 @@
 /// Share of failed answers at which an endpoint is avoided whatever it keeps, if others fail less.
 const FAILING_AVOIDED: f64 = 0.3;
 
+/// Largest share of the time that a request may wait which its own prompt takes up if requests of its size are behind.
+const OWN_SHARE_BEHIND: f64 = 0.6;
+
 /// Shortest time after which a refused request may come back. Waves of requests last about that long.
 const RETURN_MIN: Duration = Duration::from_secs(1);
 
@@ -116,22 +119,26 @@
             return Err(refusal(Why::Unreachable, demand, Duration::ZERO));
         };
         let tokens = demand.prompt.tokens() - state.cache.cached(&demand.prompt);
-        let wait = self.wait(now, state, tokens);
-        if wait > demand.aim.mul_f64(demand.patience).min(demand.allowed) {
-            return Err(refusal(Why::Busy, demand, wait));
+        let ahead = self.ahead(now, state);
+        let own = state.reading_time(tokens);
+        let patience = demand.aim.mul_f64(demand.patience);
+        // A long prompt takes the time of several short ones, and makes the engine late for them.
+        let counted = if demand.behind { own.min(patience.mul_f64(OWN_SHARE_BEHIND)) } else { own };
+        if ahead + counted > patience.min(demand.allowed) {
+            return Err(refusal(Why::Busy, demand, ahead + counted));
         }
         Ok(Placement {
             endpoint: **id,
-            wait,
+            wait: ahead + own,
             tokens,
             backlog: state.backlog(now),
             in_flight: state.in_flight_all(now),
         })
     }
 
-    /// Expected time until a request that is sent now begins to be answered.
-    fn wait(&self, now: Instant, state: &State, tokens: u64) -> Duration {
-        let reading = state.reading_time(state.backlog(now) + tokens);
+    /// Expected time until an endpoint turns to a request that is sent now.
+    fn ahead(&self, now: Instant, state: &State) -> Duration {
+        let reading = state.reading_time(state.backlog(now));
         let excess = (state.in_flight_all(now) + 1).saturating_sub(state.slots);
         reading + self.mean_time * excess / state.slots
     }
--- /dev/null
+++ b/siskin-dispatch/src/sizes.rs
@@ -0,0 +1,104 @@
+//! Keeps requests of all sizes served.
+//!
+//! A long prompt takes the place of several short ones, so under load it is refused first. Left to itself, that would
+//! refuse the longest prompts of a route always; this module tells when those of a size are behind the rest.
+
+use {siskin_types::time::Instant, std::time::Duration};
+
+/// Quantiles of the sizes that separate the classes: most requests, the large ones, and the largest tenth.
+const QUANTILES: [f64; 2] = [0.7, 0.9];
+
+/// Classes of size.
+const CLASSES: usize = QUANTILES.len() + 1;
+
+/// Step of the running quantiles, relative to the mean size.
+const QUANTILE_STEP: f64 = 0.05;
+
+/// Weight of a new size in the running mean.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// Counts fall to a third in this time.
+const MEMORY: Duration = Duration::from_secs(12);
+
+/// A class of sizes is behind if its share of requests served is below this part of the share of all requests.
+const BEHIND: f64 = 0.45;
+
+/// How often requests of each size were served lately, for one route.
+///
+/// ```
+/// use {siskin_dispatch::sizes::Sizes, siskin_types::time::Instant};
+/// let mut sizes = Sizes::default();
+/// let now = Instant::from_micros(1);
+/// for round in 0..200 {
+///     let class = sizes.asked(now, if round % 10 == 0 { 50_000 } else { 1_000 });
+///     if round % 10 > 0 {
+///         sizes.served(class);
+///     }
+/// }
+/// let large = sizes.asked(now, 60_000);
+/// assert!(sizes.behind(large));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Sizes {
+    mean: f64,
+    bounds: [f64; QUANTILES.len()],
+    counts: [Count; CLASSES],
+    last: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    asked: f64,
+    served: f64,
+}
+
+/// A class of sizes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Class(usize);
+
+impl Sizes {
+    /// A request of this size has come; tells its class.
+    pub fn asked(&mut self, now: Instant, tokens: u64) -> Class {
+        self.fade(now);
+        #[expect(clippy::cast_precision_loss)]
+        let size = tokens as f64;
+        if self.mean == 0.0 {
+            self.mean = size;
+            self.bounds = [size; QUANTILES.len()];
+        }
+        self.mean += (size - self.mean) * MEAN_WEIGHT;
+        let class = self.bounds.iter().filter(|&&bound| size > bound).count();
+        for (bound, quantile) in self.bounds.iter_mut().zip(QUANTILES) {
+            let step = if size > *bound { quantile } else { quantile - 1.0 };
+            *bound = (*bound + step * QUANTILE_STEP * self.mean).max(0.0);
+        }
+        self.counts[class].asked += 1.0;
+        Class(class)
+    }
+
+    /// A request of the class was sent to an endpoint.
+    pub fn served(&mut self, class: Class) {
+        self.counts[class.0].served += 1.0;
+    }
+
+    /// Whether requests of the class were served so much less often than all that the next one takes precedence.
+    #[must_use]
+    pub fn behind(&self, class: Class) -> bool {
+        if class.0 == 0 {
+            return false;
+        }
+        let count = self.counts[class.0];
+        let asked: f64 = self.counts.iter().map(|count| count.asked).sum();
+        let served: f64 = self.counts.iter().map(|count| count.served).sum();
+        count.served / count.asked.max(1.0) < BEHIND * served / asked.max(1.0)
+    }
+
+    fn fade(&mut self, now: Instant) {
+        let since = self.last.replace(now).map_or(Duration::ZERO, |last| now - last);
+        let kept = (-since.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        for count in &mut self.counts {
+            count.asked *= kept;
+            count.served *= kept;
+        }
+    }
+}
--- /dev/null
+++ b/siskin-dispatch/tests/main/fixture.rs
@@ -0,0 +1,43 @@
+//! Endpoints and requests that the tests share.
+
+use {
+    siskin_dispatch::{
+        pool::{Demand, Info, Pool},
+        prompt::Prompt,
+    },
+    siskin_types::{id::Endpoint, time::Instant},
+    std::time::Duration,
+};
+
+/// A time well after the start.
+pub(crate) const NOW: Instant = Instant::from_micros(100_000_000);
+
+/// Engines with 64 slots and memory for 700,000 tokens, numbered from 1.
+pub(crate) fn engines(count: u32) -> Pool {
+    let mut pool = Pool::new();
+    pool.set_endpoints(&infos(count));
+    pool
+}
+
+/// What a directory says of such engines.
+pub(crate) fn infos(count: u32) -> Vec<Info> {
+    let info = |id| Info {
+        id: Endpoint(id),
+        slots: 64,
+        memory_tokens: 700_000,
+        near: true,
+        leaving: false,
+    };
+    (1..=count).map(info).collect()
+}
+
+/// A request with a shared part of 5,000 tokens about a subject and `own` tokens of its own, to be begun in 800 ms.
+pub(crate) fn demand(subject: u64, own: u32) -> Demand {
+    Demand {
+        prompt: Prompt::new("m", [(1, 500), (1_000 + subject, 4_500), (u64::from(own) << 32, own)]),
+        aim: Duration::from_millis(800),
+        allowed: Duration::from_secs(15),
+        patience: 0.7,
+        behind: false,
+    }
+}
--- /dev/null
+++ b/siskin-dispatch/tests/main/main.rs
@@ -0,0 +1,4 @@
+//! Decisions on requests that are forwarded unchanged.
+
+mod fixture;
+mod large_prompt;
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -17,6 +17,7 @@
         admit,
         pool::{Demand, End, Placement, Refusal, Why},
         share::Usage,
+        sizes::Class,
     },
     siskin_types::id::Endpoint,
     std::{sync::Arc, time::Duration},
@@ -63,11 +64,12 @@
 async fn run(gateway: &Arc<Gateway>, call: Arc<Call>) -> Response<Body> {
     gateway.count_request(&call.service);
     let patience = patience(gateway, &call);
+    let (class, behind) = size(gateway, &call);
     let mut tried = Vec::new();
     let mut sends = 0;
     let mut unreachable = 0;
     loop {
-        let placement = match choose(gateway, &call, patience, &tried) {
+        let placement = match choose(gateway, &call, (patience, behind), &tried) {
             Ok(placement) => placement,
             Err(refusal) => return refuse(gateway, &call, refusal, sends),
         };
@@ -94,7 +96,7 @@
         sends += 1;
         log_send(&call, &placement, sends, patience);
         if sends == 1 {
-            begun(gateway, &call);
+            begun(gateway, &call, class);
         }
         let flying = Flying::start(gateway, &call, placement.endpoint);
         let fate = attempt::send(gateway, &call, connection, flying).await;
@@ -157,8 +159,23 @@
     })
 }
 
+/// The class of the request's size, and whether it takes precedence because its size is behind.
+fn size(gateway: &Gateway, call: &Call) -> (Class, bool) {
+    let now = gateway.clock.now();
+    gateway.table(|table| {
+        let sizes = table.sizes.entry(call.route.clone()).or_default();
+        let class = sizes.asked(now, call.cost);
+        (class, sizes.behind(class))
+    })
+}
+
 /// Counts that the request was sent to an endpoint.
-fn begun(gateway: &Gateway, call: &Call) {
+fn begun(gateway: &Gateway, call: &Call, class: Class) {
+    gateway.table(|table| {
+        if let Some(sizes) = table.sizes.get_mut(&call.route) {
+            sizes.served(class);
+        }
+    });
     let (Some(account), true) = (&call.account, call.cost > 0) else { return };
     let now = gateway.clock.now();
     gateway.table(|table| {
@@ -170,12 +187,12 @@
 fn choose(
     gateway: &Gateway,
     call: &Call,
-    patience: f64,
+    (patience, behind): (f64, bool),
     tried: &[Endpoint],
 ) -> Result<Placement, Refusal> {
     let now = gateway.clock.now();
     let allowed = call.deadline.saturating_duration_since(Instant::now());
-    let demand = Demand { patience, allowed, ..call.demand.clone() };
+    let demand = Demand { patience, behind, allowed, ..call.demand.clone() };
     gateway.table(|table| match table.pools.get(&call.service) {
         Some(pool) => pool.choose(now, &demand, tried),
         None => {
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -74,7 +74,13 @@
         arrived,
         deadline: arrived + allowed,
         max_attempts: route.max_attempts.max(1),
-        demand: Demand { prompt: head.prompt, aim: route.aim, allowed, patience: 1.0 },
+        demand: Demand {
+            prompt: head.prompt,
+            aim: route.aim,
+            allowed,
+            patience: 1.0,
+            behind: false,
+        },
         cost,
         version: catalog.version,
     })
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
         budget::{self, Budget},
         pool::{Info, Pool},
         share::{Ledger, Usage},
+        sizes::Sizes,
     },
     siskin_net::{
         clock::Clock,
@@ -90,6 +91,8 @@
 pub(crate) struct Table {
     pub(crate) pools: IndexMap<String, Pool>,
     budgets: IndexMap<String, Budget>,
+    /// Sizes of requests by route.
+    pub(crate) sizes: IndexMap<String, Sizes>,
     pub(crate) ledger: Ledger,
     /// Costs since the last digest.
     pub(crate) usages: IndexMap<Customer, Usage>,
@@ -120,6 +123,7 @@
         let table = Table {
             pools: IndexMap::new(),
             budgets: IndexMap::new(),
+            sizes: IndexMap::new(),
             ledger: Ledger::new(options.share_window, 0.0),
             usages: IndexMap::new(),
         };
