Send long prompts to engines set apart

Cause looked for: streams are late at saturated engines (p50 of the first event 278 ms, yet 788 of 1,614 late). A chunk of a prompt behind 20,000 tokens takes over 100 ms, five of them stand between two events, so all streams beside a long prompt pause for over 500 ms.

--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod endpoint;
+mod lane;
 
 use {
     crate::prompt::Prompt,
@@ -35,6 +36,8 @@
     pub prompt: Prompt,
     /// Time within which the answer has to begin to be worth its full value.
     pub aim: Duration,
+    /// Longest pause between events of a stream that is still on time.
+    pub pause: Option<Duration>,
     /// Time that is left for the whole answer.
     pub allowed: Duration,
     /// Share of the aim that the request may wait at an endpoint. Beyond it, the request is refused.
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -4,6 +4,7 @@
     super::{
         Demand, Pool,
         endpoint::{State, weighed},
+        lane,
     },
     crate::prompt::mix,
     siskin_types::{id::Endpoint, time::Instant},
@@ -32,6 +33,15 @@
 /// Largest share of the time that a request may wait which its own prompt takes up if requests of its size are behind.
 const OWN_SHARE_BEHIND: f64 = 0.6;
 
+/// Share of the pause that streams may make beyond which the reading of a prompt counts as long.
+const LONG_PAUSE_SHARE: f64 = 0.5;
+
+/// How many times longer a long prompt may wait. Its answer begins late in any case.
+const LONG_PATIENCE: f64 = 3.0;
+
+/// Tokens that count for an engine that is set apart for the other kind of prompts.
+const OTHER_LANE_TOKENS: u64 = 30_000;
+
 /// Shortest time after which a refused request may come back. Waves of requests last about that long.
 const RETURN_MIN: Duration = Duration::from_secs(1);
 
@@ -107,23 +117,31 @@
             .filter(|(id, _)| !exclude.contains(id) && self.health.usable(now, **id))
             .collect::<Vec<_>>();
         let least_failing = reachable.iter().map(|(_, state)| state.failing()).fold(1.0, f64::min);
-        let homes = homes(demand, open().map(|(id, _)| *id));
-        let best = reachable
-            .iter()
-            .filter(|(_, state)| state.failing() < FAILING_AVOIDED.max(2.0 * least_failing))
-            .min_by_key(|(id, state)| weight(now, demand, **id, state, homes));
-        let best = best.or_else(|| {
-            reachable.iter().min_by_key(|(id, state)| weight(now, demand, **id, state, homes))
-        });
+        let apart = lane::long(open().filter(|(_, state)| state.reads()).map(|(id, _)| *id));
+        let long = !apart.is_empty() && self.is_long(demand);
+        let homes = homes(demand, open().map(|(id, _)| *id).filter(|id| !apart.contains(id)));
+        let sound = |state: &State| state.failing() < FAILING_AVOIDED.max(2.0 * least_failing);
+        let weight = |id: Endpoint, state: &State| {
+            let apart = apart.contains(&id);
+            let lane = if apart == long { 0 } else { OTHER_LANE_TOKENS };
+            (!sound(state), long && !apart, weight(now, demand, id, state, homes) + lane)
+        };
+        let best = reachable.iter().min_by_key(|(id, state)| weight(**id, state));
         let Some((id, state)) = best else {
             return Err(refusal(Why::Unreachable, demand, Duration::ZERO));
         };
         let tokens = demand.prompt.tokens() - state.cache.cached(&demand.prompt);
         let ahead = self.ahead(now, state);
         let own = state.reading_time(tokens);
-        let patience = demand.aim.mul_f64(demand.patience);
+        let patience = demand.aim.mul_f64(demand.patience * if long { LONG_PATIENCE } else { 1.0 });
         // A long prompt takes the time of several short ones, and makes the engine late for them.
-        let counted = if demand.behind { own.min(patience.mul_f64(OWN_SHARE_BEHIND)) } else { own };
+        let counted = if long {
+            Duration::ZERO
+        } else if demand.behind {
+            own.min(patience.mul_f64(OWN_SHARE_BEHIND))
+        } else {
+            own
+        };
         if ahead + counted > patience.min(demand.allowed) {
             return Err(refusal(Why::Busy, demand, ahead + counted));
         }
@@ -136,6 +154,16 @@
         })
     }
 
+    /// Whether streams beside the request would pause for too long while its prompt is read.
+    fn is_long(&self, demand: &Demand) -> bool {
+        let Some(pause) = demand.pause else { return false };
+        let own = demand.prompt.tokens() - demand.prompt.shared_tokens();
+        let readers = || self.endpoints.values().filter(|state| state.reads());
+        let count = u32::try_from(readers().count()).unwrap_or(u32::MAX).max(1);
+        let sum: Duration = readers().map(|state| state.reading_time(own)).sum();
+        sum / count > pause.mul_f64(LONG_PAUSE_SHARE)
+    }
+
     /// Expected time until an endpoint turns to a request that is sent now.
     fn ahead(&self, now: Instant, state: &State) -> Duration {
         let reading = state.reading_time(state.backlog(now));
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -71,6 +71,7 @@
     pub(super) slots: u32,
     pub(super) near: bool,
     leaving: bool,
+    reads: bool,
     pub(super) listed: bool,
     pub(super) cache: Cache,
     in_flight: u32,
@@ -91,6 +92,7 @@
             slots: info.slots.max(1),
             near: info.near,
             leaving: info.leaving,
+            reads: info.memory_tokens > 0,
             listed: true,
             cache: Cache::new(info.memory_tokens),
             in_flight: 0,
@@ -114,6 +116,11 @@
         self.listed && !self.leaving
     }
 
+    /// Whether it is an engine that reads prompts.
+    pub(super) const fn reads(&self) -> bool {
+        self.reads
+    }
+
     pub(super) const fn in_flight(&self) -> u32 {
         self.in_flight
     }
