--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -166,7 +166,7 @@
 
     /// Expected time until an endpoint turns to a request that is sent now.
     fn ahead(&self, now: Instant, state: &State) -> Duration {
-        let reading = state.reading_time(state.backlog(now));
+        let reading = state.reading_time(state.queued(now));
         let excess = (state.in_flight_all(now) + 1).saturating_sub(state.slots);
         reading + self.mean_time * excess / state.slots
     }
@@ -203,7 +203,7 @@
     let full = if in_flight >= state.slots || state.full(now) { FULL_TOKENS } else { 0 };
     let failing = weighed(FAILING_TOKENS, state.failing());
     let far = if state.near { 0 } else { FAR_TOKENS };
-    state.backlog(now) + tokens + replica + running + full + failing + far
+    state.queued(now) + tokens + replica + running + full + failing + far
 }
 
 fn refusal(why: Why, demand: &Demand, wait: Duration) -> Refusal {
