--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`pool`]: the endpoints of one service, their load, and the choice among them
 //! * [`share`]: what each customer asked for and got lately, and what it is owed
 //! * [`admit`]: how long a request may wait
-//! * [`sizes`]: when long prompts are behind
+//! * [`sizes`]: how much a long prompt counts
 //! * [`budget`]: the fleet's limit on repeated requests, split over the routers
 //!
 //! Nothing here does I/O; time comes in as an argument.
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -2,7 +2,6 @@
 
 mod choose;
 mod endpoint;
-mod lane;
 
 use {
     crate::prompt::Prompt,
@@ -36,14 +35,12 @@
     pub prompt: Prompt,
     /// Time within which the answer has to begin to be worth its full value.
     pub aim: Duration,
-    /// Longest pause between events of a stream that is still on time.
-    pub pause: Option<Duration>,
     /// Time that is left for the whole answer.
     pub allowed: Duration,
     /// Share of the aim that the request may wait at an endpoint. Beyond it, the request is refused.
     pub patience: f64,
-    /// Whether requests of this size are behind the others and this one takes precedence.
-    pub behind: bool,
+    /// How much the time to read the request's own prompt counts as waiting.
+    pub own_weight: f64,
 }
 
 /// A request that was sent to an endpoint.
@@ -142,7 +139,7 @@
                 self.kept.push(load::Kept { endpoint, chain: part.chain });
             }
         }
-        state.sent(now, prompt, flight.tokens);
+        state.sent(prompt, flight.tokens);
         flight
     }
 
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -4,7 +4,6 @@
     super::{
         Demand, Pool,
         endpoint::{State, weighed},
-        lane,
     },
     crate::prompt::mix,
     siskin_types::{id::Endpoint, time::Instant},
@@ -30,17 +29,11 @@
 /// Share of failed answers at which an endpoint is avoided whatever it keeps, if others fail less.
 const FAILING_AVOIDED: f64 = 0.3;
 
-/// Largest share of the time that a request may wait which its own prompt takes up if requests of its size are behind.
-const OWN_SHARE_BEHIND: f64 = 0.6;
+/// An endpoint is idle if nothing waits for longer than this, and less than one in [`IDLE_SLOTS`] of its slots is taken.
+const IDLE_AHEAD: Duration = Duration::from_millis(10);
 
-/// Share of the pause that streams may make beyond which the reading of a prompt counts as long.
-const LONG_PAUSE_SHARE: f64 = 0.5;
-
-/// How many times longer a long prompt may wait. Its answer begins late in any case.
-const LONG_PATIENCE: f64 = 3.0;
-
-/// Tokens that count for an engine that is set apart for the other kind of prompts.
-const OTHER_LANE_TOKENS: u64 = 30_000;
+/// See [`IDLE_AHEAD`].
+const IDLE_SLOTS: u32 = 8;
 
 /// Shortest time after which a refused request may come back. Waves of requests last about that long.
 const RETURN_MIN: Duration = Duration::from_secs(1);
@@ -117,31 +110,24 @@
             .filter(|(id, _)| !exclude.contains(id) && self.health.usable(now, **id))
             .collect::<Vec<_>>();
         let least_failing = reachable.iter().map(|(_, state)| state.failing()).fold(1.0, f64::min);
-        let apart = lane::long(open().filter(|(_, state)| state.reads()).map(|(id, _)| *id));
-        let long = !apart.is_empty() && self.is_long(demand);
-        let homes = homes(demand, open().map(|(id, _)| *id).filter(|id| !apart.contains(id)));
-        let sound = |state: &State| state.failing() < FAILING_AVOIDED.max(2.0 * least_failing);
-        let weight = |id: Endpoint, state: &State| {
-            let apart = apart.contains(&id);
-            let lane = if apart == long { 0 } else { OTHER_LANE_TOKENS };
-            (!sound(state), long && !apart, weight(now, demand, id, state, homes) + lane)
-        };
-        let best = reachable.iter().min_by_key(|(id, state)| weight(**id, state));
+        let homes = homes(demand, open().map(|(id, _)| *id));
+        let best = reachable
+            .iter()
+            .filter(|(_, state)| state.failing() < FAILING_AVOIDED.max(2.0 * least_failing))
+            .min_by_key(|(id, state)| weight(now, demand, **id, state, homes));
+        let best = best.or_else(|| {
+            reachable.iter().min_by_key(|(id, state)| weight(now, demand, **id, state, homes))
+        });
         let Some((id, state)) = best else {
             return Err(refusal(Why::Unreachable, demand, Duration::ZERO));
         };
         let tokens = demand.prompt.tokens() - state.cache.cached(&demand.prompt);
         let ahead = self.ahead(now, state);
         let own = state.reading_time(tokens);
-        let patience = demand.aim.mul_f64(demand.patience * if long { LONG_PATIENCE } else { 1.0 });
+        let patience = demand.aim.mul_f64(demand.patience);
         // A long prompt takes the time of several short ones, and makes the engine late for them.
-        let counted = if long {
-            Duration::ZERO
-        } else if demand.behind {
-            own.min(patience.mul_f64(OWN_SHARE_BEHIND))
-        } else {
-            own
-        };
+        let counted = own.mul_f64(demand.own_weight);
+        let counted = if self.idle(now, state) { counted.min(patience / 2) } else { counted };
         if ahead + counted > patience.min(demand.allowed) {
             return Err(refusal(Why::Busy, demand, ahead + counted));
         }
@@ -154,19 +140,14 @@
         })
     }
 
-    /// Whether streams beside the request would pause for too long while its prompt is read.
-    fn is_long(&self, demand: &Demand) -> bool {
-        let Some(pause) = demand.pause else { return false };
-        let own = demand.prompt.tokens() - demand.prompt.shared_tokens();
-        let readers = || self.endpoints.values().filter(|state| state.reads());
-        let count = u32::try_from(readers().count()).unwrap_or(u32::MAX).max(1);
-        let sum: Duration = readers().map(|state| state.reading_time(own)).sum();
-        sum / count > pause.mul_f64(LONG_PAUSE_SHARE)
+    /// Whether an endpoint has so little to do that a long prompt delays nobody.
+    fn idle(&self, now: Instant, state: &State) -> bool {
+        self.ahead(now, state) < IDLE_AHEAD && state.in_flight_all(now) < state.slots / IDLE_SLOTS
     }
 
     /// Expected time until an endpoint turns to a request that is sent now.
     fn ahead(&self, now: Instant, state: &State) -> Duration {
-        let reading = state.reading_time(state.queued(now));
+        let reading = state.reading_time(state.backlog(now));
         let excess = (state.in_flight_all(now) + 1).saturating_sub(state.slots);
         reading + self.mean_time * excess / state.slots
     }
@@ -203,7 +184,7 @@
     let full = if in_flight >= state.slots || state.full(now) { FULL_TOKENS } else { 0 };
     let failing = weighed(FAILING_TOKENS, state.failing());
     let far = if state.near { 0 } else { FAR_TOKENS };
-    state.queued(now) + tokens + replica + running + full + failing + far
+    state.backlog(now) + tokens + replica + running + full + failing + far
 }
 
 fn refusal(why: Why, demand: &Demand, wait: Duration) -> Refusal {
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -39,9 +39,6 @@
 /// Reading speed assumed before it is known, in tokens per millisecond.
 const RATE_FIRST: f64 = 40.0;
 
-/// Share of an engine's time in which it may read prompts.
-const READING_SHARE: f64 = 0.5;
-
 /// Bounds of the learned reading speed, in tokens per millisecond.
 const RATE_MIN: f64 = 2.0;
 const RATE_MAX: f64 = 2_000.0;
@@ -61,30 +58,6 @@
     pub leaving: bool,
 }
 
-/// Queue of an engine that reads at a part of its real speed.
-///
-/// An engine that always has a prompt to read makes a token of each stream only after a chunk of a prompt, which is
-/// about ten times slower than without. Requests are therefore admitted as if it read more slowly, so that streams run
-/// freely in between and end in time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Queue {
-    tokens: u64,
-    at: Instant,
-}
-
-impl Queue {
-    /// Tokens that are left, for an engine that reads `rate` tokens per millisecond.
-    fn level(&self, now: Instant, rate: f64) -> u64 {
-        let drained = (now - self.at).as_secs_f64() * 1_000.0 * rate * READING_SHARE;
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        self.tokens.saturating_sub(drained as u64)
-    }
-
-    fn add(&mut self, now: Instant, rate: f64, tokens: u64) {
-        *self = Self { tokens: self.level(now, rate) + tokens, at: now };
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     at: Instant,
@@ -98,12 +71,10 @@
     pub(super) slots: u32,
     pub(super) near: bool,
     leaving: bool,
-    reads: bool,
     pub(super) listed: bool,
     pub(super) cache: Cache,
     in_flight: u32,
     backlog: u64,
-    queue: Queue,
     /// Prompt tokens sent by this router, modulo 2^32.
     read: u32,
     peers: IndexMap<Node, Peer>,
@@ -120,12 +91,10 @@
             slots: info.slots.max(1),
             near: info.near,
             leaving: info.leaving,
-            reads: info.memory_tokens > 0,
             listed: true,
             cache: Cache::new(info.memory_tokens),
             in_flight: 0,
             backlog: 0,
-            queue: Queue::default(),
             read: 0,
             peers: IndexMap::new(),
             rate: RATE_FIRST,
@@ -145,11 +114,6 @@
         self.listed && !self.leaving
     }
 
-    /// Whether it is an engine that reads prompts.
-    pub(super) const fn reads(&self) -> bool {
-        self.reads
-    }
-
     pub(super) const fn in_flight(&self) -> u32 {
         self.in_flight
     }
@@ -164,11 +128,6 @@
         self.backlog + self.peers(now).map(|peer| peer.backlog).sum::<u64>()
     }
 
-    /// Prompt tokens of all routers that the engine is to be given time for.
-    pub(super) fn queued(&self, now: Instant) -> u64 {
-        self.queue.level(now, self.rate).max(self.backlog(now))
-    }
-
     /// Time to read this many tokens.
     pub(super) fn reading_time(&self, tokens: u64) -> Duration {
         #[expect(clippy::cast_precision_loss)]
@@ -184,8 +143,7 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
-    pub(super) fn sent(&mut self, now: Instant, prompt: &Prompt, tokens: u64) {
-        self.queue.add(now, self.rate, tokens);
+    pub(super) fn sent(&mut self, prompt: &Prompt, tokens: u64) {
         self.in_flight += 1;
         self.backlog += tokens;
         self.read = self.read.wrapping_add(u32::try_from(tokens).unwrap_or(u32::MAX));
@@ -240,7 +198,6 @@
         let read = u64::from(load.read.wrapping_sub(before));
         if read < u64::from(u32::MAX / 2) {
             self.cache.advance(read);
-            self.queue.add(now, self.rate, read);
         }
     }
 
--- a/siskin-dispatch/src/sizes.rs
+++ b/siskin-dispatch/src/sizes.rs
@@ -1,7 +1,8 @@
 //! Keeps requests of all sizes served.
 //!
 //! A long prompt takes the place of several short ones, so under load it is refused first. Left to itself, that would
-//! refuse the longest prompts of a route always; this module tells when those of a size are behind the rest.
+//! refuse the longest prompts of a route always. This module watches how often each size is served and adapts how much
+//! a request's own prompt counts when it is admitted, so that of the large requests the smaller ones get in first.
 
 use {siskin_types::time::Instant, std::time::Duration};
 
@@ -23,6 +24,13 @@
 /// A class of sizes is behind if its share of requests served is below this part of the share of all requests.
 const BEHIND: f64 = 0.45;
 
+/// Change of the weight with each large request.
+const WEIGHT_STEP: f64 = 0.04;
+
+/// Bounds of the weight of a request's own prompt.
+const WEIGHT_MIN: f64 = 0.2;
+const WEIGHT_MAX: f64 = 1.0;
+
 /// How often requests of each size were served lately, for one route.
 ///
 /// ```
@@ -37,15 +45,29 @@
 /// }
 /// let large = sizes.asked(now, 60_000);
 /// assert!(sizes.behind(large));
+/// assert!(sizes.own_weight() < 1.0);
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Sizes {
+    weight: f64,
     mean: f64,
     bounds: [f64; QUANTILES.len()],
     counts: [Count; CLASSES],
     last: Option<Instant>,
 }
 
+impl Default for Sizes {
+    fn default() -> Self {
+        Self {
+            weight: WEIGHT_MAX,
+            mean: 0.0,
+            bounds: Default::default(),
+            counts: Default::default(),
+            last: None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
     asked: f64,
@@ -73,6 +95,10 @@
             *bound = (*bound + step * QUANTILE_STEP * self.mean).max(0.0);
         }
         self.counts[class].asked += 1.0;
+        if class > 0 {
+            let step = if self.behind(Class(class)) { -WEIGHT_STEP } else { WEIGHT_STEP };
+            self.weight = (self.weight + step).clamp(WEIGHT_MIN, WEIGHT_MAX);
+        }
         Class(class)
     }
 
@@ -81,7 +107,13 @@
         self.counts[class.0].served += 1.0;
     }
 
-    /// Whether requests of the class were served so much less often than all that the next one takes precedence.
+    /// How much the time to read a request's own prompt counts beside the time to read what waits before it.
+    #[must_use]
+    pub const fn own_weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// Whether requests of the class were served much less often than all.
     #[must_use]
     pub fn behind(&self, class: Class) -> bool {
         if class.0 == 0 {
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -64,12 +64,12 @@
 async fn run(gateway: &Arc<Gateway>, call: Arc<Call>) -> Response<Body> {
     gateway.count_request(&call.service);
     let patience = patience(gateway, &call);
-    let (class, behind) = size(gateway, &call);
+    let (class, own_weight) = size(gateway, &call);
     let mut tried = Vec::new();
     let mut sends = 0;
     let mut unreachable = 0;
     loop {
-        let placement = match choose(gateway, &call, (patience, behind), &tried) {
+        let placement = match choose(gateway, &call, (patience, own_weight), &tried) {
             Ok(placement) => placement,
             Err(refusal) => return refuse(gateway, &call, refusal, sends),
         };
@@ -159,13 +159,13 @@
     })
 }
 
-/// The class of the request's size, and whether it takes precedence because its size is behind.
-fn size(gateway: &Gateway, call: &Call) -> (Class, bool) {
+/// The class of the request's size, and how much its own prompt counts.
+fn size(gateway: &Gateway, call: &Call) -> (Class, f64) {
     let now = gateway.clock.now();
     gateway.table(|table| {
         let sizes = table.sizes.entry(call.route.clone()).or_default();
         let class = sizes.asked(now, call.cost);
-        (class, sizes.behind(class))
+        (class, sizes.own_weight())
     })
 }
 
@@ -187,12 +187,12 @@
 fn choose(
     gateway: &Gateway,
     call: &Call,
-    (patience, behind): (f64, bool),
+    (patience, own_weight): (f64, f64),
     tried: &[Endpoint],
 ) -> Result<Placement, Refusal> {
     let now = gateway.clock.now();
     let allowed = call.deadline.saturating_duration_since(Instant::now());
-    let demand = Demand { patience, behind, allowed, ..call.demand.clone() };
+    let demand = Demand { patience, own_weight, allowed, ..call.demand.clone() };
     gateway.table(|table| match table.pools.get(&call.service) {
         Some(pool) => pool.choose(now, &demand, tried),
         None => {
