--- a/siskin-dispatch/src/admit.rs
+++ b/siskin-dispatch/src/admit.rs
@@ -5,17 +5,15 @@
 
 use crate::share::Standing;
 
-/// Share of the aim that a request may wait.
-const PATIENCE: f64 = 0.7;
+/// Share of the aim that a request may wait if its customer got just what it is owed.
+const PATIENCE: f64 = 0.6;
 
-/// Share of the aim for a customer that got more than it is owed.
-const PATIENCE_OVER: f64 = 0.3;
+/// How steeply the patience falls with what the customer got.
+const STEEPNESS: f64 = 1.3;
 
-/// Share of the aim for a customer that got much less than it is owed.
-const PATIENCE_UNDER: f64 = 1.0;
-
-/// Share of what a customer is owed below which it got much less.
-const UNDER: f64 = 0.5;
+/// Bounds of the share of the aim.
+const PATIENCE_MIN: f64 = 0.08;
+const PATIENCE_MAX: f64 = 1.1;
 
 /// Share of the aim that a request of this customer may wait.
 ///
@@ -27,12 +25,6 @@
 /// ```
 #[must_use]
 pub fn patience(standing: &Standing) -> f64 {
-    let filled = standing.filled();
-    if filled > 1.0 {
-        PATIENCE_OVER
-    } else if filled < UNDER {
-        PATIENCE_UNDER
-    } else {
-        PATIENCE
-    }
+    let filled = standing.filled().max(f64::EPSILON);
+    (PATIENCE * filled.powf(-STEEPNESS)).clamp(PATIENCE_MIN, PATIENCE_MAX)
 }
--- a/siskin-dispatch/src/sizes.rs
+++ b/siskin-dispatch/src/sizes.rs
@@ -22,10 +22,10 @@
 const MEMORY: Duration = Duration::from_secs(12);
 
 /// A class of sizes is behind if its share of requests served is below this part of the share of all requests.
-const BEHIND: f64 = 0.45;
+const BEHIND: f64 = 0.55;
 
 /// Change of the weight with each large request.
-const WEIGHT_STEP: f64 = 0.04;
+const WEIGHT_STEP: f64 = 0.08;
 
 /// Bounds of the weight of a request's own prompt.
 const WEIGHT_MIN: f64 = 0.2;
