--- a/siskin-dispatch/src/admit.rs
+++ b/siskin-dispatch/src/admit.rs
@@ -9,7 +9,7 @@
 const PATIENCE: f64 = 0.6;
 
 /// How steeply the patience falls with what the customer got.
-const STEEPNESS: f64 = 1.3;
+const STEEPNESS: f64 = 2.0;
 
 /// Bounds of the share of the aim.
 const PATIENCE_MIN: f64 = 0.08;
