--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -92,6 +92,8 @@
     pub listen: SocketAddr,
     /// Where readiness and metrics are served.
     pub status: SocketAddr,
+    /// Where metrics are served as well, at a port that does not change.
+    pub metrics: Option<SocketAddr>,
     /// Path of the readiness check.
     pub ready_path: String,
     /// This VM's data centre.
@@ -374,7 +376,7 @@
     gateway: Arc<Gateway>,
     stop: watch::Sender<bool>,
     callers: JoinHandle<bool>,
-    status: JoinHandle<bool>,
+    status: Vec<JoinHandle<bool>>,
 }
 
 impl Server {
@@ -397,17 +399,11 @@
             stopped.clone(),
             finish,
         ));
-        let asked = Arc::clone(&gateway);
-        let status = tokio::spawn(server::run(
-            status_listener,
-            || LIMITS_FIRST,
-            move |request| {
-                let response = status(&asked, &request);
-                async move { response }
-            },
-            stopped,
-            Duration::ZERO,
-        ));
+        let mut status = vec![serve_status(&gateway, status_listener, stopped.clone())];
+        if let Some(address) = options.metrics {
+            let listener = bind(address, "metrics").await?;
+            status.push(serve_status(&gateway, listener, stopped));
+        }
         Ok(Self { gateway, stop, callers, status })
     }
 
@@ -420,11 +416,27 @@
         time::sleep(self.gateway.options.notice).await;
         let _ = self.stop.send(true);
         let finished = self.callers.await.unwrap_or(false);
-        self.status.abort();
+        for task in &self.status {
+            task.abort();
+        }
         log::info!(finished, in_flight = self.gateway.metrics.in_flight.get(); "gateway stopped");
     }
 }
 
+/// Serves readiness and metrics.
+fn serve_status(
+    gateway: &Arc<Gateway>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) -> JoinHandle<bool> {
+    let gateway = Arc::clone(gateway);
+    let handle = move |request| {
+        let response = status(&gateway, &request);
+        async move { response }
+    };
+    tokio::spawn(server::run(listener, || LIMITS_FIRST, handle, stop, Duration::ZERO))
+}
+
 async fn bind(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -135,7 +135,7 @@
                 Message::Load(digest) => self.hear(opened.node, from, &digest),
                 Message::Relay(message) => self.relay(from, message),
                 other => {
-                    log::debug!(from:% = from; "message of another program ignored: {other:?}")
+                    log::debug!(from:% = from; "message of another program ignored: {other:?}");
                 }
             }
         }
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -45,6 +45,7 @@
     let options = Options {
         listen: any,
         status: any,
+        metrics: None,
         ready_path: "/ready".to_owned(),
         data_centre: "east".to_owned(),
         retries: budget::Options { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
--- a/siskin-measure/src/bin/siskin-standin.rs
+++ b/siskin-measure/src/bin/siskin-standin.rs
@@ -160,7 +160,7 @@
 }
 
 fn read(values: &Values) -> Result<Options, Error> {
-    logging::start(values.required("log")?);
+    logging::start(values.required("log")?, logging::Stream::Output);
     match values.required("kind")? {
         "engine" => Ok(Options::Engine(engine_options(values)?)),
         "application" => Ok(Options::Application(application::Options {
--- a/siskin-measure/src/main.rs
+++ b/siskin-measure/src/main.rs
@@ -166,7 +166,7 @@
 }
 
 fn read(values: &Values) -> Result<Task, Error> {
-    logging::start(values.required("log")?);
+    logging::start(values.required("log")?, logging::Stream::Error);
     if values.switch("list")? {
         return Ok(Task::List);
     }
--- a/siskin-quickstart/src/main.rs
+++ b/siskin-quickstart/src/main.rs
@@ -38,7 +38,8 @@
 async fn main() -> anyhow::Result<ExitCode> {
     let values = load_or_exit(PROGRAM, &TABLE);
     let (check, routers) = settings(&values).unwrap_or_else(|error| exit_usage(PROGRAM, &error));
-    logging::start(values.required("log").unwrap_or_else(|error| exit_usage(PROGRAM, &error)));
+    let level = values.required("log").unwrap_or_else(|error| exit_usage(PROGRAM, &error));
+    logging::start(level, logging::Stream::Error);
     let site = Site::start(Options { routers, ..Options::default() }).await?;
     site.ready().await?;
     let code = if check {
--- a/siskin-router/src/main.rs
+++ b/siskin-router/src/main.rs
@@ -21,7 +21,7 @@
     let values = load_or_exit(PROGRAM, &TABLE);
     let settings =
         Settings::from_values(&values).unwrap_or_else(|error| exit_usage(PROGRAM, &error));
-    logging::start(&settings.log);
+    logging::start(&settings.log, logging::Stream::Output);
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM cannot be handled")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT cannot be handled")?;
     let router = Router::start(settings).await?;
--- a/siskin-site/src/process.rs
+++ b/siskin-site/src/process.rs
@@ -12,7 +12,7 @@
     },
     tokio::{
         io::{AsyncBufReadExt, BufReader, Lines},
-        process::{Child, ChildStderr, Command},
+        process::{Child, ChildStdout, Command},
         time,
     },
 };
@@ -59,8 +59,8 @@
             format!("cannot run {}; build siskin-router or name its program", program.display())
         })?;
         let id = child.id().context("the router ended at once")?;
-        let stderr = child.stderr.take().context("the router has no standard error")?;
-        let mut lines = BufReader::new(stderr).lines();
+        let output = child.stdout.take().context("the router has no standard output")?;
+        let mut lines = BufReader::new(output).lines();
         let started = time::timeout(START_TIMEOUT, started(&mut lines)).await;
         let line = started.context("the router did not start in time")??;
         tokio::spawn(log_rest(id, lines));
@@ -148,8 +148,8 @@
         .env("SISKIN_HASH_KEY", settings.hash_key.reveal())
         .env("SISKIN_OPERATOR_TOKEN", settings.operator_token.reveal())
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
         .kill_on_drop(true);
     command
 }
@@ -159,7 +159,7 @@
 }
 
 /// Reads up to the line with the addresses.
-async fn started(lines: &mut Lines<BufReader<ChildStderr>>) -> anyhow::Result<String> {
+async fn started(lines: &mut Lines<BufReader<ChildStdout>>) -> anyhow::Result<String> {
     let mut last = String::new();
     while let Some(line) = lines.next_line().await? {
         if line.contains("router started") {
@@ -171,7 +171,7 @@
 }
 
 /// Reads on, so that the process never waits for a full pipe.
-async fn log_rest(id: u32, mut lines: Lines<BufReader<ChildStderr>>) {
+async fn log_rest(id: u32, mut lines: Lines<BufReader<ChildStdout>>) {
     while let Ok(Some(line)) = lines.next_line().await {
         log::debug!(id; "{line}");
     }
