--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -375,6 +375,7 @@
 pub struct Server {
     gateway: Arc<Gateway>,
     stop: watch::Sender<bool>,
+    address: SocketAddr,
     callers: JoinHandle<bool>,
     status: Vec<JoinHandle<bool>>,
 }
@@ -388,6 +389,7 @@
     pub async fn start(gateway: Arc<Gateway>) -> anyhow::Result<Self> {
         let options = gateway.options.clone();
         let listener = bind(options.listen, "callers").await?;
+        let address = listener.local_addr().context("caller address is not known")?;
         let status_listener = bind(options.status, "readiness").await?;
         let (stop, stopped) = watch::channel(false);
         let (limits, served) = (Arc::clone(&gateway), Arc::clone(&gateway));
@@ -404,7 +406,13 @@
             let listener = bind(address, "metrics").await?;
             status.push(serve_status(&gateway, listener, stopped));
         }
-        Ok(Self { gateway, stop, callers, status })
+        Ok(Self { gateway, stop, address, callers, status })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Fails readiness at once, tells callers to close, accepts connections for the notice, and finishes what is in
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -1,15 +1,21 @@
 //! A gateway, configurations and endpoints that the tests share.
 
 use {
+    crate::endpoint::field,
     hyper::{HeaderMap, http::request::Parts},
     siskin_dispatch::budget,
     siskin_gateway::{
-        directory::Endpoint,
-        gateway::{Gateway, Options},
+        catalog::{Catalog, Kind, Limits, Route, Service, Target},
+        directory::{Directory, Endpoint},
+        gateway::{Gateway, Options, Server, Source},
         metrics::Metrics,
         protocol::{Answer, Head, Malformed, Outbound, Protocol},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 /// Headers of the tests: `id`, `key`, `not-run` and `signed`.
@@ -28,6 +34,9 @@
     fn write(&self, headers: &mut HeaderMap, outbound: &Outbound<'_>) {
         headers.remove("key");
         headers.insert("instance", outbound.instance.parse().unwrap());
+        if let Some(last) = outbound.last_event {
+            headers.insert("last-event", last.parse().unwrap());
+        }
     }
 
     fn answer<'a>(&self, _status: u16, headers: &'a HeaderMap) -> Answer<'a> {
@@ -69,3 +78,137 @@
         lapsed: false,
     }
 }
+
+/// A configuration with the route `/app/` of one kind.
+fn catalog(kind: Kind) -> Catalog {
+    Catalog {
+        version: 1,
+        routes: vec![Route {
+            name: "app".to_owned(),
+            host: "example".to_owned(),
+            prefix: "/app/".to_owned(),
+            kind,
+            timeout: Duration::from_millis(600),
+            aim: Duration::from_millis(300),
+            pause_aim: None,
+            priority: 1,
+            targets: vec![Target { service: "app".to_owned(), weight: 1 }],
+            max_attempts: 2,
+            public: true,
+        }],
+        services: [("app".to_owned(), Service { max_connections: 100, memory_tokens: None })]
+            .into(),
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 65_536,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+            tokens_per_second: 1_000,
+        },
+        accounts: None,
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the answer ended as complete.
+    pub(crate) complete: bool,
+}
+
+/// A gateway that serves callers.
+pub(crate) struct Site {
+    server: Server,
+    address: SocketAddr,
+}
+
+impl Site {
+    /// Starts a gateway with a route of this kind and endpoints named `e0`, `e1` and so on.
+    pub(crate) async fn start(kind: Kind, addresses: &[SocketAddr]) -> Self {
+        let gateway = gateway();
+        gateway.set_catalog(catalog(kind), Source::Store);
+        let endpoints = addresses
+            .iter()
+            .enumerate()
+            .map(|(index, address)| endpoint(&format!("e{index}"), *address))
+            .collect();
+        gateway.set_directory(Directory { revision: 1, endpoints }, Source::Store);
+        gateway.set_routers(1);
+        Self::serve(gateway).await
+    }
+
+    /// Starts a gateway that knows no configuration.
+    pub(crate) async fn start_empty() -> Self {
+        Self::serve(gateway()).await
+    }
+
+    async fn serve(gateway: Arc<Gateway>) -> Self {
+        let server = Server::start(gateway).await.unwrap();
+        let address = server.address();
+        Self { server, address }
+    }
+
+    pub(crate) async fn stop(self) {
+        self.server.stop().await;
+    }
+
+    /// Asks the route, with the identifier and more headers.
+    pub(crate) async fn ask(&self, id: &str, headers: &str) -> Reply {
+        self.get("/app/x", &format!("id: {id}\r\n{headers}")).await
+    }
+
+    /// Sends a request on a connection of its own and reads until the gateway closes it or the answer is complete.
+    pub(crate) async fn get(&self, path: &str, headers: &str) -> Reply {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nhost: example\r\n{headers}\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(answer) = parse(&bytes, false) {
+                return answer;
+            }
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return parse(&bytes, true).expect("no answer"),
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            }
+        }
+    }
+}
+
+/// Reads an answer; `closed` says that no more bytes will come.
+fn parse(bytes: &[u8], closed: bool) -> Option<Reply> {
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let answer = |body: &str, complete| Reply {
+        status,
+        head: head.to_owned(),
+        body: body.to_owned(),
+        complete,
+    };
+    if let Some(length) = field(head, "content-length").and_then(|text| text.parse().ok()) {
+        let complete = rest.len() >= length;
+        return (complete || closed).then(|| answer(rest, complete));
+    }
+    let (body, complete) = unchunk(rest);
+    (complete || closed).then(|| answer(&body, complete))
+}
+
+/// The content of a chunked body, and whether its last chunk has come.
+fn unchunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, more)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else { break };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = more.get(..size) else { break };
+        body.push_str(chunk);
+        rest = more.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -1,4 +1,7 @@
 //! The runtime that forwards requests.
 
 mod directory;
+mod endpoint;
 mod fixture;
+mod outcome;
+mod resume;
--- a/siskin-site/examples/footprint.rs
+++ b/siskin-site/examples/footprint.rs
@@ -42,7 +42,7 @@
     let wanted = std::env::args().nth(1).map(|text| text.parse()).transpose()?;
     let sizes = wanted.map_or(SIZES.to_vec(), |customers| vec![customers]);
     if let Ok(filter) = std::env::var("SISKIN_LOG") {
-        siskin_settings::logging::start(&filter);
+        siskin_settings::logging::start(&filter, siskin_settings::logging::Stream::Error);
     }
     let cases = sizes.into_iter().flat_map(|size| POOLS.map(|pools| (size, pools)));
     for (customers, pools) in cases {
--- a/siskin-site/tests/site/support.rs
+++ b/siskin-site/tests/site/support.rs
@@ -40,7 +40,7 @@
 /// Starts a site and waits until it is ready. `SISKIN_LOG` shows the log of a failing test.
 pub(crate) async fn start(options: Options) -> Site {
     if let Ok(filter) = std::env::var("SISKIN_LOG") {
-        siskin_settings::logging::start(&filter);
+        siskin_settings::logging::start(&filter, siskin_settings::logging::Stream::Error);
     }
     let site = Site::start(options).await.expect("the site starts");
     site.ready().await.expect("the site becomes ready");
