--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -23,7 +23,7 @@
 
 /// A peer's load counts until this long after its last digest: a router that is gone, or cut off, has no requests
 /// in flight that matter for long.
-const PEER_LIFETIME: Duration = Duration::from_millis(1_500);
+const PEER_LIFETIME: Duration = Duration::from_secs(3);
 
 /// Parts and endpoints told to peers that wait for the next digest.
 const KEPT_MAX: usize = 64;
@@ -176,7 +176,8 @@
 
     /// A peer's load. It replaces what the peer said before.
     pub fn hear(&mut self, now: Instant, node: Node, digest: &load::Digest) {
-        for (id, state) in &mut self.endpoints {
+        let covered = self.endpoints.iter_mut().filter(|(id, _)| digest.covers.contains(&id.0));
+        for (id, state) in covered {
             let load = digest.loads.iter().find(|load| load.endpoint == *id);
             state.hear(now, node, load);
         }
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -7,6 +7,7 @@
         gateway::Gateway,
         protocol::Head,
         respond::{self, Body},
+        strain,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -20,9 +21,13 @@
         http::request::Parts,
     },
     siskin_dispatch::pool::Demand,
+    std::time::Duration,
     tokio::time::{Instant, timeout},
 };
 
+/// Time after which a caller may come back to another router.
+const OVERLOADED_RETRY: Duration = Duration::from_millis(50);
+
 /// Cost of a generated token beside one that is read.
 const GENERATED_COST: u64 = 2;
 
@@ -48,6 +53,12 @@
         let message = "no configuration is known yet; the request has not run";
         return Err(respond::not_run(message, UNKNOWN_RETRY).into());
     };
+    if gateway.strain() == strain::State::Overloaded {
+        log::info!(request:% = head.id, outcome = "overloaded"; "request refused");
+        count(gateway, "overloaded");
+        let message = "this router is overloaded; the request has not run, another router takes it";
+        return Err(respond::not_run(message, OVERLOADED_RETRY).into());
+    }
     let route = route(gateway, &catalog, &parts, &head)?;
     let account = account(gateway, &catalog, route, &head)?;
     let body = read_body(gateway, incoming, &head, &catalog.limits).await?;
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -131,7 +131,9 @@
     match taken {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) => {
-            unreachable(gateway, &call.service, endpoint, &error.to_string());
+            if !error.is_local() {
+                unreachable(gateway, &call.service, endpoint, &error.to_string());
+            }
             Err(error.to_string())
         }
         Err(_) => Err("the request's time was over".to_owned()),
@@ -320,6 +322,8 @@
         }
         let directory = gateway.directory();
         let Some(listed) = directory.get(endpoint) else { continue };
+        // Others that wait for the same endpoint need not check it as well.
+        gateway.heard(endpoint);
         let mut opening = pin!(gateway.upstream.open(listed.address));
         let opened = tokio::select! {
             result = operation.as_mut() => return Ok(result),
@@ -330,6 +334,7 @@
                 gateway.heard(endpoint);
                 gateway.recycle(connection, None);
             }
+            Err(error) if error.is_local() => log::warn!("endpoint cannot be checked: {error}"),
             Err(error) => {
                 unreachable(gateway, &call.service, endpoint, &error.to_string());
                 gateway.upstream.purge(listed.address);
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
         metrics::Metrics,
         protocol::Protocol,
         respond::{self, Body},
+        strain,
     },
     anyhow::Context,
     http_body_util::BodyExt,
@@ -65,6 +66,12 @@
 /// Time in which the rest of the process ends after the last answer, kept back from the grace of a stop.
 const EXIT_TIME: Duration = Duration::from_millis(400);
 
+/// Time between measurements of how late timers are.
+const STRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Idle connections kept for each endpoint. Descriptors are few, and most endpoints get a request now and then.
+const IDLE_CONNECTIONS: usize = 16;
+
 /// Where a configuration or a list of endpoints came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -138,6 +145,7 @@
     stopping: AtomicBool,
     /// Whether the store tells this router of changes.
     following: AtomicBool,
+    strain: Mutex<strain::Meter>,
 }
 
 impl Gateway {
@@ -158,7 +166,7 @@
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
                 user_timeout: USER_TIMEOUT,
-                ..upstream::Options::default()
+                idle_limit: IDLE_CONNECTIONS,
             }),
             metrics,
             catalog: RwLock::default(),
@@ -169,6 +177,7 @@
             routers: AtomicU32::new(u32::MAX),
             stopping: AtomicBool::new(false),
             following: AtomicBool::new(false),
+            strain: Mutex::default(),
             options,
         })
     }
@@ -255,7 +264,37 @@
     /// Whether requests can be served.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.catalog().is_some() && !self.directory().endpoints.is_empty()
+        !self.stopping()
+            && self.strain() == strain::State::Calm
+            && self.catalog().is_some()
+            && !self.directory().endpoints.is_empty()
+    }
+
+    /// How far the process is behind with its work.
+    pub(crate) fn strain(&self) -> strain::State {
+        lock(&self.strain).state()
+    }
+
+    /// Measures how late timers are, until the process ends.
+    async fn watch_strain(self: Arc<Self>) {
+        let mut before = strain::State::Calm;
+        loop {
+            let due = time::Instant::now() + STRAIN_INTERVAL;
+            time::sleep_until(due).await;
+            let (state, mean) = {
+                let mut meter = lock(&self.strain);
+                meter.sample(self.clock.now(), due.elapsed());
+                (meter.state(), meter.mean())
+            };
+            if state != before {
+                log::warn!(
+                    state:? = state, before:? = before, late_ms = exchange::millis(mean),
+                    in_flight = self.metrics.in_flight.get();
+                    "processor time is short or enough again"
+                );
+                before = state;
+            }
+        }
     }
 
     /// Whether the process is stopping.
@@ -401,6 +440,7 @@
             stopped.clone(),
             finish,
         ));
+        tokio::spawn(Arc::clone(&gateway).watch_strain());
         let mut status = vec![serve_status(&gateway, status_listener, stopped.clone())];
         if let Some(address) = options.metrics {
             let listener = bind(address, "metrics").await?;
@@ -453,7 +493,7 @@
 
 async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let mut response = exchange::handle(&gateway, request).await;
-    if gateway.stopping() {
+    if gateway.stopping() || gateway.strain() != strain::State::Calm {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod peers;
 pub mod protocol;
 pub mod respond;
+pub mod strain;
 pub mod stream;
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -31,13 +31,16 @@
     tokio::{
         net::TcpListener,
         sync::mpsc,
-        time::{self, Instant, MissedTickBehavior},
+        time::{self, Instant},
     },
 };
 
 /// Time between digests while there is something to tell.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between digests for each peer: a router sends and receives about 160 a second at most.
+const PEER_INTERVAL: Duration = Duration::from_millis(6);
+
 /// Digest intervals after which a digest is sent although nothing has changed.
 const IDLE_INTERVALS: u32 = 10;
 
@@ -212,12 +215,10 @@
 
     /// Sends digests, and asks for what is newer.
     async fn tell(self: Arc<Self>) {
-        let mut interval = time::interval(DIGEST_INTERVAL);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut idle = 0;
         let mut last_loads = Vec::new();
         loop {
-            interval.tick().await;
+            time::sleep(self.interval()).await;
             self.catch_up();
             let digest = self.digest();
             let same = digest.loads == last_loads;
@@ -227,10 +228,18 @@
             }
             idle = 0;
             last_loads.clone_from(&digest.loads);
-            self.send_all(&Message::Load(digest));
+            for part in digest.split() {
+                self.send_all(&Message::Load(part));
+            }
         }
     }
 
+    /// Time between digests: longer in a large fleet, so that each router's part in the exchange is bounded.
+    fn interval(&self) -> Duration {
+        let peers = u32::try_from(lock(&self.members).len()).unwrap_or(u32::MAX);
+        DIGEST_INTERVAL.max(PEER_INTERVAL.saturating_mul(peers))
+    }
+
     fn send_all(&self, message: &Message) {
         let to: Vec<(Node, SocketAddr)> = lock(&self.members)
             .iter()
--- a/siskin-net/src/upstream/mod.rs
+++ b/siskin-net/src/upstream/mod.rs
@@ -73,6 +73,21 @@
     },
 }
 
+impl Error {
+    /// Whether this process had no descriptor left, which says nothing of the endpoint.
+    #[must_use]
+    pub fn is_local(&self) -> bool {
+        let Self::Connect { source, .. } = self else { return false };
+        matches!(source.raw_os_error(), Some(PROCESS_FILES | SYSTEM_FILES))
+    }
+}
+
+/// Error number for too many open files in the process (`EMFILE`).
+const PROCESS_FILES: i32 = 24;
+
+/// Error number for too many open files in the system (`ENFILE`).
+const SYSTEM_FILES: i32 = 23;
+
 /// An open connection, taken from the pool or new.
 #[derive(Debug)]
 pub struct Connection {
--- a/siskin-wire/src/load.rs
+++ b/siskin-wire/src/load.rs
@@ -3,6 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     siskin_types::id::{Customer, Endpoint},
+    std::ops::RangeInclusive,
 };
 
 /// Load that one router has put on one endpoint.
@@ -38,17 +39,104 @@
     pub begun: u32,
 }
 
-/// What a router tells the others a few times a second. A lost digest is not repeated.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What a router tells the others a few times a second, in one or several datagrams. A lost one is not repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// Configuration version in force, 0 for none.
     pub config_version: u64,
     /// Revision of the newest change to the list of endpoints that the router has seen.
     pub directory_revision: u64,
-    /// All endpoints on which the router has load.
+    /// Numbers of the endpoints that `loads` speaks of. The router has no load on those between them that it leaves out.
+    pub covers: RangeInclusive<u32>,
+    /// Endpoints on which the router has load.
     pub loads: Vec<Load>,
     /// Parts sent to endpoints that were not known to keep them.
     pub kept: Vec<Kept>,
     /// Costs by customer.
     pub usages: Vec<Usage>,
 }
+
+impl Default for Digest {
+    fn default() -> Self {
+        Self {
+            config_version: 0,
+            directory_revision: 0,
+            covers: 0..=u32::MAX,
+            loads: Vec::new(),
+            kept: Vec::new(),
+            usages: Vec::new(),
+        }
+    }
+}
+
+/// Loads in one datagram.
+const LOADS_MAX: usize = 40;
+
+/// Kept parts in one datagram.
+const KEPT_MAX: usize = 16;
+
+/// Customers in one datagram.
+const USAGES_MAX: usize = 16;
+
+impl Digest {
+    /// Splits a digest into parts that each fit a datagram.
+    ///
+    /// ```
+    /// use {siskin_types::id::Endpoint, siskin_wire::load::{Digest, Load}};
+    /// let load = |id| Load { endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7 };
+    /// let parts = Digest { loads: (0..100).map(load).collect(), ..Digest::default() }.split();
+    /// assert_eq!(parts.len(), 3);
+    /// assert_eq!(parts.iter().map(|part| part.loads.len()).sum::<usize>(), 100);
+    /// assert_eq!((*parts[0].covers.start(), *parts[2].covers.end()), (0, u32::MAX));
+    /// ```
+    #[must_use]
+    pub fn split(mut self) -> Vec<Self> {
+        self.loads.sort_unstable_by_key(|load| load.endpoint);
+        let mut parts = Vec::new();
+        let mut start = 0;
+        loop {
+            let rest = self.loads.split_off(self.loads.len().min(LOADS_MAX));
+            let last = rest.is_empty();
+            let end = self.loads.last().filter(|_| !last).map_or(u32::MAX, |load| load.endpoint.0);
+            parts.push(Self {
+                covers: start..=end,
+                loads: std::mem::replace(&mut self.loads, rest),
+                kept: take(&mut self.kept, KEPT_MAX),
+                usages: take(&mut self.usages, USAGES_MAX),
+                config_version: self.config_version,
+                directory_revision: self.directory_revision,
+            });
+            start = end.saturating_add(1);
+            if last && self.kept.is_empty() && self.usages.is_empty() {
+                return parts;
+            }
+            if last {
+                // The remaining parts speak of no endpoint's load.
+                parts.extend(self.without_loads());
+                return parts;
+            }
+        }
+    }
+
+    /// Parts for what is left beside the loads.
+    #[expect(clippy::reversed_empty_ranges, reason = "the empty range: no endpoint is spoken of")]
+    fn without_loads(&mut self) -> Vec<Self> {
+        let mut parts = Vec::new();
+        while !(self.kept.is_empty() && self.usages.is_empty()) {
+            parts.push(Self {
+                config_version: self.config_version,
+                directory_revision: self.directory_revision,
+                covers: 1..=0,
+                loads: Vec::new(),
+                kept: take(&mut self.kept, KEPT_MAX),
+                usages: take(&mut self.usages, USAGES_MAX),
+            });
+        }
+        parts
+    }
+}
+
+/// Takes at most this many items from the front.
+fn take<T>(items: &mut Vec<T>, count: usize) -> Vec<T> {
+    items.drain(..items.len().min(count)).collect()
+}
