--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -2,13 +2,11 @@
 
 mod choose;
 mod endpoint;
-mod pace;
 
 use {
     crate::prompt::Prompt,
     endpoint::State,
     indexmap::IndexMap,
-    pace::Pace,
     siskin_route::health::{self, Tracker},
     siskin_types::{
         id::{Endpoint, Node},
@@ -37,8 +35,6 @@
     pub prompt: Prompt,
     /// Time within which the answer has to begin to be worth its full value.
     pub aim: Duration,
-    /// Longest pause between events of a stream that is still on time.
-    pub pause: Option<Duration>,
     /// Time that is left for the whole answer.
     pub allowed: Duration,
     /// Share of the aim that the request may wait at an endpoint. Beyond it, the request is refused.
@@ -85,7 +81,6 @@
     /// Expected time of one request at an endpoint.
     mean_time: Duration,
     kept: Vec<load::Kept>,
-    pace: Pace,
 }
 
 impl Default for Pool {
@@ -99,7 +94,6 @@
             }),
             mean_time: endpoint::MEAN_TIME_FIRST,
             kept: Vec::new(),
-            pace: Pace::default(),
         }
     }
 }
@@ -135,7 +129,6 @@
 
     /// The request is about to be sent.
     pub fn sent(&mut self, now: Instant, endpoint: Endpoint, prompt: &Prompt) -> Flight {
-        let share = self.pace.share();
         let mut flight = Flight { endpoint, since: now, tokens: 0, ahead: 0, answering: false };
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return flight };
         flight.ahead = state.backlog(now);
@@ -146,7 +139,7 @@
                 self.kept.push(load::Kept { endpoint, chain: part.chain });
             }
         }
-        state.sent(now, share, prompt, flight.tokens);
+        state.sent(prompt, flight.tokens);
         flight
     }
 
@@ -160,17 +153,6 @@
         state.learn_rate(flight.ahead + flight.tokens, now - flight.since);
     }
 
-    /// A stream of an engine paused this long between two events, and may pause for `aim`.
-    pub fn paused(&mut self, pause: Duration, aim: Duration) {
-        self.pace.sample(pause, aim);
-    }
-
-    /// Share of their time in which engines are given prompts to read.
-    #[must_use]
-    pub const fn reading_share(&self) -> f64 {
-        self.pace.share()
-    }
-
     /// The request is no longer at the endpoint.
     pub fn ended(&mut self, now: Instant, flight: &Flight, end: End) {
         let Some(state) = self.endpoints.get_mut(&flight.endpoint) else { return };
@@ -194,11 +176,10 @@
 
     /// A peer's load. It replaces what the peer said before.
     pub fn hear(&mut self, now: Instant, node: Node, digest: &load::Digest) {
-        let share = self.pace.share();
         let covered = self.endpoints.iter_mut().filter(|(id, _)| digest.covers.contains(&id.0));
         for (id, state) in covered {
             let load = digest.loads.iter().find(|load| load.endpoint == *id);
-            state.hear(now, share, node, load);
+            state.hear(now, node, load);
         }
         for kept in &digest.kept {
             if let Some(state) = self.endpoints.get_mut(&kept.endpoint) {
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -147,7 +147,7 @@
 
     /// Expected time until an endpoint turns to a request that is sent now.
     fn ahead(&self, now: Instant, state: &State) -> Duration {
-        let reading = state.reading_time(state.queued(now, self.pace.share()));
+        let reading = state.reading_time(state.backlog(now));
         let excess = (state.in_flight_all(now) + 1).saturating_sub(state.slots);
         reading + self.mean_time * excess / state.slots
     }
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -58,26 +58,6 @@
     pub leaving: bool,
 }
 
-/// Queue of an engine that reads at a part of its real speed.
-#[derive(Clone, Copy, Debug, Default)]
-struct Queue {
-    tokens: u64,
-    at: Instant,
-}
-
-impl Queue {
-    /// Tokens that are left, for an engine that reads `rate` tokens per millisecond.
-    fn level(&self, now: Instant, rate: f64) -> u64 {
-        let drained = (now - self.at).as_secs_f64() * 1_000.0 * rate;
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        self.tokens.saturating_sub(drained as u64)
-    }
-
-    fn add(&mut self, now: Instant, rate: f64, tokens: u64) {
-        *self = Self { tokens: self.level(now, rate) + tokens, at: now };
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     at: Instant,
@@ -95,7 +75,6 @@
     pub(super) cache: Cache,
     in_flight: u32,
     backlog: u64,
-    queue: Queue,
     /// Prompt tokens sent by this router, modulo 2^32.
     read: u32,
     peers: IndexMap<Node, Peer>,
@@ -116,7 +95,6 @@
             cache: Cache::new(info.memory_tokens),
             in_flight: 0,
             backlog: 0,
-            queue: Queue::default(),
             read: 0,
             peers: IndexMap::new(),
             rate: RATE_FIRST,
@@ -150,12 +128,6 @@
         self.backlog + self.peers(now).map(|peer| peer.backlog).sum::<u64>()
     }
 
-    /// Prompt tokens of all routers that the engine is to be given time for if it may read for this share of its time.
-    pub(super) fn queued(&self, now: Instant, share: f64) -> u64 {
-        let backlog = self.backlog(now);
-        if share < 1.0 { self.queue.level(now, self.rate * share).max(backlog) } else { backlog }
-    }
-
     /// Time to read this many tokens.
     pub(super) fn reading_time(&self, tokens: u64) -> Duration {
         #[expect(clippy::cast_precision_loss)]
@@ -171,8 +143,7 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
-    pub(super) fn sent(&mut self, now: Instant, share: f64, prompt: &Prompt, tokens: u64) {
-        self.queue.add(now, self.rate * share, tokens);
+    pub(super) fn sent(&mut self, prompt: &Prompt, tokens: u64) {
         self.in_flight += 1;
         self.backlog += tokens;
         self.read = self.read.wrapping_add(u32::try_from(tokens).unwrap_or(u32::MAX));
@@ -206,7 +177,7 @@
         self.full_until = Some(now + FULL_TIME);
     }
 
-    pub(super) fn hear(&mut self, now: Instant, share: f64, node: Node, load: Option<&Load>) {
+    pub(super) fn hear(&mut self, now: Instant, node: Node, load: Option<&Load>) {
         let Some(load) = load else {
             if let Some(peer) = self.peers.get_mut(&node) {
                 *peer = Peer { at: now, read: peer.read, ..Peer::default() };
@@ -227,7 +198,6 @@
         let read = u64::from(load.read.wrapping_sub(before));
         if read < u64::from(u32::MAX / 2) {
             self.cache.advance(read);
-            self.queue.add(now, self.rate * share, read);
         }
     }
 
--- a/siskin-dispatch/tests/main/fixture.rs
+++ b/siskin-dispatch/tests/main/fixture.rs
@@ -36,7 +36,6 @@
     Demand {
         prompt: Prompt::new("m", [(1, 500), (1_000 + subject, 4_500), (u64::from(own) << 32, own)]),
         aim: Duration::from_millis(800),
-        pause: None,
         allowed: Duration::from_secs(15),
         patience: 0.7,
         own_weight: 1.0,
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -88,7 +88,6 @@
         demand: Demand {
             prompt: head.prompt,
             aim: route.aim,
-            pause: route.pause_aim,
             allowed,
             patience: 1.0,
             own_weight: 1.0,
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -7,7 +7,6 @@
         exchange::{Call, Flying, Open, connect, head_of, log_end, wait},
         gateway::Gateway,
         respond::Body,
-        strain,
     },
     bytes::Bytes,
     futures_util::stream,
@@ -34,8 +33,6 @@
     status: u16,
     started: bool,
     ended: bool,
-    /// When the last part came.
-    received_at: Instant,
 }
 
 /// The endpoint's part of a stream.
@@ -63,7 +60,6 @@
         status: head.status().as_u16(),
         started: false,
         ended: false,
-        received_at: Instant::now(),
     };
     let parts = stream::unfold(flow, |mut flow| async move {
         let part = flow.next().await?;
@@ -116,7 +112,6 @@
     /// Takes a part from the endpoint and returns what the caller gets of it.
     fn received(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let bytes = frame.into_data().ok()?;
-        self.note_pause();
         if let Some(run) = &mut self.run {
             self.gateway.heard(run.flying.endpoint());
             if !self.started {
@@ -131,20 +126,6 @@
         (!whole.is_empty()).then(|| whole.into())
     }
 
-    /// Tells the pool how long the stream has paused, unless this process itself is late.
-    fn note_pause(&mut self) {
-        let pause = self.received_at.elapsed();
-        self.received_at = Instant::now();
-        let Some(aim) = self.call.demand.pause.filter(|_| self.started) else { return };
-        if self.gateway.strain() == strain::State::Calm {
-            self.gateway.table(|table| {
-                if let Some(pool) = table.pools.get_mut(&self.call.service) {
-                    pool.paused(pause, aim);
-                }
-            });
-        }
-    }
-
     fn complete(&mut self) {
         self.ended = true;
         if let Some(Run { connection, mut flying, .. }) = self.run.take() {
