--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -131,7 +131,7 @@
     pub fn sent(&mut self, now: Instant, endpoint: Endpoint, prompt: &Prompt) -> Flight {
         let mut flight = Flight { endpoint, since: now, tokens: 0, ahead: 0, answering: false };
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return flight };
-        flight.ahead = state.backlog(now);
+        flight.ahead = state.backlog();
         flight.tokens = prompt.tokens() - state.cache.cached(prompt);
         let shared = prompt.parts().len().saturating_sub(1);
         for part in &prompt.parts()[..shared] {
@@ -188,8 +188,11 @@
         }
     }
 
-    /// Adds this router's load to a digest.
-    pub fn report(&mut self, digest: &mut load::Digest) {
+    /// Adds this router's load to a digest, and forgets that of peers that fell silent.
+    pub fn report(&mut self, now: Instant, digest: &mut load::Digest) {
+        for state in self.endpoints.values_mut() {
+            state.expire(now);
+        }
         digest.kept.append(&mut self.kept);
         digest.loads.extend(self.endpoints.iter().filter_map(|(id, state)| state.report(*id)));
     }
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -122,12 +122,12 @@
             return Err(refusal(Why::Unreachable, demand, Duration::ZERO));
         };
         let tokens = demand.prompt.tokens() - state.cache.cached(&demand.prompt);
-        let ahead = self.ahead(now, state);
+        let ahead = self.ahead(state);
         let own = state.reading_time(tokens);
         let patience = demand.aim.mul_f64(demand.patience);
         // A long prompt takes the time of several short ones, and makes the engine late for them.
         let counted = own.mul_f64(demand.own_weight);
-        let counted = if self.idle(now, state) { counted.min(patience / 2) } else { counted };
+        let counted = if self.idle(state) { counted.min(patience / 2) } else { counted };
         if ahead + counted > patience.min(demand.allowed) {
             return Err(refusal(Why::Busy, demand, ahead + counted));
         }
@@ -135,20 +135,20 @@
             endpoint: **id,
             wait: ahead + own,
             tokens,
-            backlog: state.backlog(now),
-            in_flight: state.in_flight_all(now),
+            backlog: state.backlog(),
+            in_flight: state.in_flight_all(),
         })
     }
 
     /// Whether an endpoint has so little to do that a long prompt delays nobody.
-    fn idle(&self, now: Instant, state: &State) -> bool {
-        self.ahead(now, state) < IDLE_AHEAD && state.in_flight_all(now) < state.slots / IDLE_SLOTS
+    fn idle(&self, state: &State) -> bool {
+        self.ahead(state) < IDLE_AHEAD && state.in_flight_all() < state.slots / IDLE_SLOTS
     }
 
     /// Expected time until an endpoint turns to a request that is sent now.
-    fn ahead(&self, now: Instant, state: &State) -> Duration {
-        let reading = state.reading_time(state.backlog(now));
-        let excess = (state.in_flight_all(now) + 1).saturating_sub(state.slots);
+    fn ahead(&self, state: &State) -> Duration {
+        let reading = state.reading_time(state.backlog());
+        let excess = (state.in_flight_all() + 1).saturating_sub(state.slots);
         reading + self.mean_time * excess / state.slots
     }
 }
@@ -156,11 +156,16 @@
 /// The two endpoints on which all routers place a subject, by rendezvous hashing.
 fn homes(demand: &Demand, endpoints: impl Iterator<Item = Endpoint>) -> [Option<Endpoint>; 2] {
     let Some(subject) = demand.prompt.subject() else { return [None; 2] };
-    let mut ranked: Vec<(u64, Endpoint)> =
-        endpoints.map(|id| (mix(u64::from(subject.chain), u64::from(id.0)), id)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let mut ranked = ranked.into_iter().map(|(_, id)| id);
-    [ranked.next(), ranked.next()]
+    let mut best: [Option<(u64, Endpoint)>; 2] = [None; 2];
+    for id in endpoints {
+        let ranked = Some((mix(u64::from(subject.chain), u64::from(id.0)), id));
+        if ranked > best[0] {
+            best = [ranked, best[0]];
+        } else if ranked > best[1] {
+            best[1] = ranked;
+        }
+    }
+    best.map(|ranked| ranked.map(|(_, id)| id))
 }
 
 /// What speaks against an endpoint, in tokens to be read.
@@ -179,12 +184,12 @@
         [_, Some(second)] if second == id => weighed(shared, REPLICA_WEIGHT / 2.0),
         _ => weighed(shared, REPLICA_WEIGHT),
     };
-    let in_flight = state.in_flight_all(now);
+    let in_flight = state.in_flight_all();
     let running = u64::from(in_flight) * RUNNING_TOKENS * 64 / u64::from(state.slots);
     let full = if in_flight >= state.slots || state.full(now) { FULL_TOKENS } else { 0 };
     let failing = weighed(FAILING_TOKENS, state.failing());
     let far = if state.near { 0 } else { FAR_TOKENS };
-    state.backlog(now) + tokens + replica + running + full + failing + far
+    state.backlog() + tokens + replica + running + full + failing + far
 }
 
 fn refusal(why: Why, demand: &Demand, wait: Duration) -> Refusal {
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -78,6 +78,9 @@
     /// Prompt tokens sent by this router, modulo 2^32.
     read: u32,
     peers: IndexMap<Node, Peer>,
+    /// Sums over `peers`, kept up to date because every choice asks every endpoint for them.
+    peers_in_flight: u32,
+    peers_backlog: u64,
     /// Tokens per millisecond.
     rate: f64,
     /// Share of recent answers that were failures.
@@ -97,6 +100,8 @@
             backlog: 0,
             read: 0,
             peers: IndexMap::new(),
+            peers_in_flight: 0,
+            peers_backlog: 0,
             rate: RATE_FIRST,
             failing: 0.0,
             full_until: None,
@@ -119,13 +124,13 @@
     }
 
     /// Requests of all routers.
-    pub(super) fn in_flight_all(&self, now: Instant) -> u32 {
-        self.in_flight + self.peers(now).map(|peer| peer.in_flight).sum::<u32>()
+    pub(super) const fn in_flight_all(&self) -> u32 {
+        self.in_flight + self.peers_in_flight
     }
 
     /// Prompt tokens of all routers' requests that have not begun to answer.
-    pub(super) fn backlog(&self, now: Instant) -> u64 {
-        self.backlog + self.peers(now).map(|peer| peer.backlog).sum::<u64>()
+    pub(super) const fn backlog(&self) -> u64 {
+        self.backlog + self.peers_backlog
     }
 
     /// Time to read this many tokens.
@@ -178,21 +183,20 @@
     }
 
     pub(super) fn hear(&mut self, now: Instant, node: Node, load: Option<&Load>) {
+        let before = self.peers.get(&node).copied();
         let Some(load) = load else {
-            if let Some(peer) = self.peers.get_mut(&node) {
-                *peer = Peer { at: now, read: peer.read, ..Peer::default() };
+            if let Some(before) = before {
+                self.set_peer(node, Peer { at: now, read: before.read, ..Peer::default() });
             }
             return;
         };
-        let before = self.peers.insert(
-            node,
-            Peer {
-                at: now,
-                in_flight: load.in_flight,
-                backlog: u64::from(load.backlog),
-                read: load.read,
-            },
-        );
+        let peer = Peer {
+            at: now,
+            in_flight: load.in_flight,
+            backlog: u64::from(load.backlog),
+            read: load.read,
+        };
+        self.set_peer(node, peer);
         let before = before.map_or(load.read, |peer| peer.read);
         // A peer that started anew counts from zero; the difference is then large and is left out.
         let read = u64::from(load.read.wrapping_sub(before));
@@ -210,8 +214,28 @@
         })
     }
 
-    fn peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |peer| now - peer.at < PEER_LIFETIME)
+    /// Forgets the load of peers that have not been heard of for a while.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let (mut in_flight, mut backlog) = (0, 0);
+        for peer in self.peers.values_mut() {
+            if now - peer.at >= PEER_LIFETIME {
+                peer.in_flight = 0;
+                peer.backlog = 0;
+            }
+            in_flight += peer.in_flight;
+            backlog += peer.backlog;
+        }
+        self.peers_in_flight = in_flight;
+        self.peers_backlog = backlog;
+    }
+
+    fn set_peer(&mut self, node: Node, peer: Peer) {
+        self.peers_in_flight += peer.in_flight;
+        self.peers_backlog += peer.backlog;
+        if let Some(before) = self.peers.insert(node, peer) {
+            self.peers_in_flight -= before.in_flight;
+            self.peers_backlog -= before.backlog;
+        }
     }
 }
 
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -253,10 +253,11 @@
 
     fn digest(&self) -> Digest {
         let (config_version, directory_revision) = self.versions();
+        let now = self.gateway.clock.now();
         let mut digest = Digest { config_version, directory_revision, ..Digest::default() };
         self.gateway.table(|table| {
             for pool in table.pools.values_mut() {
-                pool.report(&mut digest);
+                pool.report(now, &mut digest);
             }
             digest.usages = table
                 .usages
--- a/siskin-gateway/src/strain.rs
+++ b/siskin-gateway/src/strain.rs
@@ -16,10 +16,10 @@
 const RELIEVED: Duration = Duration::from_millis(10);
 
 /// Mean lateness from which requests are refused: they would lose much of their time here.
-const OVERLOADED: Duration = Duration::from_millis(120);
+const OVERLOADED: Duration = Duration::from_millis(60);
 
-/// Shortest time that a strained process stays so, for the platform to ask its readiness twice.
-const HOLD: Duration = Duration::from_secs(3);
+/// Shortest time that a strained process stays so: its callers should find a VM with more to give, not come back at once.
+const HOLD: Duration = Duration::from_secs(8);
 
 /// Samples longer than this come from a process that stood still, not from one that is busy.
 const STOOD_STILL: Duration = Duration::from_secs(1);
@@ -49,9 +49,9 @@
 ///     meter.state()
 /// };
 /// assert_eq!(feed(2, 100), State::Calm);
-/// assert_eq!(feed(80, 20), State::Strained);
+/// assert_eq!(feed(50, 100), State::Strained);
 /// assert_eq!(feed(300, 40), State::Overloaded);
-/// assert_eq!(feed(0, 200), State::Calm);
+/// assert_eq!(feed(0, 400), State::Calm);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Meter {
