--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -36,6 +36,9 @@
 /// Prompt tokens below which the time of an answer says little about the speed of reading.
 const RATE_TOKENS_MIN: u64 = 4_000;
 
+/// Answers after which a learned reading speed counts.
+const SAMPLES_MIN: u32 = 20;
+
 /// Reading speed assumed before it is known, in tokens per millisecond.
 const RATE_FIRST: f64 = 40.0;
 
@@ -64,6 +67,7 @@
     in_flight: u32,
     backlog: u64,
     read: u32,
+    rate: u16,
 }
 
 #[derive(Debug)]
@@ -81,8 +85,12 @@
     /// Sums over `peers`, kept up to date because every choice asks every endpoint for them.
     peers_in_flight: u32,
     peers_backlog: u64,
-    /// Tokens per millisecond.
+    /// Tokens per millisecond, as this router has seen.
     rate: f64,
+    /// Answers from which `rate` was learned.
+    samples: u32,
+    /// Mean of what all routers have seen. All reckon with the same speed, or the customers of one would get more.
+    shared_rate: f64,
     /// Share of recent answers that were failures.
     failing: f64,
     full_until: Option<Instant>,
@@ -103,6 +111,8 @@
             peers_in_flight: 0,
             peers_backlog: 0,
             rate: RATE_FIRST,
+            samples: 0,
+            shared_rate: RATE_FIRST,
             failing: 0.0,
             full_until: None,
         }
@@ -136,7 +146,7 @@
     /// Time to read this many tokens.
     pub(super) fn reading_time(&self, tokens: u64) -> Duration {
         #[expect(clippy::cast_precision_loss)]
-        Duration::from_secs_f64(tokens as f64 / self.rate / 1_000.0)
+        Duration::from_secs_f64(tokens as f64 / self.shared_rate / 1_000.0)
     }
 
     /// Share of recent answers that were failures.
@@ -170,6 +180,7 @@
         }
         #[expect(clippy::cast_precision_loss)]
         let sample = tokens as f64 / time.as_secs_f64() / 1_000.0;
+        self.samples = self.samples.saturating_add(1);
         self.rate += (sample.clamp(RATE_MIN, RATE_MAX) - self.rate) * SAMPLE_WEIGHT;
     }
 
@@ -186,7 +197,7 @@
         let before = self.peers.get(&node).copied();
         let Some(load) = load else {
             if let Some(before) = before {
-                self.set_peer(node, Peer { at: now, read: before.read, ..Peer::default() });
+                self.set_peer(node, Peer { at: now, in_flight: 0, backlog: 0, ..before });
             }
             return;
         };
@@ -195,6 +206,7 @@
             in_flight: load.in_flight,
             backlog: u64::from(load.backlog),
             read: load.read,
+            rate: load.rate,
         };
         self.set_peer(node, peer);
         let before = before.map_or(load.read, |peer| peer.read);
@@ -211,20 +223,37 @@
             in_flight: self.in_flight,
             backlog: u32::try_from(self.backlog).unwrap_or(u32::MAX),
             read: self.read,
+            rate: self.learned_rate().map_or(0, whole),
         })
     }
 
-    /// Forgets the load of peers that have not been heard of for a while.
+    /// What this router has learned of the reading speed, once that says something.
+    fn learned_rate(&self) -> Option<f64> {
+        (self.samples >= SAMPLES_MIN).then_some(self.rate)
+    }
+
+    /// Forgets the load of peers that have not been heard of for a while, and takes the mean of the learned speeds.
     pub(super) fn expire(&mut self, now: Instant) {
         let (mut in_flight, mut backlog) = (0, 0);
+        let (mut rates, mut count) = match self.learned_rate() {
+            Some(rate) => (rate, 1.0),
+            None => (0.0, 0.0),
+        };
         for peer in self.peers.values_mut() {
             if now - peer.at >= PEER_LIFETIME {
                 peer.in_flight = 0;
                 peer.backlog = 0;
             }
+            if peer.rate > 0 {
+                rates += f64::from(peer.rate);
+                count += 1.0;
+            }
             in_flight += peer.in_flight;
             backlog += peer.backlog;
         }
+        if count > 0.0 {
+            self.shared_rate = rates / count;
+        }
         self.peers_in_flight = in_flight;
         self.peers_backlog = backlog;
     }
@@ -239,6 +268,12 @@
     }
 }
 
+/// A rate as a whole number.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(rate: f64) -> u16 {
+    rate.clamp(1.0, f64::from(u16::MAX)) as u16
+}
+
 /// A running average of times.
 pub(super) fn averaged(mean: Duration, sample: Duration) -> Duration {
     mean.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -2,3 +2,4 @@
 
 mod fixture;
 mod large_prompt;
+mod shared_speed;
--- /dev/null
+++ b/siskin-dispatch/tests/main/shared_speed.rs
@@ -0,0 +1,49 @@
+//! Load: two customers of the same size, each with all its connections at one router. Routers that have learned different
+//! speeds of the same engines would refuse one customer at a wait at which they serve the other.
+
+use {
+    crate::fixture::{NOW, demand, engines},
+    googletest::prelude::*,
+    siskin_dispatch::pool::{End, Pool},
+    siskin_types::{
+        id::{Endpoint, Node},
+        time::Instant,
+    },
+    siskin_wire::load::Digest,
+    std::time::Duration,
+};
+
+/// Lets a router see prompts of 20,000 tokens read at some speed, and tells what it would tell its peers.
+fn learn(pool: &mut Pool, tokens_per_ms: u64, requests: u64) -> Instant {
+    let mut now = NOW;
+    for subject in 0..requests {
+        let prompt = demand(1_000 + subject, 15_000).prompt;
+        let mut flight = pool.sent(now, Endpoint(1), &prompt);
+        now = now + Duration::from_millis(20_000 / tokens_per_ms);
+        pool.began(now, &mut flight);
+        pool.ended(now, &flight, End::Completed);
+    }
+    now
+}
+
+fn digest(pool: &mut Pool, now: Instant) -> Digest {
+    // A router tells of endpoints on which it has load.
+    pool.sent(now, Endpoint(1), &demand(1, 0).prompt);
+    let mut digest = Digest::default();
+    pool.report(now, &mut digest);
+    digest
+}
+
+/// Guards against a share of capacity that depends on the router at which a customer's connections end.
+#[googletest::test]
+fn routers_reckon_with_the_same_speed() {
+    let (mut fast, mut slow) = (engines(1), engines(1));
+    let now = learn(&mut fast, 80, 200).max(learn(&mut slow, 40, 200));
+    let (from_fast, from_slow) = (digest(&mut fast, now), digest(&mut slow, now));
+    fast.hear(now, Node(2), &from_slow);
+    slow.hear(now, Node(1), &from_fast);
+    fast.report(now, &mut Digest::default());
+    slow.report(now, &mut Digest::default());
+    let wait = |pool: &Pool| pool.choose(now, &demand(7, 500), &[]).unwrap().wait.as_millis();
+    expect_that!(wait(&fast).abs_diff(wait(&slow)), le(3), "{} and {}", wait(&fast), wait(&slow));
+}
--- a/siskin-wire/src/load.rs
+++ b/siskin-wire/src/load.rs
@@ -17,6 +17,8 @@
     pub backlog: u32,
     /// Prompt tokens sent since the router started, modulo 2^32.
     pub read: u32,
+    /// Prompt tokens per millisecond that the endpoint reads, as this router has seen; 0 if it does not know.
+    pub rate: u16,
 }
 
 /// A part of a prompt that an endpoint now keeps.
@@ -83,7 +85,7 @@
     ///
     /// ```
     /// use {siskin_types::id::Endpoint, siskin_wire::load::{Digest, Load}};
-    /// let load = |id| Load { endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7 };
+    /// let load = |id| Load { endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7, rate: 50 };
     /// let parts = Digest { loads: (0..100).map(load).collect(), ..Digest::default() }.split();
     /// assert_eq!(parts.len(), 3);
     /// assert_eq!(parts.iter().map(|part| part.loads.len()).sum::<usize>(), 100);
