--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -8,7 +8,7 @@
         metrics::Metrics,
         protocol::Protocol,
         respond::{self, Body},
-        strain,
+        seed, strain,
     },
     anyhow::Context,
     http_body_util::BodyExt,
@@ -99,6 +99,8 @@
     pub listen: SocketAddr,
     /// Where readiness and metrics are served.
     pub status: SocketAddr,
+    /// Where other routers ask for the configuration.
+    pub control: Option<SocketAddr>,
     /// Where metrics are served as well, at a port that does not change.
     pub metrics: Option<SocketAddr>,
     /// Path of the readiness check.
@@ -415,6 +417,7 @@
     gateway: Arc<Gateway>,
     stop: watch::Sender<bool>,
     address: SocketAddr,
+    control: Option<SocketAddr>,
     callers: JoinHandle<bool>,
     status: Vec<JoinHandle<bool>>,
 }
@@ -442,11 +445,17 @@
         ));
         tokio::spawn(Arc::clone(&gateway).watch_strain());
         let mut status = vec![serve_status(&gateway, status_listener, stopped.clone())];
+        let mut control = None;
+        if let Some(address) = options.control {
+            let listener = bind(address, "other routers").await?;
+            control = listener.local_addr().ok();
+            status.push(serve_status(&gateway, listener, stopped.clone()));
+        }
         if let Some(address) = options.metrics {
             let listener = bind(address, "metrics").await?;
             status.push(serve_status(&gateway, listener, stopped));
         }
-        Ok(Self { gateway, stop, address, callers, status })
+        Ok(Self { gateway, stop, address, control, callers, status })
     }
 
     /// Address for callers.
@@ -455,6 +464,12 @@
         self.address
     }
 
+    /// Address for other routers that ask for the configuration.
+    #[must_use]
+    pub const fn control(&self) -> Option<SocketAddr> {
+        self.control
+    }
+
     /// Fails readiness at once, tells callers to close, accepts connections for the notice, and finishes what is in
     /// flight within the grace.
     pub async fn stop(self) {
@@ -507,6 +522,7 @@
         path if path == gateway.options.ready_path => {
             respond::explained(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
+        seed::PATH => seed::answer(gateway),
         "/metrics" => Response::new(respond::full(gateway.metrics.page())),
         _ => respond::explained(StatusCode::NOT_FOUND, "use the readiness path or /metrics"),
     }
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod peers;
 pub mod protocol;
 pub mod respond;
+pub mod seed;
 pub mod strain;
 pub mod stream;
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -50,10 +50,15 @@
 
 /// A gateway that knows nothing yet and listens on free ports.
 pub(crate) fn gateway() -> Arc<Gateway> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    gateway_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+/// A gateway that knows nothing yet and listens at this address.
+pub(crate) fn gateway_at(any: SocketAddr) -> Arc<Gateway> {
     let options = Options {
         listen: any,
         status: any,
+        control: Some(any),
         metrics: None,
         ready_path: "/ready".to_owned(),
         data_centre: "east".to_owned(),
@@ -151,6 +156,11 @@
         Self { server, address }
     }
 
+    /// Where other routers ask for the configuration.
+    pub(crate) fn control(&self) -> SocketAddr {
+        self.server.control().unwrap()
+    }
+
     pub(crate) async fn stop(self) {
         self.server.stop().await;
     }
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -5,3 +5,4 @@
 mod fixture;
 mod outcome;
 mod resume;
+mod seed;
