--- a/siskin-ctl/src/arguments.rs
+++ b/siskin-ctl/src/arguments.rs
@@ -30,6 +30,7 @@
     suspects list                      print requests suspected of crashing endpoints
     suspects lift FINGERPRINT          no longer suspect a request
     status                             print the state of the router and of its view of the fleet
+    explain REQUEST [FILE...]          print what log files, or standard input, tell of a request
 
 The token of the operators' interface comes from --token-file or SISKIN_OPERATOR_TOKEN.
 Exit codes: 0 success, 2 bad usage, 3 stale patch, 1 any other failure.";
@@ -38,6 +39,8 @@
 pub(crate) enum Request {
     /// Print a text and stop.
     Print(String),
+    /// Tell the story of a request from log files; needs no router.
+    Explain { request: String, files: Vec<String> },
     /// Run a command.
     Run(Arguments),
 }
@@ -118,6 +121,11 @@
         if matches.opt_present("version") {
             return Ok(Request::Print(format!("siskinctl {}\n", env!("CARGO_PKG_VERSION"))));
         }
+        if let [command, request, files @ ..] = matches.free.as_slice()
+            && command == "explain"
+        {
+            return Ok(Request::Explain { request: request.clone(), files: files.to_vec() });
+        }
         let command = Command::from_matches(&matches)?;
         refuse_unused(&command, &matches)?;
         let format = format(&matches)?;
--- a/siskin-ctl/src/main.rs
+++ b/siskin-ctl/src/main.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod client;
 mod command;
+mod explain;
 mod output;
 mod patch;
 
@@ -27,6 +28,12 @@
     };
     let arguments = match request {
         Request::Print(text) => return print(&text),
+        Request::Explain { request, files } => {
+            return match explain::run(&request, &files) {
+                Ok(text) => print(&text),
+                Err(error) => fail(&error),
+            };
+        }
         Request::Run(arguments) => arguments,
     };
     match run(&arguments) {
--- a/siskin-ctl/tests/main/main.rs
+++ b/siskin-ctl/tests/main/main.rs
@@ -2,5 +2,6 @@
 #![allow(missing_docs, reason = "tests describe themselves")]
 
 mod commands;
+mod explain;
 mod router;
 mod standin;
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -20,7 +20,7 @@
         sizes::Class,
     },
     siskin_types::id::Endpoint,
-    std::{sync::Arc, time::Duration},
+    std::{fmt, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -63,7 +63,7 @@
 
 async fn run(gateway: &Arc<Gateway>, call: Arc<Call>) -> Response<Body> {
     gateway.count_request(&call.service);
-    let patience = patience(gateway, &call);
+    let (patience, got) = patience(gateway, &call);
     let (class, own_weight) = size(gateway, &call);
     let mut tried = Vec::new();
     let mut sends = 0;
@@ -71,7 +71,14 @@
     loop {
         let placement = match choose(gateway, &call, (patience, own_weight), &tried) {
             Ok(placement) => placement,
-            Err(refusal) => return refuse(gateway, &call, refusal, sends),
+            Err(refusal) => {
+                log::info!(
+                    request:% = call.id, patience:% = Short(patience), got:% = Short(got),
+                    own_weight:% = Short(own_weight), tokens = call.demand.prompt.tokens(), tried = tried.len();
+                    "no endpoint would begin soon enough"
+                );
+                return refuse(gateway, &call, refusal, sends);
+            }
         };
         let connection = match attempt::connect(gateway, &call, placement.endpoint).await {
             Ok(connection) => connection,
@@ -94,7 +101,7 @@
             }
         };
         sends += 1;
-        log_send(&call, &placement, sends, patience);
+        log_send(&call, &placement, sends, (patience, got));
         if sends == 1 {
             begun(gateway, &call, class);
         }
@@ -146,16 +153,17 @@
     }
 }
 
-/// Counts what the customer asked for, and tells how long the request may wait.
-fn patience(gateway: &Gateway, call: &Call) -> f64 {
-    let (Some(account), true) = (&call.account, call.cost > 0) else { return 1.0 };
+/// Counts what the customer asked for, and tells how long the request may wait and what part of its share the customer
+/// got.
+fn patience(gateway: &Gateway, call: &Call) -> (f64, f64) {
+    let (Some(account), true) = (&call.account, call.cost > 0) else { return (1.0, 0.0) };
     let now = gateway.clock.now();
     gateway.table(|table| {
         let standing = table.ledger.standing(now, account.id);
         let asked = Usage { asked: call.cost, begun: 0 };
         table.ledger.add(now, account.id, asked);
         table.usages.entry(account.id).or_default().asked += call.cost;
-        admit::patience(&standing)
+        (admit::patience(&standing), standing.filled())
     })
 }
 
@@ -233,9 +241,10 @@
     );
 }
 
-fn log_send(call: &Call, placement: &Placement, sends: u32, patience: f64) {
+fn log_send(call: &Call, placement: &Placement, sends: u32, (patience, got): (f64, f64)) {
     log::info!(
-        request:% = call.id, endpoint:% = placement.endpoint, sends, patience,
+        request:% = call.id, endpoint:% = placement.endpoint, sends,
+        patience:% = Short(patience), got:% = Short(got),
         wait_ms = millis(placement.wait), tokens = placement.tokens, backlog = placement.backlog,
         in_flight = placement.in_flight, waited_ms = millis(call.arrived.elapsed());
         "request sent"
@@ -263,3 +272,12 @@
 pub(crate) fn end_of(status: StatusCode) -> End {
     if status.is_server_error() { End::Failed } else { End::Completed }
 }
+
+/// A share with two digits.
+struct Short(f64);
+
+impl fmt::Display for Short {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.2}", self.0)
+    }
+}
