--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -139,7 +139,7 @@
                 self.kept.push(load::Kept { endpoint, chain: part.chain });
             }
         }
-        state.sent(prompt, flight.tokens);
+        state.sent(now, prompt, flight.tokens);
         flight
     }
 
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -24,7 +24,10 @@
 const FAILING_TOKENS: u64 = 120_000;
 
 /// Tokens that count for an endpoint in another data centre.
-const FAR_TOKENS: u64 = 150;
+const FAR_TOKENS: u64 = 500;
+
+/// Tokens that count for an endpoint to which a connection has to be opened first.
+const UNCONNECTED_TOKENS: u64 = 1_000;
 
 /// Share of failed answers at which an endpoint is avoided whatever it keeps, if others fail less.
 const FAILING_AVOIDED: f64 = 0.3;
@@ -189,7 +192,8 @@
     let full = if in_flight >= state.slots || state.full(now) { FULL_TOKENS } else { 0 };
     let failing = weighed(FAILING_TOKENS, state.failing());
     let far = if state.near { 0 } else { FAR_TOKENS };
-    state.backlog() + tokens + replica + running + full + failing + far
+    let unconnected = if state.connected(now) { 0 } else { UNCONNECTED_TOKENS };
+    state.backlog() + tokens + replica + running + full + failing + far + unconnected
 }
 
 fn refusal(why: Why, demand: &Demand, wait: Duration) -> Refusal {
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -27,6 +27,9 @@
 /// Time in which an endpoint that said it was full is avoided.
 const FULL_TIME: Duration = Duration::from_millis(100);
 
+/// Time in which an idle connection is likely still open.
+const CONNECTION_LIFETIME: Duration = Duration::from_secs(8);
+
 /// Weight of a new sample in running averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -94,6 +97,8 @@
     /// Share of recent answers that were failures.
     failing: f64,
     full_until: Option<Instant>,
+    /// When this router last sent it a request.
+    sent_at: Option<Instant>,
 }
 
 impl State {
@@ -115,6 +120,7 @@
             shared_rate: RATE_FIRST,
             failing: 0.0,
             full_until: None,
+            sent_at: None,
         }
     }
 
@@ -154,11 +160,17 @@
         self.failing
     }
 
+    /// Whether this router likely has an open connection to it.
+    pub(super) fn connected(&self, now: Instant) -> bool {
+        self.in_flight > 0 || self.sent_at.is_some_and(|at| now - at < CONNECTION_LIFETIME)
+    }
+
     pub(super) fn full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
     }
 
-    pub(super) fn sent(&mut self, prompt: &Prompt, tokens: u64) {
+    pub(super) fn sent(&mut self, now: Instant, prompt: &Prompt, tokens: u64) {
+        self.sent_at = Some(now);
         self.in_flight += 1;
         self.backlog += tokens;
         self.read = self.read.wrapping_add(u32::try_from(tokens).unwrap_or(u32::MAX));
