--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -1,5 +1,7 @@
 //! Decisions on requests that are forwarded unchanged.
 
 mod fixture;
+mod hot_customer;
 mod large_prompt;
+mod prefix_spread;
 mod shared_speed;
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -147,6 +147,8 @@
     stopping: AtomicBool,
     /// Whether the store tells this router of changes.
     following: AtomicBool,
+    /// When a peer first told of something newer while the store did not serve this router.
+    news: Mutex<Option<time::Instant>>,
     strain: Mutex<strain::Meter>,
 }
 
@@ -179,6 +181,7 @@
             routers: AtomicU32::new(u32::MAX),
             stopping: AtomicBool::new(false),
             following: AtomicBool::new(false),
+            news: Mutex::default(),
             strain: Mutex::default(),
             options,
         })
@@ -203,6 +206,22 @@
     /// Says whether the store tells this router of changes. If not, it follows its peers.
     pub fn set_following(&self, following: bool) {
         self.following.store(following, Ordering::Relaxed);
+        if following {
+            *lock(&self.news) = None;
+        }
+    }
+
+    /// A peer knows something newer. While the store does not serve this router, that means that it serves others.
+    pub fn note_news(&self) {
+        if !self.following() {
+            lock(&self.news).get_or_insert_with(time::Instant::now);
+        }
+    }
+
+    /// Time since a peer first told of something newer while the store did not serve this router.
+    #[must_use]
+    pub fn news_age(&self) -> Option<Duration> {
+        lock(&self.news).map(|at| at.elapsed())
     }
 
     /// Whether the store tells this router of changes.
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -168,6 +168,7 @@
             || digest.directory_revision > newest.directory_revision;
         if newer {
             newest.from = Some(from);
+            self.gateway.note_news();
         }
         newest.config_version = newest.config_version.max(digest.config_version);
         newest.directory_revision = newest.directory_revision.max(digest.directory_revision);
