--- a/siskin-dispatch/src/admit.rs
+++ b/siskin-dispatch/src/admit.rs
@@ -12,7 +12,7 @@
 const STEEPNESS: f64 = 2.0;
 
 /// Bounds of the share of the aim.
-const PATIENCE_MIN: f64 = 0.08;
+const PATIENCE_MIN: f64 = 0.01;
 const PATIENCE_MAX: f64 = 1.1;
 
 /// Share of the aim that a request of this customer may wait.
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -4,4 +4,5 @@
 mod hot_customer;
 mod large_prompt;
 mod prefix_spread;
+mod several_hot_customers;
 mod shared_speed;
