Answer 502, not 503, once an endpoint may have run the request

Cause, found in the last read: a repeatable request whose first send broke and whose second was refused by the engine, or found no endpoint, was answered 503, which promises that it has not run. Two cases of outcome::every_ending failed before with 503 and pass now.

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -68,6 +68,8 @@
     let mut tried = Vec::new();
     let mut sends = 0;
     let mut unreachable = 0;
+    // Whether an endpoint may have run the request, so that no refusal may say that it has not run.
+    let mut exposed = false;
     loop {
         let placement = match choose(gateway, &call, (patience, own_weight), &tried) {
             Ok(placement) => placement,
@@ -77,7 +79,7 @@
                     own_weight:% = Short(own_weight), tokens = call.demand.prompt.tokens(), tried = tried.len();
                     "no endpoint would begin soon enough"
                 );
-                return refuse(gateway, &call, refusal, sends);
+                return give_up(gateway, &call, refusal, sends, exposed);
             }
         };
         let connection = match attempt::connect(gateway, &call, placement.endpoint).await {
@@ -97,7 +99,7 @@
                     retry_after: UNKNOWN_RETRY,
                     wait: Duration::ZERO,
                 };
-                return refuse(gateway, &call, refusal, sends);
+                return give_up(gateway, &call, refusal, sends, exposed);
             }
         };
         sends += 1;
@@ -127,6 +129,7 @@
             }
         };
         tried.push(placement.endpoint);
+        exposed |= reason != "not_run";
         let harmless = reason == "not_run" || call.kind.repeatable();
         if harmless && sends < call.max_attempts && gateway.may_retry(&call.service) {
             gateway.metrics.retries.with_label_values(&[reason]).inc();
@@ -140,15 +143,9 @@
                     retry_after: call.demand.allowed.mul_f64(0.3).min(Duration::from_secs(1)),
                     wait: Duration::ZERO,
                 };
-                refuse(gateway, &call, refusal, sends)
-            }
-            _ => {
-                let response = respond::explained(
-                    StatusCode::BAD_GATEWAY,
-                    "the endpoint broke off; the request may have run",
-                );
-                finish(gateway, &call, response, sends)
+                give_up(gateway, &call, refusal, sends, exposed)
             }
+            _ => unknown(gateway, &call, sends),
         };
     }
 }
@@ -209,6 +206,24 @@
     })
 }
 
+/// Ends a request for which no endpoint is left: refused if it has not run, otherwise with an unknown outcome.
+fn give_up(
+    gateway: &Gateway,
+    call: &Call,
+    refusal: Refusal,
+    sends: u32,
+    exposed: bool,
+) -> Response<Body> {
+    if exposed { unknown(gateway, call, sends) } else { refuse(gateway, call, refusal, sends) }
+}
+
+/// Ends a request that may have run and has no answer.
+fn unknown(gateway: &Gateway, call: &Call, sends: u32) -> Response<Body> {
+    let message = "the endpoint broke off; the request may have run";
+    let response = respond::explained(StatusCode::BAD_GATEWAY, message);
+    finish(gateway, call, response, sends)
+}
+
 /// Ends a request that has not run.
 fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal, sends: u32) -> Response<Body> {
     let outcome = refusal.why.label();
--- a/siskin-gateway/tests/main/outcome.rs
+++ b/siskin-gateway/tests/main/outcome.rs
@@ -41,7 +41,23 @@
 const ONCE: Kind = Kind::Once;
 const AGAIN: Kind = Kind::Idempotent;
 
-const CASES: [Case; 17] = [
+const CASES: [Case; 19] = [
+    Case {
+        name: "again, closed, then not run",
+        kind: AGAIN,
+        steps: &[Step::Close, NOT_RUN],
+        endpoints: 2,
+        want_status: 502,
+        want_sends: 2,
+    },
+    Case {
+        name: "again, closed, none left",
+        kind: AGAIN,
+        steps: &[Step::Close],
+        endpoints: 1,
+        want_status: 502,
+        want_sends: 1,
+    },
     Case {
         name: "once, answered",
         kind: ONCE,
