--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -1,11 +1,8 @@
 //! The choice of an endpoint for a request, and the refusal if none would answer soon enough.
 
 use {
-    super::{
-        Demand, Pool,
-        endpoint::{State, weighed},
-    },
-    crate::prompt::mix,
+    super::{Demand, Pool, endpoint::State},
+    crate::{cache::scaled, prompt::mix},
     siskin_types::{id::Endpoint, time::Instant},
     std::time::Duration,
 };
@@ -184,13 +181,13 @@
     let shared = demand.prompt.shared_tokens().saturating_sub(cached);
     let replica = match homes {
         [Some(home), _] if home == id => 0,
-        [_, Some(second)] if second == id => weighed(shared, REPLICA_WEIGHT / 2.0),
-        _ => weighed(shared, REPLICA_WEIGHT),
+        [_, Some(second)] if second == id => scaled(shared, REPLICA_WEIGHT / 2.0),
+        _ => scaled(shared, REPLICA_WEIGHT),
     };
     let in_flight = state.in_flight_all();
     let running = u64::from(in_flight) * RUNNING_TOKENS * 64 / u64::from(state.slots);
     let full = if in_flight >= state.slots || state.full(now) { FULL_TOKENS } else { 0 };
-    let failing = weighed(FAILING_TOKENS, state.failing());
+    let failing = scaled(FAILING_TOKENS, state.failing());
     let far = if state.near { 0 } else { FAR_TOKENS };
     let unconnected = if state.connected(now) { 0 } else { UNCONNECTED_TOKENS };
     state.backlog() + tokens + replica + running + full + failing + far + unconnected
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -2,10 +2,7 @@
 
 use {
     super::PEER_LIFETIME,
-    crate::{
-        cache::{Cache, scaled},
-        prompt::Prompt,
-    },
+    crate::{cache::Cache, prompt::Prompt},
     indexmap::IndexMap,
     siskin_types::{
         id::{Endpoint, Node},
@@ -290,8 +287,3 @@
 pub(super) fn averaged(mean: Duration, sample: Duration) -> Duration {
     mean.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
 }
-
-/// A weight in tokens, as a share of a larger one.
-pub(super) fn weighed(tokens: u64, share: f64) -> u64 {
-    scaled(tokens, share)
-}
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -1,11 +1,11 @@
 //! Prometheus metrics of a gateway. Labels come from closed sets and from the configured services and routes' kinds.
 
 use {
-    prometheus::{
-        Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
-        TextEncoder,
+    prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
+    siskin_net::{
+        control,
+        metrics::{Creator, page},
     },
-    siskin_net::{control, metrics::Creator},
 };
 
 /// Upper bounds of the latency buckets in seconds.
@@ -114,13 +114,6 @@
     /// ```
     #[must_use]
     pub fn page(&self) -> String {
-        let mut buffer = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
-            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
-            Err(error) => {
-                log::error!("metrics cannot be encoded: {error}");
-                String::new()
-            }
-        }
+        page(&self.registry)
     }
 }
--- a/siskin-net/src/metrics.rs
+++ b/siskin-net/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Creates Prometheus metrics and registers them in one step.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Creates metrics in a registry. Names follow the Prometheus conventions; a taken name is an error.
@@ -81,3 +82,23 @@
         Ok(histograms)
     }
 }
+
+/// All metrics of a registry in the Prometheus text format.
+///
+/// ```
+/// use {prometheus::Registry, siskin_net::metrics::{Creator, page}};
+/// let registry = Registry::new();
+/// Creator(&registry).counter("calls_total", "Calls.").unwrap().inc();
+/// assert!(page(&registry).contains("calls_total 1"));
+/// ```
+#[must_use]
+pub fn page(registry: &Registry) -> String {
+    let mut buffer = Vec::new();
+    match TextEncoder::new().encode(&registry.gather(), &mut buffer) {
+        Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
+        Err(error) => {
+            log::error!("metrics cannot be encoded: {error}");
+            String::new()
+        }
+    }
+}
