--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -8,7 +8,7 @@
         metrics::Metrics,
         protocol::Protocol,
         respond::{self, Body},
-        seed, strain,
+        room, seed, strain,
     },
     anyhow::Context,
     http_body_util::BodyExt,
@@ -111,6 +111,8 @@
     pub retries: budget::Options,
     /// Window over which customers' shares are counted.
     pub share_window: Duration,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
     /// Time from a stop to the end of the process.
     pub grace: Duration,
     /// Time after a stop in which new connections are still accepted, until callers are sent elsewhere.
@@ -150,6 +152,8 @@
     /// When a peer first told of something newer while the store did not serve this router.
     news: Mutex<Option<time::Instant>>,
     strain: Mutex<strain::Meter>,
+    /// Open connections of callers.
+    open: server::Open,
 }
 
 impl Gateway {
@@ -183,6 +187,7 @@
             following: AtomicBool::new(false),
             news: Mutex::default(),
             strain: Mutex::default(),
+            open: server::Open::default(),
             options,
         })
     }
@@ -287,10 +292,23 @@
     pub fn ready(&self) -> bool {
         !self.stopping()
             && self.strain() == strain::State::Calm
+            && self.room() < room::State::Full
             && self.catalog().is_some()
             && !self.directory().endpoints.is_empty()
     }
 
+    /// Whether callers' connections leave descriptors for endpoints.
+    fn room(&self) -> room::State {
+        let open = self.open.count();
+        self.metrics.connections.set(i64::try_from(open).unwrap_or(i64::MAX));
+        room::state(open, self.options.descriptors)
+    }
+
+    /// Whether callers should close their connections after the next answer.
+    fn sheds_connections(&self) -> bool {
+        self.stopping() || self.strain() != strain::State::Calm || self.room() != room::State::Free
+    }
+
     /// How far the process is behind with its work.
     pub(crate) fn strain(&self) -> strain::State {
         lock(&self.strain).state()
@@ -455,13 +473,13 @@
         let (stop, stopped) = watch::channel(false);
         let (limits, served) = (Arc::clone(&gateway), Arc::clone(&gateway));
         let finish = options.grace.saturating_sub(options.notice + EXIT_TIME);
-        let callers = tokio::spawn(server::run(
-            listener,
-            move || limits.limits(),
-            move |request| answer(Arc::clone(&served), request),
-            stopped.clone(),
-            finish,
-        ));
+        let open = gateway.open.clone();
+        let callers_stop = stopped.clone();
+        let callers = tokio::spawn(async move {
+            let handle = move |request| answer(Arc::clone(&served), request);
+            server::run(listener, move || limits.limits(), handle, callers_stop, finish, &open)
+                .await
+        });
         tokio::spawn(Arc::clone(&gateway).watch_strain());
         let mut status = vec![serve_status(&gateway, status_listener, stopped.clone())];
         let mut control = None;
@@ -516,7 +534,11 @@
         let response = status(&gateway, &request);
         async move { response }
     };
-    tokio::spawn(server::run(listener, || LIMITS_FIRST, handle, stop, Duration::ZERO))
+    tokio::spawn(async move {
+        // These connections are few and are not counted.
+        let open = server::Open::default();
+        server::run(listener, || LIMITS_FIRST, handle, stop, Duration::ZERO, &open).await
+    })
 }
 
 async fn bind(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
@@ -527,7 +549,7 @@
 
 async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let mut response = exchange::handle(&gateway, request).await;
-    if gateway.stopping() || gateway.strain() != strain::State::Calm {
+    if gateway.sheds_connections() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod respond;
+pub mod room;
 pub mod seed;
 pub mod strain;
 pub mod stream;
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub whole: HistogramVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
     /// Configuration version in force.
     pub config_version: IntGauge,
     /// Listed endpoints by state.
@@ -82,6 +84,8 @@
                 &LATENCY_BUCKETS_SECONDS,
             )?,
             in_flight: create.gauge("siskin_in_flight_requests", "Requests in flight.")?,
+            connections: create
+                .gauge("siskin_caller_connections", "Open connections of callers.")?,
             config_version: create
                 .gauge("siskin_config_version", "Configuration version in force.")?,
             endpoints: create.gauges("siskin_endpoints", "Listed endpoints.", &["state"])?,
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -55,7 +55,17 @@
 
 /// A gateway that knows nothing yet and listens at this address.
 pub(crate) fn gateway_at(any: SocketAddr) -> Arc<Gateway> {
-    let options = Options {
+    with_options(options(any))
+}
+
+/// A gateway that knows nothing yet.
+pub(crate) fn with_options(options: Options) -> Arc<Gateway> {
+    Gateway::new(options, Arc::new(Plain), Metrics::new().unwrap())
+}
+
+/// Options for a gateway at this address.
+pub(crate) fn options(any: SocketAddr) -> Options {
+    Options {
         listen: any,
         status: any,
         control: Some(any),
@@ -66,8 +76,8 @@
         share_window: Duration::from_secs(4),
         grace: Duration::from_secs(2),
         notice: Duration::from_millis(50),
-    };
-    Gateway::new(options, Arc::new(Plain), Metrics::new().unwrap())
+        descriptors: 1_024,
+    }
 }
 
 /// An endpoint of the service `app`.
@@ -133,7 +143,15 @@
 impl Site {
     /// Starts a gateway with a route of this kind and endpoints named `e0`, `e1` and so on.
     pub(crate) async fn start(kind: Kind, addresses: &[SocketAddr]) -> Self {
-        let gateway = gateway();
+        Self::start_with(gateway(), kind, addresses).await
+    }
+
+    /// Starts this gateway with a route and endpoints.
+    pub(crate) async fn start_with(
+        gateway: Arc<Gateway>,
+        kind: Kind,
+        addresses: &[SocketAddr],
+    ) -> Self {
         gateway.set_catalog(catalog(kind), Source::Store);
         let endpoints = addresses
             .iter()
@@ -156,6 +174,11 @@
         Self { server, address }
     }
 
+    /// Address for callers.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Where other routers ask for the configuration.
     pub(crate) fn control(&self) -> SocketAddr {
         self.server.control().unwrap()
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -5,4 +5,5 @@
 mod fixture;
 mod outcome;
 mod resume;
+mod room;
 mod seed;
--- a/siskin-net/src/server.rs
+++ b/siskin-net/src/server.rs
@@ -11,7 +11,15 @@
         server::{conn::auto, graceful::GracefulShutdown},
     },
     socket2::SockRef,
-    std::{convert::Infallible, error, time::Duration},
+    std::{
+        convert::Infallible,
+        error,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -43,7 +51,7 @@
 }
 
 /// Serves connections with `handle` until `stop` turns true, then finishes what is in flight for at most `finish`.
-/// `limits` is asked for each new connection.
+/// `limits` is asked for each new connection, and `open` counts the connections.
 ///
 /// Tells whether everything in flight ended in time.
 pub async fn run<H, F, B>(
@@ -52,6 +60,7 @@
     handle: H,
     mut stop: watch::Receiver<bool>,
     finish: Duration,
+    open: &Open,
 ) -> bool
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -86,7 +95,9 @@
         builder.http2().max_header_list_size(u32::try_from(buffer).unwrap_or(u32::MAX));
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let watched = graceful.watch(connection);
+        let counted = Counted::new(open);
         tokio::spawn(async move {
+            let _counted = counted;
             if let Err(error) = watched.await {
                 log::debug!("client's connection ended: {error}");
             }
@@ -100,6 +111,34 @@
     finished
 }
 
+/// The number of open connections.
+#[derive(Clone, Debug, Default)]
+pub struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    /// Connections that are open now.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a connection until it is dropped.
+struct Counted(Open);
+
+impl Counted {
+    fn new(open: &Open) -> Self {
+        open.0.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Sets the socket's options. A connection whose options cannot be set still works.
 fn tune(stream: &TcpStream, limits: &Limits) {
     // Streams are written in small parts that must not wait for each other.
--- a/siskin-router/src/caller/server.rs
+++ b/siskin-router/src/caller/server.rs
@@ -20,5 +20,6 @@
     };
     let served = Arc::clone(&shared);
     let handle = move |request| service::handle(Arc::clone(&served), request);
-    server::run(listener, limits, handle, stop, shared.settings.stop_timeout).await;
+    let open = server::Open::default();
+    server::run(listener, limits, handle, stop, shared.settings.stop_timeout, &open).await;
 }
