--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`pool`]: the endpoints of one service, their load, and the choice among them
 //! * [`share`]: what each customer asked for and got lately, and what it is owed
 //! * [`admit`]: how long a request may wait
+//! * [`spread`]: who tells whom of load
 //! * [`sizes`]: how much a long prompt counts
 //! * [`budget`]: the fleet's limit on repeated requests, split over the routers
 //!
@@ -21,3 +22,4 @@
 pub mod prompt;
 pub mod share;
 pub mod sizes;
+pub mod spread;
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -4,7 +4,7 @@
 mod endpoint;
 
 use {
-    crate::prompt::Prompt,
+    crate::{prompt::Prompt, spread::Changes},
     endpoint::State,
     indexmap::IndexMap,
     siskin_route::health::{self, Tracker},
@@ -188,13 +188,31 @@
         }
     }
 
-    /// Adds this router's load to a digest, and forgets that of peers that fell silent.
-    pub fn report(&mut self, now: Instant, digest: &mut load::Digest) {
+    /// Forgets the load of peers that fell silent, and of those that are not to be kept.
+    pub fn expire(&mut self, now: Instant, kept: impl Fn(Node) -> bool) {
         for state in self.endpoints.values_mut() {
+            state.retain_peers(&kept);
             state.expire(now);
         }
-        digest.kept.append(&mut self.kept);
-        digest.loads.extend(self.endpoints.iter().filter_map(|(id, state)| state.report(*id)));
+    }
+
+    /// What this router has added since this was last asked.
+    pub fn take_changes(&mut self, changes: &mut Changes) {
+        changes.kept.append(&mut self.kept);
+        for (id, state) in &mut self.endpoints {
+            let read = state.take_read();
+            if read > 0 {
+                *changes.reads.entry(*id).or_default() += read;
+            }
+        }
+    }
+
+    /// The load of this router and of the peers that are `included`, on endpoints on which they have some.
+    pub fn loads(&self, included: impl Fn(Node) -> bool) -> impl Iterator<Item = load::Load> {
+        self.endpoints
+            .iter()
+            .map(move |(id, state)| state.load(*id, &included))
+            .filter(|load| load.in_flight > 0)
     }
 
     /// Requests of this router that are at an endpoint.
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -66,8 +66,8 @@
     at: Instant,
     in_flight: u32,
     backlog: u64,
-    read: u32,
     rate: u16,
+    rated: u16,
 }
 
 #[derive(Debug)]
@@ -79,7 +79,7 @@
     pub(super) cache: Cache,
     in_flight: u32,
     backlog: u64,
-    /// Prompt tokens sent by this router, modulo 2^32.
+    /// Prompt tokens sent by this router that its peers have not been told of.
     read: u32,
     peers: IndexMap<Node, Peer>,
     /// Sums over `peers`, kept up to date because every choice asks every endpoint for them.
@@ -170,7 +170,7 @@
         self.sent_at = Some(now);
         self.in_flight += 1;
         self.backlog += tokens;
-        self.read = self.read.wrapping_add(u32::try_from(tokens).unwrap_or(u32::MAX));
+        self.read = self.read.saturating_add(u32::try_from(tokens).unwrap_or(u32::MAX));
         self.cache.record(prompt);
     }
 
@@ -214,26 +214,44 @@
             at: now,
             in_flight: load.in_flight,
             backlog: u64::from(load.backlog),
-            read: load.read,
             rate: load.rate,
+            rated: load.rated,
         };
+        let known = before.filter(|_| load.rated == 0);
+        let peer =
+            known.map_or(peer, |known| Peer { rate: known.rate, rated: known.rated, ..peer });
         self.set_peer(node, peer);
-        let before = before.map_or(load.read, |peer| peer.read);
-        // A peer that started anew counts from zero; the difference is then large and is left out.
-        let read = u64::from(load.read.wrapping_sub(before));
-        if read < u64::from(u32::MAX / 2) {
-            self.cache.advance(read);
-        }
+        self.cache.advance(u64::from(load.read));
     }
 
-    pub(super) fn report(&self, endpoint: Endpoint) -> Option<Load> {
-        (self.in_flight > 0).then(|| Load {
+    /// The load of this router and of the peers that are `included`.
+    pub(super) fn load(&self, endpoint: Endpoint, included: impl Fn(Node) -> bool) -> Load {
+        let mut rates = Rates::default();
+        rates.add(self.learned_rate(), 1);
+        let (mut in_flight, mut backlog) = (self.in_flight, self.backlog);
+        for (_, peer) in self.peers.iter().filter(|(node, _)| included(**node)) {
+            in_flight += peer.in_flight;
+            backlog += peer.backlog;
+            rates.add(peer.known_rate(), peer.rated);
+        }
+        Load {
             endpoint,
-            in_flight: self.in_flight,
-            backlog: u32::try_from(self.backlog).unwrap_or(u32::MAX),
-            read: self.read,
-            rate: self.learned_rate().map_or(0, whole),
-        })
+            in_flight,
+            backlog: u32::try_from(backlog).unwrap_or(u32::MAX),
+            read: 0,
+            rate: rates.mean().map_or(0, whole),
+            rated: rates.count,
+        }
+    }
+
+    /// Prompt tokens sent by this router since this was last asked.
+    pub(super) const fn take_read(&mut self) -> u32 {
+        std::mem::replace(&mut self.read, 0)
+    }
+
+    /// Forgets what other peers have told.
+    pub(super) fn retain_peers(&mut self, kept: impl Fn(Node) -> bool) {
+        self.peers.retain(|node, _| kept(*node));
     }
 
     /// What this router has learned of the reading speed, once that says something.
@@ -244,24 +262,19 @@
     /// Forgets the load of peers that have not been heard of for a while, and takes the mean of the learned speeds.
     pub(super) fn expire(&mut self, now: Instant) {
         let (mut in_flight, mut backlog) = (0, 0);
-        let (mut rates, mut count) = match self.learned_rate() {
-            Some(rate) => (rate, 1.0),
-            None => (0.0, 0.0),
-        };
+        let mut rates = Rates::default();
+        rates.add(self.learned_rate(), 1);
         for peer in self.peers.values_mut() {
             if now - peer.at >= PEER_LIFETIME {
                 peer.in_flight = 0;
                 peer.backlog = 0;
             }
-            if peer.rate > 0 {
-                rates += f64::from(peer.rate);
-                count += 1.0;
-            }
+            rates.add(peer.known_rate(), peer.rated);
             in_flight += peer.in_flight;
             backlog += peer.backlog;
         }
-        if count > 0.0 {
-            self.shared_rate = rates / count;
+        if let Some(mean) = rates.mean() {
+            self.shared_rate = mean;
         }
         self.peers_in_flight = in_flight;
         self.peers_backlog = backlog;
@@ -277,6 +290,33 @@
     }
 }
 
+impl Peer {
+    /// The speed that the peer tells, if it knows one.
+    fn known_rate(&self) -> Option<f64> {
+        (self.rate > 0).then(|| f64::from(self.rate))
+    }
+}
+
+/// The mean of speeds that several routers have learned.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rates {
+    sum: f64,
+    count: u16,
+}
+
+impl Rates {
+    /// Adds the mean of `count` routers.
+    fn add(&mut self, rate: Option<f64>, count: u16) {
+        let Some(rate) = rate else { return };
+        self.sum += rate * f64::from(count);
+        self.count = self.count.saturating_add(count);
+    }
+
+    fn mean(&self) -> Option<f64> {
+        (self.count > 0).then(|| self.sum / f64::from(self.count))
+    }
+}
+
 /// A rate as a whole number.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn whole(rate: f64) -> u16 {
--- /dev/null
+++ b/siskin-dispatch/src/spread/changes.rs
@@ -0,0 +1,89 @@
+//! What routers add up for each other between digests.
+
+use {
+    crate::share::Usage,
+    indexmap::IndexMap,
+    siskin_types::id::{Customer, Endpoint},
+    siskin_wire::load::{self, Digest, Kept},
+};
+
+/// Parts of prompts that wait for a receiver; more are left out, which costs a prompt read twice at most.
+const KEPT_MAX: usize = 256;
+
+/// Tokens read, parts kept and costs of customers since the last digest to a receiver.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Prompt tokens sent, by endpoint.
+    pub reads: IndexMap<Endpoint, u32>,
+    /// Parts that endpoints keep now.
+    pub kept: Vec<Kept>,
+    /// Costs by customer.
+    pub usages: IndexMap<Customer, Usage>,
+}
+
+impl Changes {
+    /// What a digest tells.
+    #[must_use]
+    pub fn of(digest: &Digest) -> Self {
+        let usage = |usage: &load::Usage| {
+            let costs = Usage { asked: u64::from(usage.asked), begun: u64::from(usage.begun) };
+            (usage.customer, costs)
+        };
+        Self {
+            reads: digest.loads.iter().map(|load| (load.endpoint, load.read)).collect(),
+            kept: digest.kept.clone(),
+            usages: digest.usages.iter().map(usage).collect(),
+        }
+    }
+
+    /// Adds what another one has.
+    pub fn add(&mut self, other: &Self) {
+        for (endpoint, read) in &other.reads {
+            let sum = self.reads.entry(*endpoint).or_default();
+            *sum = sum.saturating_add(*read);
+        }
+        let room = KEPT_MAX.saturating_sub(self.kept.len());
+        self.kept.extend(other.kept.iter().take(room));
+        for (customer, usage) in &other.usages {
+            let sum = self.usages.entry(*customer).or_default();
+            sum.asked += usage.asked;
+            sum.begun += usage.begun;
+        }
+    }
+
+    /// Whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.reads.values().all(|read| *read == 0) && self.kept.is_empty() && self.usages.is_empty()
+    }
+
+    /// Writes the changes into a digest that tells of loads already. What was read at endpoints that have no more load
+    /// is told as well.
+    pub fn write(self, digest: &mut Digest) {
+        for (endpoint, read) in self.reads {
+            match digest.loads.iter_mut().find(|load| load.endpoint == endpoint) {
+                Some(load) => load.read = read,
+                None if read > 0 => digest.loads.push(load::Load {
+                    endpoint,
+                    in_flight: 0,
+                    backlog: 0,
+                    read,
+                    rate: 0,
+                    rated: 0,
+                }),
+                None => {}
+            }
+        }
+        digest.kept = self.kept;
+        let costs = |amount| u32::try_from(amount).unwrap_or(u32::MAX);
+        digest.usages = self
+            .usages
+            .into_iter()
+            .map(|(customer, usage)| load::Usage {
+                customer,
+                asked: costs(usage.asked),
+                begun: costs(usage.begun),
+            })
+            .collect();
+    }
+}
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -6,3 +6,4 @@
 mod prefix_spread;
 mod several_hot_customers;
 mod shared_speed;
+mod stale_view;
--- a/siskin-dispatch/tests/main/shared_speed.rs
+++ b/siskin-dispatch/tests/main/shared_speed.rs
@@ -29,9 +29,7 @@
 fn digest(pool: &mut Pool, now: Instant) -> Digest {
     // A router tells of endpoints on which it has load.
     pool.sent(now, Endpoint(1), &demand(1, 0).prompt);
-    let mut digest = Digest::default();
-    pool.report(now, &mut digest);
-    digest
+    Digest { loads: pool.loads(|_| false).collect(), ..Digest::default() }
 }
 
 /// Guards against a share of capacity that depends on the router at which a customer's connections end.
@@ -42,8 +40,8 @@
     let (from_fast, from_slow) = (digest(&mut fast, now), digest(&mut slow, now));
     fast.hear(now, Node(2), &from_slow);
     slow.hear(now, Node(1), &from_fast);
-    fast.report(now, &mut Digest::default());
-    slow.report(now, &mut Digest::default());
+    fast.expire(now, |_| true);
+    slow.expire(now, |_| true);
     let wait = |pool: &Pool| pool.choose(now, &demand(7, 500), &[]).unwrap().wait.as_millis();
     expect_that!(wait(&fast).abs_diff(wait(&slow)), le(3), "{} and {}", wait(&fast), wait(&slow));
 }
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Load, and newer configurations, from the other routers.
 //!
-//! Every router tells every other a few times a second what it has put on the endpoints and what its customers asked
-//! for. The digests also say which configuration is in force; a router that stays behind asks for the newer one, so a
+//! Routers tell each other many times a second what they have put on the endpoints and what their customers asked for;
+//! [`siskin_dispatch::spread`] decides who tells whom. The digests also say which configuration is in force; a router that stays behind asks for the newer one, so a
 //! router that cannot read the store follows the others.
 
 use {
@@ -12,17 +12,13 @@
     },
     indexmap::IndexMap,
     serde::{Serialize, de::DeserializeOwned},
-    siskin_dispatch::share::Usage,
+    siskin_dispatch::spread::{Due, Exchange, Router},
     siskin_net::{
         control::{Control, Received},
         lock,
     },
     siskin_types::id::Node,
-    siskin_wire::{
-        Message,
-        load::{self, Digest},
-        relay,
-    },
+    siskin_wire::{Message, load::Digest, relay},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -35,16 +31,7 @@
     },
 };
 
-/// Time between digests while there is something to tell.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Time between digests for each peer: a router sends and receives about 160 a second at most.
-const PEER_INTERVAL: Duration = Duration::from_millis(6);
-
-/// Digest intervals after which a digest is sent although nothing has changed.
-const IDLE_INTERVALS: u32 = 10;
-
-/// A router that the platform does not list is told of load as long as it was heard of this recently.
+/// A router that the platform does not list is known as long as it was heard of this recently.
 const HEARD_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Time that a router is behind a peer before it asks for what is newer. The store usually tells both at once.
@@ -61,6 +48,16 @@
     control: Arc<Control>,
     members: Mutex<IndexMap<Node, Member>>,
     newest: Mutex<Newest>,
+    exchange: Mutex<Exchange>,
+}
+
+/// A router that the platform lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The router, where it runs, and what it may use.
+    pub router: Router,
+    /// Where it exchanges frames with the others.
+    pub address: SocketAddr,
 }
 
 #[derive(Debug)]
@@ -95,6 +92,7 @@
             control: Arc::clone(&control),
             members: Mutex::default(),
             newest: Mutex::default(),
+            exchange: Mutex::new(Exchange::new(node)),
         });
         let (queue, received) = mpsc::channel(QUEUE_FRAMES);
         tokio::spawn(control.run(listener, queue));
@@ -104,12 +102,15 @@
     }
 
     /// Takes over the routers that the platform lists, this one included.
-    pub fn list(&self, routers: &[(Node, SocketAddr)]) {
+    pub fn list(&self, routers: &[Listed]) {
+        let fleet: Vec<Router> = routers.iter().map(|listed| listed.router.clone()).collect();
+        lock(&self.exchange).list(&fleet);
         let mut members = lock(&self.members);
         for member in members.values_mut() {
             member.listed = false;
         }
-        for &(node, address) in routers.iter().filter(|(node, _)| *node != self.node) {
+        for listed in routers.iter().filter(|listed| listed.router.node != self.node) {
+            let (node, address) = (listed.router.node, listed.address);
             let known = members.get(&node).map(|member| member.address);
             if known != Some(address) {
                 log::info!(peer:% = node, address:% = address; "router listed");
@@ -154,15 +155,12 @@
             member.heard = Some(Instant::now());
         }
         let now = self.gateway.clock.now();
+        let mut exchange = lock(&self.exchange);
         self.gateway.table(|table| {
-            for pool in table.pools.values_mut() {
-                pool.hear(now, node, digest);
-            }
-            for usage in &digest.usages {
-                let costs = Usage { asked: u64::from(usage.asked), begun: u64::from(usage.begun) };
-                table.ledger.add(now, usage.customer, costs);
-            }
+            let pools = table.pools.values_mut();
+            exchange.take(now, node, digest, pools, &mut table.ledger)
         });
+        drop(exchange);
         let mut newest = lock(&self.newest);
         let newer = digest.config_version > newest.config_version
             || digest.directory_revision > newest.directory_revision;
@@ -216,61 +214,42 @@
 
     /// Sends digests, and asks for what is newer.
     async fn tell(self: Arc<Self>) {
-        let mut idle = 0;
-        let mut last_loads = Vec::new();
+        let mut hub = self.node;
         loop {
-            time::sleep(self.interval()).await;
+            let interval = lock(&self.exchange).interval();
+            time::sleep(interval).await;
             self.catch_up();
-            let digest = self.digest();
-            let same = digest.loads == last_loads;
-            if same && digest.kept.is_empty() && digest.usages.is_empty() && idle < IDLE_INTERVALS {
-                idle += 1;
-                continue;
+            let Due { digests, hub: chosen, silent } = self.due();
+            for node in silent {
+                log::info!(peer:% = node; "no digests of a router for a while; it is passed over until it is heard of");
             }
-            idle = 0;
-            last_loads.clone_from(&digest.loads);
-            for part in digest.split() {
-                self.send_all(&Message::Load(part));
+            if chosen != hub {
+                log::info!(hub:% = chosen, before:% = hub; "hub for load changed");
+                hub = chosen;
+            }
+            for (node, digest) in digests {
+                self.send(node, digest);
             }
         }
     }
 
-    /// Time between digests: longer in a large fleet, so that each router's part in the exchange is bounded.
-    fn interval(&self) -> Duration {
-        let peers = u32::try_from(lock(&self.members).len()).unwrap_or(u32::MAX);
-        DIGEST_INTERVAL.max(PEER_INTERVAL.saturating_mul(peers))
-    }
-
-    fn send_all(&self, message: &Message) {
-        let to: Vec<(Node, SocketAddr)> = lock(&self.members)
-            .iter()
-            .filter(|(_, member)| member.listed || member.heard_lately())
-            .map(|(node, member)| (*node, member.address))
-            .collect();
-        for (node, address) in to {
-            self.control.send(Some(node), address, message);
-        }
+    fn due(&self) -> Due {
+        let now = self.gateway.clock.now();
+        let mut exchange = lock(&self.exchange);
+        self.gateway.table(|table| {
+            let usages = std::mem::take(&mut table.usages);
+            exchange.due(now, &mut table.pools, usages)
+        })
     }
 
-    fn digest(&self) -> Digest {
+    fn send(&self, node: Node, digest: Digest) {
+        let Some(address) = lock(&self.members).get(&node).map(|member| member.address) else {
+            return;
+        };
         let (config_version, directory_revision) = self.versions();
-        let now = self.gateway.clock.now();
-        let mut digest = Digest { config_version, directory_revision, ..Digest::default() };
-        self.gateway.table(|table| {
-            for pool in table.pools.values_mut() {
-                pool.report(now, &mut digest);
-            }
-            digest.usages = table
-                .usages
-                .drain(..)
-                .map(|(customer, usage)| load::Usage {
-                    customer,
-                    asked: u32::try_from(usage.asked).unwrap_or(u32::MAX),
-                    begun: u32::try_from(usage.begun).unwrap_or(u32::MAX),
-                })
-                .collect();
-        });
-        digest
+        for part in (Digest { config_version, directory_revision, ..digest }).split() {
+            self.control.send(Some(node), address, &Message::Load(part));
+        }
     }
 
     /// Asks for what is newer if the store has not told of it for a while.
--- a/siskin-wire/src/load.rs
+++ b/siskin-wire/src/load.rs
@@ -6,7 +6,19 @@
     std::ops::RangeInclusive,
 };
 
-/// Load that one router has put on one endpoint.
+/// Whose load a digest tells of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender's own, told to the hub of its group.
+    #[default]
+    Own,
+    /// That of the sender's group, told to the hubs of other groups.
+    Group,
+    /// That of all routers but the receiver, told by a hub to its group.
+    Fleet,
+}
+
+/// Load that routers have put on one endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// The endpoint.
@@ -15,10 +27,12 @@
     pub in_flight: u32,
     /// Prompt tokens of requests that have not begun to answer.
     pub backlog: u32,
-    /// Prompt tokens sent since the router started, modulo 2^32.
+    /// Prompt tokens sent since the last digest to the same receiver.
     pub read: u32,
-    /// Prompt tokens per millisecond that the endpoint reads, as this router has seen; 0 if it does not know.
+    /// Prompt tokens per millisecond that the endpoint reads, as the routers have seen; 0 if they do not know.
     pub rate: u16,
+    /// Routers whose mean `rate` is.
+    pub rated: u16,
 }
 
 /// A part of a prompt that an endpoint now keeps.
@@ -30,7 +44,7 @@
     pub chain: u32,
 }
 
-/// Costs of a customer's requests since the router's last digest, in tokens.
+/// Costs of a customer's requests since the last digest to the same receiver, in tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
     /// The customer.
@@ -41,9 +55,11 @@
     pub begun: u32,
 }
 
-/// What a router tells the others a few times a second, in one or several datagrams. A lost one is not repeated.
+/// What a router tells another a few times a second, in one or several datagrams. A lost one is not repeated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
+    /// Whose load this is.
+    pub scope: Scope,
     /// Configuration version in force, 0 for none.
     pub config_version: u64,
     /// Revision of the newest change to the list of endpoints that the router has seen.
@@ -61,6 +77,7 @@
 impl Default for Digest {
     fn default() -> Self {
         Self {
+            scope: Scope::Own,
             config_version: 0,
             directory_revision: 0,
             covers: 0..=u32::MAX,
@@ -85,7 +102,9 @@
     ///
     /// ```
     /// use {siskin_types::id::Endpoint, siskin_wire::load::{Digest, Load}};
-    /// let load = |id| Load { endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7, rate: 50 };
+    /// let load = |id| Load {
+    ///     endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7, rate: 50, rated: 1,
+    /// };
     /// let parts = Digest { loads: (0..100).map(load).collect(), ..Digest::default() }.split();
     /// assert_eq!(parts.len(), 3);
     /// assert_eq!(parts.iter().map(|part| part.loads.len()).sum::<usize>(), 100);
@@ -101,6 +120,7 @@
             let last = rest.is_empty();
             let end = self.loads.last().filter(|_| !last).map_or(u32::MAX, |load| load.endpoint.0);
             parts.push(Self {
+                scope: self.scope,
                 covers: start..=end,
                 loads: std::mem::replace(&mut self.loads, rest),
                 kept: take(&mut self.kept, KEPT_MAX),
@@ -126,6 +146,7 @@
         let mut parts = Vec::new();
         while !(self.kept.is_empty() && self.usages.is_empty()) {
             parts.push(Self {
+                scope: self.scope,
                 config_version: self.config_version,
                 directory_revision: self.directory_revision,
                 covers: 1..=0,
