--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod protocol;
+pub mod relay;
 pub mod respond;
 pub mod room;
 pub mod seed;
