--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -240,17 +240,32 @@
 /// Ends a request with an answer that is known as a whole.
 fn finish(gateway: &Gateway, call: &Call, response: Response<Body>, sends: u32) -> Response<Body> {
     let status = response.status().as_u16();
-    log_end(gateway, call, outcome(response.status()), sends, status);
+    let outcome = outcome(response.status());
+    log_end(gateway, call, &Ended { outcome, status, sends, ..Ended::default() });
     response
 }
 
+/// How a request that was sent to an endpoint ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Ended<'a> {
+    pub(crate) outcome: &'a str,
+    pub(crate) status: u16,
+    pub(crate) sends: u32,
+    /// Time to the first part of a stream, if it came.
+    pub(crate) first: Option<Duration>,
+    /// Longest time between two parts of a stream.
+    pub(crate) pause: Duration,
+}
+
 /// Counts and logs the end of a request that was sent to an endpoint.
-pub(crate) fn log_end(gateway: &Gateway, call: &Call, outcome: &str, sends: u32, status: u16) {
+pub(crate) fn log_end(gateway: &Gateway, call: &Call, ended: &Ended<'_>) {
     let whole = call.arrived.elapsed();
+    let Ended { outcome, status, sends, first, pause } = *ended;
     gateway.metrics.requests.with_label_values(&[call.kind.label(), outcome]).inc();
     gateway.metrics.whole.with_label_values(&[call.kind.label()]).observe(whole.as_secs_f64());
     log::info!(
         request:% = call.id, route:% = call.route, customer = customer(call), outcome, status, sends,
+        first_ms:? = first.map_or(-1, |first| first.as_millis().cast_signed()), pause_ms = millis(pause),
         whole_ms = millis(whole), config = call.version;
         "request ended"
     );
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -4,7 +4,7 @@
     crate::{
         catalog::Kind,
         events::Splitter,
-        exchange::{Call, Flying, Open, connect, head_of, log_end, wait},
+        exchange::{Call, Ended, Flying, Open, connect, head_of, log_end, wait},
         gateway::Gateway,
         respond::Body,
     },
@@ -18,7 +18,7 @@
     siskin_dispatch::pool::{Demand, End},
     siskin_net::upstream::Connection,
     siskin_types::id::Endpoint,
-    std::{io, sync::Arc},
+    std::{io, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -33,6 +33,11 @@
     status: u16,
     started: bool,
     ended: bool,
+    /// Time from the request to the first part.
+    first: Option<Duration>,
+    last_part: Option<Instant>,
+    /// Longest time between two parts.
+    pause: Duration,
 }
 
 /// The endpoint's part of a stream.
@@ -60,6 +65,9 @@
         status: head.status().as_u16(),
         started: false,
         ended: false,
+        first: None,
+        last_part: None,
+        pause: Duration::ZERO,
     };
     let parts = stream::unfold(flow, |mut flow| async move {
         let part = flow.next().await?;
@@ -119,6 +127,7 @@
             }
         }
         self.started = true;
+        self.note_part();
         if matches!(self.call.kind, Kind::Stream { resumable: false }) {
             return Some(bytes);
         }
@@ -133,16 +142,31 @@
             drop(flying);
             self.gateway.recycle(connection, None);
         }
-        log_end(&self.gateway, &self.call, "completed", self.sends, self.status);
+        self.log_end("completed");
     }
 
     fn fail(&mut self, outcome: &str) -> io::Result<Bytes> {
         self.ended = true;
         self.run = None;
-        log_end(&self.gateway, &self.call, outcome, self.sends, self.status);
+        self.log_end(outcome);
         Err(io::Error::other("the endpoint's stream ended early"))
     }
 
+    fn log_end(&self, outcome: &str) {
+        let (first, pause) = (self.first, self.pause);
+        let ended = Ended { outcome, status: self.status, sends: self.sends, first, pause };
+        log_end(&self.gateway, &self.call, &ended);
+    }
+
+    /// Notes when a part has come.
+    fn note_part(&mut self) {
+        let now = Instant::now();
+        self.first.get_or_insert(now - self.call.arrived);
+        if let Some(before) = self.last_part.replace(now) {
+            self.pause = self.pause.max(now - before);
+        }
+    }
+
     /// Lets the stream go on at another endpoint after the last whole event.
     async fn resume(&mut self) -> bool {
         let resumable = matches!(self.call.kind, Kind::Stream { resumable: true });
@@ -205,7 +229,7 @@
 impl Drop for Flow {
     fn drop(&mut self) {
         if !self.ended {
-            log_end(&self.gateway, &self.call, "caller_left", self.sends, self.status);
+            self.log_end("caller_left");
         }
     }
 }
