Revert the reading of the store by hubs for their members

Renewals of endpoints' entries cause no events, so the hub's watch hangs in calm times, its reading looks old, and members read for themselves.

--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -7,7 +7,6 @@
         exchange,
         metrics::Metrics,
         protocol::Protocol,
-        relay::Relay,
         respond::{self, Body},
         room, seed, strain,
     },
@@ -153,8 +152,6 @@
     /// When a peer first told of something newer while the store did not serve this router.
     news: Mutex<Option<time::Instant>>,
     strain: Mutex<strain::Meter>,
-    /// What reaches this router of the store through its hub.
-    pub relay: Relay,
     /// Open connections of callers.
     open: server::Open,
 }
@@ -190,7 +187,6 @@
             following: AtomicBool::new(false),
             news: Mutex::default(),
             strain: Mutex::default(),
-            relay: Relay::default(),
             open: server::Open::default(),
             options,
         })
@@ -261,10 +257,10 @@
     }
 
     /// Takes over a list of endpoints unless a newer one is known. A peer's list counts only while the store does not
-    /// tell this router of changes, or while this router leaves the reading to its hub.
+    /// tell this router of changes.
     pub fn set_directory(&self, directory: Directory, source: Source) -> bool {
         let before = self.directory();
-        let foreign = source == Source::Peer && self.following() && !self.relay.resting();
+        let foreign = source == Source::Peer && self.following();
         if foreign || directory.revision < before.revision {
             return false;
         }
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod metrics;
 pub mod peers;
 pub mod protocol;
-pub mod relay;
 pub mod respond;
 pub mod room;
 pub mod seed;
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -18,11 +18,7 @@
         lock,
     },
     siskin_types::id::Node,
-    siskin_wire::{
-        Message,
-        load::{Digest, Scope},
-        relay,
-    },
+    siskin_wire::{Message, load::Digest, relay},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -160,14 +156,11 @@
         }
         let now = self.gateway.clock.now();
         let mut exchange = lock(&self.exchange);
-        let counted = self.gateway.table(|table| {
+        self.gateway.table(|table| {
             let pools = table.pools.values_mut();
             exchange.take(now, node, digest, pools, &mut table.ledger)
         });
         drop(exchange);
-        if counted && digest.scope == Scope::Fleet {
-            self.note_relay(digest);
-        }
         let mut newest = lock(&self.newest);
         let newer = digest.config_version > newest.config_version
             || digest.directory_revision > newest.directory_revision;
@@ -179,17 +172,6 @@
         newest.directory_revision = newest.directory_revision.max(digest.directory_revision);
     }
 
-    /// Notes how old the hub's reading of the store is, if this router is not behind it.
-    fn note_relay(&self, digest: &Digest) {
-        let (config_version, directory_revision) = self.versions();
-        let behind = digest.config_version > config_version
-            || digest.directory_revision > directory_revision;
-        if !behind && digest.store_age_ms != Digest::NEVER {
-            let age = Duration::from_millis(u64::from(digest.store_age_ms));
-            self.gateway.relay.told(Instant::now(), age);
-        }
-    }
-
     fn relay(&self, from: SocketAddr, message: relay::Message) {
         let (version, revision) = self.versions();
         match message {
@@ -237,11 +219,10 @@
             let interval = lock(&self.exchange).interval();
             time::sleep(interval).await;
             self.catch_up();
-            let Due { digests, part, hub: chosen, silent } = self.due();
+            let Due { digests, hub: chosen, silent } = self.due();
             for node in silent {
                 log::info!(peer:% = node; "no digests of a router for a while; it is passed over until it is heard of");
             }
-            self.gateway.relay.set_part(part);
             if chosen != hub {
                 log::info!(hub:% = chosen, before:% = hub; "hub for load changed");
                 hub = chosen;
@@ -266,11 +247,7 @@
             return;
         };
         let (config_version, directory_revision) = self.versions();
-        let age = self.gateway.relay.age(Instant::now());
-        let store_age_ms =
-            age.and_then(|age| u16::try_from(age.as_millis()).ok()).unwrap_or(Digest::NEVER);
-        let digest = Digest { config_version, directory_revision, store_age_ms, ..digest };
-        for part in digest.split() {
+        for part in (Digest { config_version, directory_revision, ..digest }).split() {
             self.control.send(Some(node), address, &Message::Load(part));
         }
     }
@@ -279,18 +256,15 @@
     fn catch_up(&self) {
         let (config_version, directory_revision) = self.versions();
         let mut newest = lock(&self.newest);
-        let resting = self.gateway.relay.resting();
         let behind = newest.config_version > config_version
-            || (newest.directory_revision > directory_revision
-                && (resting || !self.gateway.following()));
-        let patience = if resting { Duration::ZERO } else { BEHIND };
+            || (newest.directory_revision > directory_revision && !self.gateway.following());
         let now = Instant::now();
         if !behind {
             newest.behind_since = None;
             return;
         }
         let since = *newest.behind_since.get_or_insert(now);
-        let Some(from) = newest.from.filter(|_| now - since >= patience) else { return };
+        let Some(from) = newest.from.filter(|_| now - since >= BEHIND) else { return };
         newest.behind_since = Some(now);
         log::info!(
             config_version, newest = newest.config_version, directory_revision,
