--- a/siskin-dispatch/src/admit.rs
+++ b/siskin-dispatch/src/admit.rs
@@ -13,16 +13,24 @@
 const PATIENCE_MIN: f64 = 0.01;
 const PATIENCE_MAX: f64 = 1.0;
 
-/// Share of the aim that a request of this customer may wait.
+/// A customer beyond its share waits for others that want as much once it got this many times what they got.
+const RIVAL_FACTOR: f64 = 1.6;
+
+/// Share of the aim that a request of this customer may wait; 0 if it is to be refused.
 ///
 /// ```
 /// use siskin_dispatch::{admit::patience, share::{Standing, Usage}};
-/// let standing = |begun| Standing { usage: Usage { asked: 200, begun }, level: 100.0 };
+/// let standing = |begun| Standing { usage: Usage { asked: 200, begun }, level: 100.0, rival: None };
 /// assert_eq!(patience(&standing(10)), patience(&standing(100)));
 /// assert!(patience(&standing(100)) > patience(&standing(150)));
 /// ```
 #[must_use]
 pub fn patience(standing: &Standing) -> f64 {
     let filled = standing.filled().max(f64::EPSILON);
+    #[expect(clippy::cast_precision_loss)]
+    let ahead = |rival| standing.usage.begun as f64 > RIVAL_FACTOR * rival as f64;
+    if filled > 1.0 && standing.rival.is_some_and(ahead) {
+        return 0.0;
+    }
     filled.powf(-STEEPNESS).clamp(PATIENCE_MIN, PATIENCE_MAX)
 }
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -128,7 +128,7 @@
         // A long prompt takes the time of several short ones, and makes the engine late for them.
         let counted = own.mul_f64(demand.own_weight);
         let counted = if self.idle(state) { counted.min(patience / 2) } else { counted };
-        if ahead + counted > patience.min(demand.allowed) {
+        if demand.patience <= 0.0 || ahead + counted > patience.min(demand.allowed) {
             return Err(refusal(Why::Busy, demand, ahead + counted));
         }
         Ok(Placement {
--- a/siskin-dispatch/src/share.rs
+++ b/siskin-dispatch/src/share.rs
@@ -28,6 +28,8 @@
     pub usage: Usage,
     /// The most that any customer is owed for that time, in tokens; infinite while the capacity suffices for all.
     pub level: f64,
+    /// The least that any other customer got of those that asked for as much as this one got.
+    pub rival: Option<u64>,
 }
 
 impl Standing {
@@ -37,7 +39,7 @@
     /// ```
     /// use siskin_dispatch::share::{Standing, Usage};
     /// let usage = Usage { asked: 400, begun: 50 };
-    /// assert_eq!(Standing { usage, level: 100.0 }.filled(), 0.5);
+    /// assert_eq!(Standing { usage, level: 100.0, rival: None }.filled(), 0.5);
     /// ```
     #[must_use]
     #[expect(clippy::cast_precision_loss)]
@@ -103,7 +105,12 @@
     pub fn standing(&mut self, now: Instant, customer: Customer) -> Standing {
         self.expire(now);
         let usage = self.totals.get(&customer).copied().unwrap_or_default();
-        Standing { usage, level: self.level() }
+        let rivals = self
+            .totals
+            .iter()
+            .filter(|(other, rival)| **other != customer && rival.asked >= usage.begun);
+        let rival = rivals.map(|(_, rival)| rival.begun).min();
+        Standing { usage, level: self.level(), rival }
     }
 
     /// The level at which all capacity is given out if no customer gets more than that, nor more than it asked for.
--- a/siskin-dispatch/tests/main/several_hot_customers.rs
+++ b/siskin-dispatch/tests/main/several_hot_customers.rs
@@ -2,11 +2,15 @@
 //! others, however far all are beyond.
 
 use {
+    crate::fixture::{NOW, demand, engines},
     googletest::prelude::*,
     siskin_dispatch::{
         admit::patience,
-        share::{Standing, Usage},
+        pool::Demand,
+        share::{Ledger, Standing, Usage},
     },
+    siskin_types::id::Customer,
+    std::time::Duration,
 };
 
 struct Case {
@@ -26,8 +30,58 @@
 fn the_one_that_got_most_gives_way() {
     for case in CASES {
         let [less, more] = case.got.map(|begun| {
-            patience(&Standing { usage: Usage { asked: 10_000, begun }, level: 100.0 })
+            patience(&Standing { usage: Usage { asked: 10_000, begun }, level: 100.0, rival: None })
         });
         expect_that!(less, ge(2.0 * more), "{}: {less:.3} and {more:.3}", case.name);
     }
 }
+
+/// Load: two customers ask for far more than there is; one sends short prompts that fit everywhere, the other long ones.
+/// Guards against the one with short prompts taking all that idle engines have to give.
+#[googletest::test]
+fn short_prompts_do_not_crowd_out_long_ones() {
+    struct Pair {
+        name: &'static str,
+        begun: [u64; 2],
+        asked: [u64; 2],
+        /// Whether the first one is to be refused now.
+        want_refused: bool,
+    }
+    let cases = [
+        Pair { name: "both alike", begun: [300, 290], asked: [9_000, 9_000], want_refused: false },
+        Pair { name: "far ahead", begun: [840, 340], asked: [9_000, 9_000], want_refused: true },
+        Pair {
+            name: "other wants less",
+            begun: [840, 340],
+            asked: [9_000, 360],
+            want_refused: false,
+        },
+        Pair {
+            name: "within its share",
+            begun: [90, 40],
+            asked: [9_000, 9_000],
+            want_refused: false,
+        },
+    ];
+    for case in cases {
+        // Ten customers share 2,000 tokens in four seconds; eight of them ask for 150 each.
+        let mut ledger = Ledger::new(Duration::from_secs(4), 500.0);
+        for other in 0..8 {
+            ledger.add(NOW, Customer(other), Usage { asked: 150, begun: 150 });
+        }
+        for (index, customer) in [Customer(8), Customer(9)].into_iter().enumerate() {
+            let usage = Usage { asked: case.asked[index], begun: case.begun[index] };
+            ledger.add(NOW, customer, usage);
+        }
+        let patience = patience(&ledger.standing(NOW, Customer(8)));
+        expect_that!(patience <= 0.0, eq(case.want_refused), "{}: {patience}", case.name);
+    }
+}
+
+/// Guards against a request of such a customer that goes to an idle engine although it is to be refused.
+#[googletest::test]
+fn no_patience_means_a_refusal() {
+    let pool = engines(2);
+    let asked = Demand { patience: 0.0, ..demand(1, 10) };
+    expect_that!(pool.choose(NOW, &asked, &[]).is_err(), eq(true));
+}
