--- a/siskin-net/src/upstream/pool.rs
+++ b/siskin-net/src/upstream/pool.rs
@@ -14,7 +14,7 @@
 };
 
 /// Share of the idle timeout announced by an endpoint in which a connection is used.
-const IDLE_SHARE: f64 = 0.7;
+const IDLE_SHARE: f64 = 0.85;
 
 /// Idle connections to endpoints.
 #[derive(Debug)]
