--- a/siskin-dispatch/src/admit.rs
+++ b/siskin-dispatch/src/admit.rs
@@ -14,7 +14,7 @@
 const PATIENCE_MAX: f64 = 1.0;
 
 /// A customer beyond its share waits for others that want as much once it got this many times what they got.
-const RIVAL_FACTOR: f64 = 1.6;
+const RIVAL_FACTOR: f64 = 1.9;
 
 /// Share of the aim that a request of this customer may wait; 0 if it is to be refused.
 ///
