--- a/siskin-dispatch/src/budget.rs
+++ b/siskin-dispatch/src/budget.rs
@@ -57,6 +57,11 @@
         Self { options, buckets: VecDeque::new() }
     }
 
+    /// Changes the fleet's limit.
+    pub const fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// A request was accepted.
     pub fn request(&mut self, now: Instant) {
         self.bucket(now).requests += 1;
--- a/siskin-dispatch/src/share.rs
+++ b/siskin-dispatch/src/share.rs
@@ -83,6 +83,11 @@
         self.capacity = capacity;
     }
 
+    /// Changes the window over which costs are counted.
+    pub const fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
     /// Adds to a customer's costs.
     pub fn add(&mut self, now: Instant, customer: Customer, usage: Usage) {
         self.expire(now);
--- /dev/null
+++ b/siskin-dispatch/tests/main/sparse_requests.rs
@@ -0,0 +1,48 @@
+//! Load: a large fleet in which each router sends an endpoint a request every few seconds. A new connection for each would
+//! cost endpoints more than the prompts' short shared parts do.
+
+use {
+    crate::fixture::{NOW, demand, engines},
+    googletest::prelude::*,
+    siskin_dispatch::{
+        pool::{Demand, End},
+        prompt::Prompt,
+    },
+    std::time::Duration,
+};
+
+struct Case {
+    name: &'static str,
+    /// Tokens of the part that requests of a subject share.
+    shared: u32,
+    /// Whether the request should stay with the endpoint to which a connection is open.
+    want_connected: bool,
+}
+
+const CASES: [Case; 2] = [
+    Case { name: "short shared part", shared: 230, want_connected: true },
+    Case { name: "long shared part", shared: 4_500, want_connected: false },
+];
+
+/// Guards against opening a connection to save the reading of a short part, and against reading a long one again to save
+/// a connection.
+#[googletest::test]
+fn connections_are_opened_for_long_shared_parts_only() {
+    for case in &CASES {
+        let asked = |subject| Demand {
+            prompt: Prompt::new("m", [(1, 300), (1_000 + subject, case.shared), (subject << 32, 900)]),
+            ..demand(0, 1)
+        };
+        let mut kept = 0;
+        for subject in 0..100 {
+            let mut pool = engines(8);
+            let first = pool.choose(NOW, &demand(1, 500), &[]).unwrap().endpoint;
+            let flight = pool.sent(NOW, first, &asked(500).prompt);
+            let later = NOW + Duration::from_secs(1);
+            pool.ended(later, &flight, End::Completed);
+            kept += u32::from(pool.choose(later, &asked(subject), &[]).unwrap().endpoint == first);
+        }
+        let connected = kept > 90;
+        expect_that!(connected, eq(case.want_connected), "{}: {kept} of 100", case.name);
+    }
+}
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -25,7 +25,7 @@
         sizes::Sizes,
     },
     siskin_net::{
-        clock::Clock,
+        clock::{Clock, boot_time},
         lock,
         server::{self, Limits},
         upstream::{self, Connection},
@@ -40,7 +40,12 @@
         },
         time::Duration,
     },
-    tokio::{net::TcpListener, sync::watch, task::JoinHandle, time},
+    tokio::{
+        net::TcpListener,
+        sync::{Notify, watch},
+        task::JoinHandle,
+        time,
+    },
 };
 
 /// Limits on connections before a configuration is known.
@@ -69,6 +74,9 @@
 /// Time between measurements of how late timers are.
 const STRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between two measurements from which the process has stood still, and its peers and the store have gone on.
+const STOOD_STILL: Duration = Duration::from_secs(1);
+
 /// Idle connections kept for each endpoint. Descriptors are few, and most endpoints get a request now and then.
 const IDLE_CONNECTIONS: usize = 16;
 
@@ -107,16 +115,23 @@
     pub ready_path: String,
     /// This VM's data centre.
     pub data_centre: String,
+    /// Limits that may change while the gateway runs.
+    pub figures: Figures,
+    /// Time from a stop to the end of the process.
+    pub grace: Duration,
+    /// Time after a stop in which new connections are still accepted, until callers are sent elsewhere.
+    pub notice: Duration,
+}
+
+/// Limits that may change while the gateway runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
     /// The fleet's limit on repeated requests.
     pub retries: budget::Options,
     /// Window over which customers' shares are counted.
     pub share_window: Duration,
     /// Descriptors that the process may open.
     pub descriptors: usize,
-    /// Time from a stop to the end of the process.
-    pub grace: Duration,
-    /// Time after a stop in which new connections are still accepted, until callers are sent elsewhere.
-    pub notice: Duration,
 }
 
 /// Decisions' state, changed by single calls.
@@ -154,6 +169,8 @@
     strain: Mutex<strain::Meter>,
     /// Open connections of callers.
     open: server::Open,
+    figures: RwLock<Figures>,
+    woken: Notify,
 }
 
 impl Gateway {
@@ -164,7 +181,7 @@
             pools: IndexMap::new(),
             budgets: IndexMap::new(),
             sizes: IndexMap::new(),
-            ledger: Ledger::new(options.share_window, 0.0),
+            ledger: Ledger::new(options.figures.share_window, 0.0),
             usages: IndexMap::new(),
         };
         Arc::new(Self {
@@ -188,10 +205,34 @@
             news: Mutex::default(),
             strain: Mutex::default(),
             open: server::Open::default(),
+            figures: RwLock::new(options.figures),
+            woken: Notify::new(),
             options,
         })
     }
 
+    /// The limits in force.
+    #[must_use]
+    pub fn figures(&self) -> Figures {
+        *self.figures.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Brings other limits into force.
+    pub fn set_figures(&self, figures: Figures) {
+        *self.figures.write().unwrap_or_else(PoisonError::into_inner) = figures;
+        self.table(|table| {
+            table.ledger.set_window(figures.share_window);
+            for budget in table.budgets.values_mut() {
+                budget.set_options(figures.retries);
+            }
+        });
+    }
+
+    /// Waits until the process has stood still for a while and runs again.
+    pub async fn woken(&self) {
+        self.woken.notified().await;
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
@@ -301,7 +342,7 @@
     fn room(&self) -> room::State {
         let open = self.open.count();
         self.metrics.connections.set(i64::try_from(open).unwrap_or(i64::MAX));
-        room::state(open, self.options.descriptors)
+        room::state(open, self.figures().descriptors)
     }
 
     /// Whether callers should close their connections after the next answer.
@@ -317,9 +358,17 @@
     /// Measures how late timers are, until the process ends.
     async fn watch_strain(self: Arc<Self>) {
         let mut before = strain::State::Calm;
+        let mut awake = boot_time();
         loop {
             let due = time::Instant::now() + STRAIN_INTERVAL;
             time::sleep_until(due).await;
+            let stood = boot_time().saturating_sub(std::mem::replace(&mut awake, boot_time()));
+            if stood >= STOOD_STILL {
+                log::warn!(stood_ms = exchange::millis(stood); "the process stood still; what it knows is read anew");
+                // Connections may have ended meanwhile, without a word to this process.
+                self.upstream.purge_all();
+                self.woken.notify_waiters();
+            }
             let (state, mean) = {
                 let mut meter = lock(&self.strain);
                 meter.sample(self.clock.now(), due.elapsed());
@@ -345,7 +394,7 @@
     /// A request for a service was accepted.
     pub(crate) fn count_request(&self, service: &str) {
         let now = self.clock.now();
-        let options = self.options.retries;
+        let options = self.figures().retries;
         self.table(|table| {
             let budget = table.budgets.entry(service.to_owned());
             budget.or_insert_with(|| Budget::new(options)).request(now);
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -7,7 +7,7 @@
     siskin_gateway::{
         catalog::{Catalog, Kind, Limits, Route, Service, Target},
         directory::{Directory, Endpoint},
-        gateway::{Gateway, Options, Server, Source},
+        gateway::{Figures, Gateway, Options, Server, Source},
         metrics::Metrics,
         protocol::{Answer, Head, Malformed, Outbound, Protocol},
     },
@@ -72,11 +72,17 @@
         metrics: None,
         ready_path: "/ready".to_owned(),
         data_centre: "east".to_owned(),
-        retries: budget::Options { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
-        share_window: Duration::from_secs(4),
+        figures: Figures {
+            retries: budget::Options {
+                ratio: 0.2,
+                allowance: 50.0,
+                window: Duration::from_secs(10),
+            },
+            share_window: Duration::from_secs(4),
+            descriptors: 1_024,
+        },
         grace: Duration::from_secs(2),
         notice: Duration::from_millis(50),
-        descriptors: 1_024,
     }
 }
 
--- a/siskin-gateway/tests/main/room.rs
+++ b/siskin-gateway/tests/main/room.rs
@@ -34,8 +34,9 @@
     for case in &CASES {
         let endpoint = Endpoint::start(&[DONE]).await;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let gateway =
-            with_options(siskin_gateway::gateway::Options { descriptors: 300, ..options(any) });
+        let mut options = options(any);
+        options.figures.descriptors = 300;
+        let gateway = with_options(options);
         let site = Site::start_with(gateway, Kind::Idempotent, &[endpoint.address]).await;
         let mut idle = Vec::new();
         for _ in 0..case.idle {
--- a/siskin-net/src/clock.rs
+++ b/siskin-net/src/clock.rs
@@ -1,6 +1,11 @@
 //! The process's monotonic clock in the form that decision code takes.
 
-use {siskin_types::time::Instant, std::time::Duration, tokio::time};
+use {
+    rustix::time::{ClockId, clock_gettime},
+    siskin_types::time::Instant,
+    std::time::Duration,
+    tokio::time,
+};
 
 /// Counts time from the start of the process.
 #[derive(Clone, Copy, Debug)]
@@ -33,5 +38,17 @@
     }
 }
 
+/// Time since the system started, with the time in which it was suspended. The other clock leaves that out.
+///
+/// ```
+/// assert!(siskin_net::clock::boot_time() <= siskin_net::clock::boot_time());
+/// ```
+#[must_use]
+pub fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
 /// Time on the clock when the process starts.
 const OFFSET: Duration = Duration::from_secs(1);
--- a/siskin-net/src/upstream/pool.rs
+++ b/siskin-net/src/upstream/pool.rs
@@ -87,6 +87,11 @@
         idle.swap_remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn purge_all(&self) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// How long a connection may be idle and still be used. A request sent near the end of the time that the endpoint
     /// announced could meet its close.
     fn usable_for(&self, connection: &Connection) -> Duration {
