--- a/siskin-dispatch/src/spread.rs
+++ b/siskin-dispatch/src/spread.rs
@@ -261,7 +261,8 @@
         silent
     }
 
-    /// The first router of the own group that has not fallen silent; this one never has. A router to which others report serves them.
+    /// The first router of the own group that has not fallen silent; this one never has. A router to which others report
+    /// serves them, whatever it prefers itself.
     fn choose_hub(&self, now: Instant) -> Node {
         if self.peers.keys().any(|node| self.is_member(now, *node)) {
             return self.own;
@@ -306,6 +307,7 @@
         due
     }
 
+    /// The first router of a group that has not fallen silent; the preferred one if all have.
     fn first(&self, group: &[Node]) -> Option<Node> {
         let alive = |node: &Node| *node == self.own || !self.is_silent(*node);
         group.iter().copied().find(alive).or_else(|| group.first().copied())
