--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -1,8 +1,8 @@
 //! Load, and newer configurations, from the other routers.
 //!
 //! Routers tell each other many times a second what they have put on the endpoints and what their customers asked for;
-//! [`siskin_dispatch::spread`] decides who tells whom. The digests also say which configuration is in force; a router that stays behind asks for the newer one, so a
-//! router that cannot read the store follows the others.
+//! [`siskin_dispatch::spread`] decides who tells whom. The digests also say which configuration is in force; a router
+//! that stays behind asks for the newer one, so a router that cannot read the store follows the others.
 
 use {
     crate::{
