Keep in one place what endpoints say of themselves, and heed it: leaving, back-offs

Until now a drain was known from the list and from peers only, and a named time was not read.

dispatch::condition holds both for each start of an endpoint and answers whether a request may be sent now. First sends, retries and resumed streams ask it at the choice, when they are counted as sent, and when an idle connection had to be opened anew. Its own word is not taken back by an older list; the fleet hears of it in digests, again each second for a minute. A back-off binds the router that was asked; others count it as load; one request is tried after it, at moments spread over the routers. If all endpoints asked for one, callers are refused at once with the first end, spread over them. Names of headers stand in platform/headers; neither reaches callers. Digests have a new layout and number: routers of the two versions skip each other's.

--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`prompt`]: what a request asks an engine to read
 //! * [`cache`]: what an engine has likely kept of earlier prompts
 //! * [`pool`]: the endpoints of one service, their load, and the choice among them
+//! * [`condition`]: what endpoints say of themselves, and whether requests may be sent to them
 //! * [`share`]: what each customer asked for and got lately, and what it is owed
 //! * [`admit`]: how long a request may wait
 //! * [`spread`]: who tells whom of load
@@ -19,6 +20,7 @@
 pub mod admit;
 pub mod budget;
 pub mod cache;
+pub mod condition;
 pub mod pool;
 pub mod prompt;
 pub mod reading;
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -4,7 +4,11 @@
 mod endpoint;
 
 use {
-    crate::{prompt::Prompt, spread::Changes},
+    crate::{
+        condition::{Gate, News, Register, Source},
+        prompt::Prompt,
+        spread::Changes,
+    },
     endpoint::State,
     indexmap::IndexMap,
     siskin_route::health::{self, Tracker},
@@ -77,6 +81,7 @@
 #[derive(Debug)]
 pub struct Pool {
     endpoints: IndexMap<Endpoint, State>,
+    conditions: Register,
     health: Tracker,
     /// Expected time of one request at an endpoint.
     mean_time: Duration,
@@ -87,6 +92,7 @@
     fn default() -> Self {
         Self {
             endpoints: IndexMap::new(),
+            conditions: Register::default(),
             health: Tracker::new(health::Options {
                 backoff_min: endpoint::DOWN_MIN,
                 backoff_max: endpoint::DOWN_MAX,
@@ -105,8 +111,14 @@
         Self::default()
     }
 
+    /// Sets the number that tells this router from the others.
+    pub const fn set_salt(&mut self, salt: u64) {
+        self.conditions.set_salt(salt);
+    }
+
     /// Brings the list of endpoints up to date. What is known of those that stay is kept.
-    pub fn set_endpoints(&mut self, infos: &[Info]) {
+    pub fn set_endpoints(&mut self, now: Instant, infos: &[Info]) {
+        self.conditions.list(now, infos.iter().map(|info| (info.id, info.leaving)));
         self.endpoints
             .retain(|id, state| infos.iter().any(|info| info.id == *id) || state.in_flight() > 0);
         for (id, state) in &mut self.endpoints {
@@ -124,12 +136,66 @@
     /// Endpoints that take requests, whether they are reachable or not.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.endpoints.values().filter(|state| state.open()).count()
+        self.open_endpoints().count()
+    }
+
+    /// Endpoints that take new requests, now or after a while.
+    fn open_endpoints(&self) -> impl Iterator<Item = (Endpoint, &State)> {
+        let endpoints = self.endpoints.iter().map(|(id, state)| (*id, state));
+        endpoints.filter(|(id, state)| state.listed && !self.conditions.is_leaving(*id))
+    }
+
+    /// Whether a request may be sent to an endpoint now.
+    #[must_use]
+    pub fn gate(&self, now: Instant, endpoint: Endpoint) -> Gate {
+        self.conditions.gate(now, endpoint)
+    }
+
+    /// An endpoint said in an answer to this router that it leaves.
+    pub fn leaves(&mut self, now: Instant, endpoint: Endpoint) {
+        self.conditions.leaves(now, endpoint, Source::Answer, Duration::ZERO);
+    }
+
+    /// An endpoint asked this router to send nothing for a while.
+    pub fn backs_off(&mut self, now: Instant, endpoint: Endpoint, time: Duration) {
+        self.conditions.backs_off(now, endpoint, time);
+    }
+
+    /// An endpoint has taken a request, and said nothing against more.
+    pub fn accepts(&mut self, now: Instant, endpoint: Endpoint) {
+        self.conditions.accepts(now, endpoint);
+    }
+
+    /// This process was suspended for a while that its clock does not count.
+    pub fn suspended(&mut self, time: Duration) {
+        self.conditions.suspended(time);
+    }
+
+    /// What endpoints have said of themselves since this was last asked.
+    pub fn take_news(&mut self) -> Vec<(Endpoint, News)> {
+        self.conditions.take_news()
+    }
+
+    /// Listed endpoints that leave, by who said so.
+    pub fn leaving(&self) -> impl Iterator<Item = Source> {
+        self.conditions.leaving()
+    }
+
+    /// Endpoints that have asked this router to back off.
+    #[must_use]
+    pub fn backing_off(&self, now: Instant) -> usize {
+        self.conditions.backing_off(now)
+    }
+
+    /// What other routers are to be told of endpoints that leave.
+    pub fn told(&self, now: Instant) -> impl Iterator<Item = load::Leaving> {
+        self.conditions.told(now)
     }
 
     /// The request is about to be sent.
     pub fn sent(&mut self, now: Instant, endpoint: Endpoint, prompt: &Prompt) -> Flight {
         let mut flight = Flight { endpoint, since: now, tokens: 0, ahead: 0, answering: false };
+        self.conditions.sent(now, endpoint);
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return flight };
         flight.ahead = state.backlog();
         flight.tokens = prompt.tokens() - state.cache.cached(prompt);
@@ -181,6 +247,13 @@
             let load = digest.loads.iter().find(|load| load.endpoint == *id);
             state.hear(now, node, load);
         }
+        for leaving in &digest.leaving {
+            // Those of other services, and those not listed yet, are told again.
+            if self.endpoints.contains_key(&leaving.endpoint) {
+                let age = Duration::from_millis(u64::from(leaving.age_ms));
+                self.conditions.leaves(now, leaving.endpoint, Source::Peer, age);
+            }
+        }
         for kept in &digest.kept {
             if let Some(state) = self.endpoints.get_mut(&kept.endpoint) {
                 state.cache.note(kept.chain);
@@ -194,6 +267,7 @@
             state.retain_peers(&kept);
             state.expire(now);
         }
+        self.conditions.expire(now);
     }
 
     /// What this router has added since this was last asked.
@@ -207,12 +281,18 @@
         }
     }
 
-    /// The load of this router and of the peers that are `included`, on endpoints on which they have some.
-    pub fn loads(&self, included: impl Fn(Node) -> bool) -> impl Iterator<Item = load::Load> {
-        self.endpoints
-            .iter()
-            .map(move |(id, state)| state.load(*id, &included))
-            .filter(|load| load.in_flight > 0)
+    /// The load of this router and of the peers that are `included`, on endpoints on which they have some or which have asked
+    /// them to back off.
+    pub fn loads(
+        &self,
+        now: Instant,
+        included: impl Fn(Node) -> bool,
+    ) -> impl Iterator<Item = load::Load> {
+        let load = move |(id, state): (&Endpoint, &State)| {
+            state.load(*id, self.conditions.is_backing_off(now, *id), &included)
+        };
+        let spoken_of = |load: &load::Load| load.in_flight > 0 || load.backing_off > 0;
+        self.endpoints.iter().map(load).filter(spoken_of)
     }
 
     /// Requests of this router that are at an endpoint.
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{Demand, Pool, endpoint::State},
-    crate::{cache::scaled, prompt::mix},
+    crate::{
+        cache::scaled,
+        condition::{Gate, Reason},
+        prompt::mix,
+    },
     siskin_types::{id::Endpoint, time::Instant},
     std::time::Duration,
 };
@@ -17,6 +21,9 @@
 /// Tokens that count for an endpoint without a free slot.
 const FULL_TOKENS: u64 = 60_000;
 
+/// Tokens that count for each other router that an endpoint has asked to back off, at most [`FULL_TOKENS`] together.
+const BACKING_OFF_TOKENS: u64 = 6_000;
+
 /// Tokens that count for an endpoint that fails all its requests.
 const FAILING_TOKENS: u64 = 120_000;
 
@@ -42,6 +49,9 @@
 /// Largest share of the remaining time that a refused request is asked to wait, so that a second try is worthwhile.
 const RETURN_SHARE: f64 = 0.3;
 
+/// Part of the time until the end of a back-off over which callers that come back are spread.
+const RETURN_SPREAD: f64 = 0.5;
+
 /// The endpoint for a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
@@ -55,6 +65,8 @@
     pub backlog: u64,
     /// Requests that it has.
     pub in_flight: u32,
+    /// Endpoints that were passed over as they leave or want no requests now.
+    pub shut: usize,
 }
 
 /// Why a request was refused.
@@ -64,6 +76,8 @@
     NoEndpoint,
     /// No endpoint can be reached, or all were tried.
     Unreachable,
+    /// All endpoints that could be reached have asked this router to back off.
+    Backoff,
     /// The wait would be too long.
     Busy,
 }
@@ -75,6 +89,7 @@
         match self {
             Self::NoEndpoint => "no_endpoint",
             Self::Unreachable => "unreachable",
+            Self::Backoff => "backoff",
             Self::Busy => "busy",
         }
     }
@@ -91,6 +106,30 @@
     pub wait: Duration,
 }
 
+impl Refusal {
+    /// The same refusal, with a time to come back that differs between callers if they would all come back at the end of a
+    /// back-off. `random` is different for each request.
+    ///
+    /// ```
+    /// use {siskin_dispatch::pool::{Refusal, Why}, std::time::Duration};
+    /// let second = Duration::from_secs(1);
+    /// let refusal = Refusal { why: Why::Backoff, retry_after: second, wait: second };
+    /// assert_eq!(refusal.spread(0).retry_after, second);
+    /// assert!(refusal.spread(u32::MAX).retry_after > Duration::from_millis(1_400));
+    /// ```
+    #[must_use]
+    pub fn spread(self, random: u32) -> Self {
+        match self.why {
+            Why::Backoff => {
+                let share = f64::from(random) / f64::from(u32::MAX);
+                let retry_after = self.retry_after.mul_f64(1.0 + RETURN_SPREAD * share);
+                Self { retry_after, ..self }
+            }
+            Why::NoEndpoint | Why::Unreachable | Why::Busy => self,
+        }
+    }
+}
+
 impl Pool {
     /// Chooses the endpoint for a request, other than the excluded ones.
     ///
@@ -103,24 +142,31 @@
         demand: &Demand,
         exclude: &[Endpoint],
     ) -> Result<Placement, Refusal> {
-        let open = || self.endpoints.iter().filter(|(_, state)| state.open());
-        if open().next().is_none() {
+        let open: Vec<(Endpoint, &State)> = self.open_endpoints().collect();
+        if open.is_empty() {
             return Err(refusal(Why::NoEndpoint, demand, Duration::ZERO));
         }
-        let reachable = open()
-            .filter(|(id, _)| !exclude.contains(id) && self.health.usable(now, **id))
-            .collect::<Vec<_>>();
+        let usable = |id| !exclude.contains(&id) && self.health.usable(now, id);
+        let (reachable, shut): (Vec<_>, Vec<_>) = open
+            .iter()
+            .copied()
+            .filter(|(id, _)| usable(*id))
+            .partition(|(id, _)| !matches!(self.gate(now, *id), Gate::Shut(_)));
         let least_failing = reachable.iter().map(|(_, state)| state.failing()).fold(1.0, f64::min);
-        let homes = homes(demand, open().map(|(id, _)| *id));
+        let homes = homes(demand, open.iter().map(|(id, _)| *id));
         let best = reachable
             .iter()
             .filter(|(_, state)| state.failing() < FAILING_AVOIDED.max(2.0 * least_failing))
-            .min_by_key(|(id, state)| weight(now, demand, **id, state, homes));
+            .min_by_key(|(id, state)| weight(now, demand, *id, state, homes));
         let best = best.or_else(|| {
-            reachable.iter().min_by_key(|(id, state)| weight(now, demand, **id, state, homes))
+            reachable.iter().min_by_key(|(id, state)| weight(now, demand, *id, state, homes))
         });
         let Some((id, state)) = best else {
-            return Err(refusal(Why::Unreachable, demand, Duration::ZERO));
+            let gates = shut.iter().map(|(id, _)| self.gate(now, *id));
+            return Err(match backoff_left(now, gates) {
+                Some(left) => backoff(demand, left),
+                None => refusal(Why::Unreachable, demand, Duration::ZERO),
+            });
         };
         let tokens = demand.prompt.tokens() - state.cache.cached(&demand.prompt);
         let ahead = self.ahead(state);
@@ -133,11 +179,12 @@
             return Err(refusal(Why::Busy, demand, ahead + counted));
         }
         Ok(Placement {
-            endpoint: **id,
+            endpoint: *id,
             wait: ahead + own,
             tokens,
             backlog: state.backlog(),
             in_flight: state.in_flight_all(),
+            shut: shut.len() + self.leaving().count(),
         })
     }
 
@@ -190,8 +237,27 @@
     let full = if in_flight >= state.slots || state.full(now) { FULL_TOKENS } else { 0 };
     let failing = scaled(FAILING_TOKENS, state.failing());
     let far = if state.near { 0 } else { FAR_TOKENS };
+    let backing_off = u64::from(state.peers_backing_off()) * BACKING_OFF_TOKENS;
+    let backing_off = backing_off.min(FULL_TOKENS);
     let unconnected = if state.connected(now) { 0 } else { UNCONNECTED_TOKENS };
-    state.backlog() + tokens + replica + running + full + failing + far + unconnected
+    let load = state.backlog() + tokens + replica + running;
+    load + full + backing_off + failing + far + unconnected
+}
+
+/// Time until the first of these gates may be passed; `None` if there is none.
+fn backoff_left(now: Instant, gates: impl Iterator<Item = Gate>) -> Option<Duration> {
+    let left = |gate| match gate {
+        Gate::Open | Gate::Trial | Gate::Shut(Reason::Trial) => Duration::ZERO,
+        Gate::Shut(Reason::Backoff(until)) => until - now,
+        Gate::Shut(Reason::Leaving(_)) => Duration::MAX,
+    };
+    gates.map(left).min()
+}
+
+/// The refusal of a request that could be sent after this time.
+fn backoff(demand: &Demand, left: Duration) -> Refusal {
+    let longest = demand.allowed.mul_f64(RETURN_SHARE);
+    Refusal { why: Why::Backoff, wait: left, retry_after: left.min(longest) }
 }
 
 fn refusal(why: Why, demand: &Demand, wait: Duration) -> Refusal {
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -68,13 +68,13 @@
     backlog: u64,
     rate: u16,
     rated: u16,
+    backing_off: u16,
 }
 
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) slots: u32,
     pub(super) near: bool,
-    leaving: bool,
     pub(super) listed: bool,
     pub(super) cache: Cache,
     in_flight: u32,
@@ -85,6 +85,7 @@
     /// Sums over `peers`, kept up to date because every choice asks every endpoint for them.
     peers_in_flight: u32,
     peers_backlog: u64,
+    peers_backing_off: u32,
     /// Tokens per millisecond, as this router has seen.
     rate: f64,
     /// Answers from which `rate` was learned.
@@ -103,7 +104,6 @@
         Self {
             slots: info.slots.max(1),
             near: info.near,
-            leaving: info.leaving,
             listed: true,
             cache: Cache::new(info.memory_tokens),
             in_flight: 0,
@@ -112,6 +112,7 @@
             peers: IndexMap::new(),
             peers_in_flight: 0,
             peers_backlog: 0,
+            peers_backing_off: 0,
             rate: RATE_FIRST,
             samples: 0,
             shared_rate: RATE_FIRST,
@@ -124,12 +125,6 @@
     pub(super) fn update(&mut self, info: &Info) {
         self.slots = info.slots.max(1);
         self.near = info.near;
-        self.leaving = info.leaving;
-    }
-
-    /// Whether it takes new requests.
-    pub(super) const fn open(&self) -> bool {
-        self.listed && !self.leaving
     }
 
     pub(super) const fn in_flight(&self) -> u32 {
@@ -146,6 +141,11 @@
         self.backlog + self.peers_backlog
     }
 
+    /// Other routers that it has asked to back off.
+    pub(super) const fn peers_backing_off(&self) -> u32 {
+        self.peers_backing_off
+    }
+
     /// Time to read this many tokens.
     pub(super) fn reading_time(&self, tokens: u64) -> Duration {
         #[expect(clippy::cast_precision_loss)]
@@ -206,7 +206,8 @@
         let before = self.peers.get(&node).copied();
         let Some(load) = load else {
             if let Some(before) = before {
-                self.set_peer(node, Peer { at: now, in_flight: 0, backlog: 0, ..before });
+                let idle = Peer { at: now, in_flight: 0, backlog: 0, backing_off: 0, ..before };
+                self.set_peer(node, idle);
             }
             return;
         };
@@ -216,6 +217,7 @@
             backlog: u64::from(load.backlog),
             rate: load.rate,
             rated: load.rated,
+            backing_off: load.backing_off,
         };
         let known = before.filter(|_| load.rated == 0);
         let peer =
@@ -224,14 +226,21 @@
         self.cache.advance(u64::from(load.read));
     }
 
-    /// The load of this router and of the peers that are `included`.
-    pub(super) fn load(&self, endpoint: Endpoint, included: impl Fn(Node) -> bool) -> Load {
+    /// The load of this router, which may be `backing_off`, and of the peers that are `included`.
+    pub(super) fn load(
+        &self,
+        endpoint: Endpoint,
+        backing_off: bool,
+        included: impl Fn(Node) -> bool,
+    ) -> Load {
         let mut rates = Rates::default();
         rates.add(self.learned_rate(), 1);
         let (mut in_flight, mut backlog) = (self.in_flight, self.backlog);
+        let mut backing_off = u16::from(backing_off);
         for (_, peer) in self.peers.iter().filter(|(node, _)| included(**node)) {
             in_flight += peer.in_flight;
             backlog += peer.backlog;
+            backing_off = backing_off.saturating_add(peer.backing_off);
             rates.add(peer.known_rate(), peer.rated);
         }
         Load {
@@ -241,6 +250,7 @@
             read: 0,
             rate: rates.mean().map_or(0, whole),
             rated: rates.count,
+            backing_off,
         }
     }
 
@@ -261,31 +271,36 @@
 
     /// Forgets the load of peers that have not been heard of for a while, and takes the mean of the learned speeds.
     pub(super) fn expire(&mut self, now: Instant) {
-        let (mut in_flight, mut backlog) = (0, 0);
+        let (mut in_flight, mut backlog, mut backing_off) = (0, 0, 0);
         let mut rates = Rates::default();
         rates.add(self.learned_rate(), 1);
         for peer in self.peers.values_mut() {
             if now - peer.at >= PEER_LIFETIME {
                 peer.in_flight = 0;
                 peer.backlog = 0;
+                peer.backing_off = 0;
             }
             rates.add(peer.known_rate(), peer.rated);
             in_flight += peer.in_flight;
             backlog += peer.backlog;
+            backing_off += u32::from(peer.backing_off);
         }
         if let Some(mean) = rates.mean() {
             self.shared_rate = mean;
         }
         self.peers_in_flight = in_flight;
         self.peers_backlog = backlog;
+        self.peers_backing_off = backing_off;
     }
 
     fn set_peer(&mut self, node: Node, peer: Peer) {
         self.peers_in_flight += peer.in_flight;
         self.peers_backlog += peer.backlog;
+        self.peers_backing_off += u32::from(peer.backing_off);
         if let Some(before) = self.peers.insert(node, peer) {
             self.peers_in_flight -= before.in_flight;
             self.peers_backlog -= before.backlog;
+            self.peers_backing_off -= u32::from(before.backing_off);
         }
     }
 }
--- a/siskin-dispatch/src/spread/changes.rs
+++ b/siskin-dispatch/src/spread/changes.rs
@@ -70,6 +70,7 @@
                     read,
                     rate: 0,
                     rated: 0,
+                    backing_off: 0,
                 }),
                 None => {}
             }
--- a/siskin-dispatch/src/spread/exchange.rs
+++ b/siskin-dispatch/src/spread/exchange.rs
@@ -8,10 +8,10 @@
     },
     indexmap::IndexMap,
     siskin_types::{
-        id::{Customer, Node},
+        id::{Customer, Endpoint, Node},
         time::Instant,
     },
-    siskin_wire::load::{Digest, Load, Scope},
+    siskin_wire::load::{Digest, Leaving, Load, Scope},
     std::time::Duration,
 };
 
@@ -19,6 +19,9 @@
 /// silent.
 const KEEPALIVE: Duration = Duration::from_millis(200);
 
+/// Time after which a receiver is told again of endpoints that leave.
+const REPEAT: Duration = Duration::from_secs(1);
+
 /// One router's side of the exchange of load.
 #[derive(Debug)]
 pub struct Exchange {
@@ -27,10 +30,12 @@
 }
 
 /// What a receiver was last told.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Told {
     loads: Vec<Load>,
     at: Instant,
+    leaving: Vec<Endpoint>,
+    leaving_at: Instant,
 }
 
 /// What is due now.
@@ -46,6 +51,19 @@
     pub silent: Vec<Node>,
 }
 
+impl Told {
+    /// What the receiver is to be told now of endpoints that leave: nothing if it was told lately.
+    fn leaving(&mut self, now: Instant, leaving: Vec<Leaving>) -> Vec<Leaving> {
+        let same = leaving.iter().map(|one| one.endpoint).eq(self.leaving.iter().copied());
+        if same && now - self.leaving_at < REPEAT {
+            return Vec::new();
+        }
+        self.leaving = leaving.iter().map(|one| one.endpoint).collect();
+        self.leaving_at = now;
+        leaving
+    }
+}
+
 impl Exchange {
     /// The side of a router that knows of no other yet.
     #[must_use]
@@ -119,13 +137,16 @@
         let changes = self.spread.take(target.node);
         let loads: Vec<Load> =
             pools.values().flat_map(|pool| self.loads(now, target, pool)).collect();
-        let told = self.told.get(&target.node);
-        let known = told.is_some_and(|told| now - told.at < KEEPALIVE && told.loads == loads);
-        if known && changes.is_empty() {
+        let leaving: Vec<Leaving> = pools.values().flat_map(|pool| pool.told(now)).collect();
+        let told = self.told.entry(target.node).or_default();
+        let leaving = told.leaving(now, leaving);
+        let known = now - told.at < KEEPALIVE && told.loads == loads;
+        if known && changes.is_empty() && leaving.is_empty() {
             return None;
         }
-        self.told.insert(target.node, Told { loads: loads.clone(), at: now });
-        let mut digest = Digest { scope: target.scope, loads, ..Digest::default() };
+        told.loads.clone_from(&loads);
+        told.at = now;
+        let mut digest = Digest { scope: target.scope, loads, leaving, ..Digest::default() };
         changes.write(&mut digest);
         Some(digest)
     }
@@ -137,6 +158,6 @@
             Scope::Group => self.spread.is_member(now, node),
             Scope::Fleet => node != target.node,
         };
-        pool.loads(included).collect()
+        pool.loads(now, included).collect()
     }
 }
--- a/siskin-dispatch/tests/main/fixture.rs
+++ b/siskin-dispatch/tests/main/fixture.rs
@@ -27,7 +27,7 @@
 /// Engines with 64 slots and memory for 700,000 tokens, numbered from 1.
 pub(crate) fn engines(count: u32) -> Pool {
     let mut pool = Pool::new();
-    pool.set_endpoints(&infos(count));
+    pool.set_endpoints(NOW, &infos(count));
     pool
 }
 
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -1,7 +1,9 @@
 //! Decisions on requests that are forwarded unchanged.
 
 mod cold_start;
+mod conditions;
 mod fixture;
+mod fleet;
 mod hot_customer;
 mod large_prompt;
 mod prefix_spread;
--- a/siskin-dispatch/tests/main/prefix_spread.rs
+++ b/siskin-dispatch/tests/main/prefix_spread.rs
@@ -33,7 +33,7 @@
     let before = engines(12);
     let mut after = Pool::new();
     let left: Vec<Info> = infos(12).into_iter().filter(|info| info.id != Endpoint(5)).collect();
-    after.set_endpoints(&left);
+    after.set_endpoints(NOW, &left);
     for subject in 0..200 {
         let home = place(&before, subject);
         if home != Endpoint(5) {
--- a/siskin-dispatch/tests/main/shared_speed.rs
+++ b/siskin-dispatch/tests/main/shared_speed.rs
@@ -29,7 +29,7 @@
 fn digest(pool: &mut Pool, now: Instant) -> Digest {
     // A router tells of endpoints on which it has load.
     pool.sent(now, Endpoint(1), &demand(1, 0).prompt);
-    Digest { loads: pool.loads(|_| false).collect(), ..Digest::default() }
+    Digest { loads: pool.loads(now, |_| false).collect(), ..Digest::default() }
 }
 
 /// Guards against a share of capacity that depends on the router at which a customer's connections end.
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         catalog::{Account, Kind},
+        directory::numbered,
         gateway::Gateway,
         respond::{self, Body},
         stream,
@@ -16,6 +17,7 @@
     hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming},
     siskin_dispatch::{
         admit,
+        condition::Reason,
         pool::{Demand, End, Placement, Refusal, Why},
         share::Usage,
         sizes::Class,
@@ -106,12 +108,20 @@
                 return give_up(gateway, &call, refusal, sends, exposed);
             }
         };
+        let flying = match Flying::start(gateway, &call, placement.endpoint) {
+            Ok(flying) => flying,
+            Err(reason) => {
+                // The endpoint has said so while the connection was opened.
+                log_shut(&call, placement.endpoint, reason);
+                gateway.recycle(connection, None);
+                continue;
+            }
+        };
         sends += 1;
         log_send(&call, &placement, sends, (patience, got));
         if sends == 1 {
             begun(gateway, &call, class);
         }
-        let flying = Flying::start(gateway, &call, placement.endpoint);
         let fate = attempt::send(gateway, &call, connection, flying).await;
         let (reason, last) = match fate {
             Fate::Answered(response) => return finish(gateway, &call, response, sends),
@@ -226,6 +236,7 @@
 /// Ends a request that has not run.
 fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal, sends: u32) -> Response<Body> {
     let outcome = refusal.why.label();
+    let refusal = refusal.spread(numbered(&call.id));
     gateway.metrics.requests.with_label_values(&[call.kind.label(), outcome]).inc();
     log::info!(
         request:% = call.id, route:% = call.route, customer = customer(call), outcome, sends,
@@ -275,11 +286,19 @@
         request:% = call.id, endpoint:% = placement.endpoint, sends,
         patience:% = Short(patience), got:% = Short(got),
         wait_ms = millis(placement.wait), tokens = placement.tokens, backlog = placement.backlog,
-        in_flight = placement.in_flight, waited_ms = millis(call.arrived.elapsed());
+        in_flight = placement.in_flight, shut = placement.shut, waited_ms = millis(call.arrived.elapsed());
         "request sent"
     );
 }
 
+/// Logs that a request is not sent to an endpoint, by the endpoint's own word.
+pub(crate) fn log_shut(call: &Call, endpoint: Endpoint, reason: Reason) {
+    log::info!(
+        request:% = call.id, endpoint:% = endpoint, reason = reason.label();
+        "endpoint takes no requests now; another one is chosen"
+    );
+}
+
 fn customer(call: &Call) -> &str {
     call.account.as_ref().map_or("", |account| &account.name)
 }
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -13,7 +13,10 @@
         body::Incoming,
         header::{CONTENT_ENCODING, CONTENT_LENGTH},
     },
-    siskin_dispatch::pool::{End, Flight},
+    siskin_dispatch::{
+        condition::{Gate, Reason},
+        pool::{End, Flight},
+    },
     siskin_net::upstream::{self, Connection},
     siskin_types::id::Endpoint,
     std::{pin::pin, sync::Arc, time::Duration},
@@ -69,19 +72,27 @@
 }
 
 impl Flying {
-    pub(crate) fn start(gateway: &Arc<Gateway>, call: &Call, endpoint: Endpoint) -> Self {
+    /// Notes that the request is about to be sent, unless the endpoint wants no requests now.
+    pub(crate) fn start(
+        gateway: &Arc<Gateway>,
+        call: &Call,
+        endpoint: Endpoint,
+    ) -> Result<Self, Reason> {
         let now = gateway.clock.now();
         let flight = gateway.table(|table| {
             let pool = table.pools.entry(call.service.clone()).or_default();
-            pool.sent(now, endpoint, &call.demand.prompt)
-        });
+            match pool.gate(now, endpoint) {
+                Gate::Shut(reason) => Err(reason),
+                Gate::Open | Gate::Trial => Ok(pool.sent(now, endpoint, &call.demand.prompt)),
+            }
+        })?;
         gateway.metrics.in_flight.inc();
-        Self {
+        Ok(Self {
             gateway: Arc::clone(gateway),
             service: call.service.clone(),
             flight,
             end: End::Abandoned,
-        }
+        })
     }
 
     pub(crate) fn endpoint(&self) -> Endpoint {
@@ -167,6 +178,10 @@
             unreachable(gateway, &call.service, flying.endpoint(), &why);
             return Fate::NotRun;
         }
+        Err(Failure::Shut(reason)) => {
+            super::log_shut(call, flying.endpoint(), reason);
+            return Fate::NotRun;
+        }
         Err(Failure::Broken(why)) => {
             flying.ends(End::Broken);
             return Fate::Broken(why);
@@ -191,6 +206,7 @@
     let first = call.arrived.elapsed().as_secs_f64();
     gateway.metrics.first_byte.with_label_values(&[call.kind.label()]).observe(first);
     let mut head = Response::from_parts(head, ());
+    gateway.protocol.clean_answer(head.headers_mut());
     let streams = matches!(call.kind, crate::catalog::Kind::Stream { .. }) && status.is_success();
     if streams {
         clean(head.headers_mut());
@@ -228,6 +244,8 @@
 pub(crate) enum Failure {
     /// Nothing was sent.
     NotSent(String),
+    /// Nothing was sent, as the endpoint wants no requests now.
+    Shut(Reason),
     /// The request may have arrived.
     Broken(String),
     /// The time was over.
@@ -257,11 +275,15 @@
             Ok(fresh) => *connection = fresh,
             Err(error) => return Err(Failure::NotSent(error.to_string())),
         }
+        if let Some(reason) = gateway.shut(&call.service, endpoint) {
+            return Err(Failure::Shut(reason));
+        }
         sent = wait(gateway, call, endpoint, connection.send(again)).await;
     }
     match sent {
         Ok(Ok(answer)) => {
             gateway.heard(endpoint);
+            gateway.note_answer(&call.service, endpoint, &answer);
             Ok(answer)
         }
         Ok(Err(error @ upstream::Error::Unsent { .. })) => Err(Failure::NotSent(error.to_string())),
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What all requests of a gateway share.
 
+mod conditions;
 mod known;
 mod load;
 mod serve;
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{Gateway, LIMITS_FIRST, Source, USER_TIMEOUT},
-    crate::{catalog::Catalog, directory::Directory},
+    crate::{
+        catalog::Catalog,
+        directory::{Directory, numbered},
+    },
     siskin_dispatch::{pool::Info, reading::Reading},
     siskin_net::{lock, server::Limits},
     std::{
@@ -116,6 +119,8 @@
         let Some(catalog) = self.catalog() else { return };
         let directory = self.directory();
         lock(&self.heard).retain(|id, _| directory.get(*id).is_some());
+        let now = self.clock.now();
+        let salt = u64::from(numbered(&self.options.listen.to_string()));
         self.table(|table| {
             for (name, service) in &catalog.services {
                 let infos: Vec<Info> = directory
@@ -130,9 +135,12 @@
                         leaving: endpoint.leaving,
                     })
                     .collect();
-                table.pools.entry(name.clone()).or_default().set_endpoints(&infos);
+                let pool = table.pools.entry(name.clone()).or_default();
+                pool.set_salt(salt);
+                pool.set_endpoints(now, &infos);
             }
         });
+        self.report_conditions();
     }
 
     pub(super) fn limits(&self) -> Limits {
--- a/siskin-gateway/src/gateway/load.rs
+++ b/siskin-gateway/src/gateway/load.rs
@@ -55,10 +55,12 @@
         let mut before = strain::State::Calm;
         let mut awake = boot_time();
         loop {
-            let due = time::Instant::now() + strain::INTERVAL;
+            let begin = time::Instant::now();
+            let due = begin + strain::INTERVAL;
             time::sleep_until(due).await;
             let stood = boot_time().saturating_sub(std::mem::replace(&mut awake, boot_time()));
             if stood >= STOOD_STILL {
+                self.note_suspension(stood.saturating_sub(begin.elapsed()));
                 log::warn!(stood_ms = exchange::millis(stood); "the process stood still; what it knows is read anew");
                 // Connections may have ended meanwhile, without a word to this process.
                 self.upstream.purge_all();
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -36,6 +36,12 @@
     pub config_version: IntGauge,
     /// Listed endpoints by state.
     pub endpoints: IntGaugeVec,
+    /// Listed endpoints that leave, by who said so.
+    pub endpoints_leaving: IntGaugeVec,
+    /// Endpoints that have asked this router to back off.
+    pub endpoints_backing_off: IntGauge,
+    /// Times that an endpoint asked this router to back off.
+    pub backoffs: IntCounter,
     /// Endpoints that were found unreachable.
     pub unreachable: IntCounter,
     /// Routers heard of lately, this one not counted.
@@ -89,6 +95,19 @@
             config_version: create
                 .gauge("siskin_config_version", "Configuration version in force.")?,
             endpoints: create.gauges("siskin_endpoints", "Listed endpoints.", &["state"])?,
+            endpoints_leaving: create.gauges(
+                "siskin_endpoints_leaving",
+                "Listed endpoints that leave.",
+                &["source"],
+            )?,
+            endpoints_backing_off: create.gauge(
+                "siskin_endpoints_backing_off",
+                "Endpoints that have asked this router to back off.",
+            )?,
+            backoffs: create.counter(
+                "siskin_backoffs_total",
+                "Times that an endpoint asked this router to back off.",
+            )?,
             unreachable: create.counter(
                 "siskin_endpoints_unreachable_total",
                 "Times that an endpoint was found unreachable.",
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -169,6 +169,7 @@
             exchange.take(now, node, digest, pools, &mut table.ledger)
         });
         drop(exchange);
+        self.gateway.report_conditions();
         if counted && digest.scope != Scope::Own {
             self.note_reading(digest);
         }
@@ -246,6 +247,7 @@
             for node in silent {
                 log::info!(peer:% = node; "no digests of a router for a while; it is passed over until it is heard of");
             }
+            self.gateway.count_conditions();
             self.gateway.reading(|reading| reading.set_part(part));
             if chosen != hub {
                 log::info!(hub:% = chosen, before:% = hub; "hub for load changed");
--- a/siskin-gateway/src/protocol.rs
+++ b/siskin-gateway/src/protocol.rs
@@ -45,7 +45,7 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Answer<'a> {
     /// The request that it answers.
     pub id: Option<&'a str>,
@@ -53,6 +53,10 @@
     pub not_run: bool,
     /// Whether it bears the endpoint's signature.
     pub signed: bool,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
+    /// How long the endpoint wants no requests from this router.
+    pub backoff: Option<Duration>,
 }
 
 /// Translates between the platform's headers and the gateway's types.
@@ -69,4 +73,7 @@
 
     /// Reads the head of an endpoint's answer.
     fn answer<'a>(&self, status: u16, headers: &'a HeaderMap) -> Answer<'a>;
+
+    /// Removes from an endpoint's answer what it says to this router only.
+    fn clean_answer(&self, headers: &mut HeaderMap);
 }
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -4,7 +4,7 @@
     crate::{
         catalog::Kind,
         events::{Endless, Splitter},
-        exchange::{Call, Ended, Flying, Open, connect, head_of, log_end, wait},
+        exchange::{Call, Ended, Flying, Open, connect, head_of, log_end, log_shut, wait},
         gateway::Gateway,
         respond::Body,
     },
@@ -201,9 +201,16 @@
             else {
                 continue;
             };
+            let mut flying = match Flying::start(&self.gateway, &self.call, placement.endpoint) {
+                Ok(flying) => flying,
+                Err(reason) => {
+                    log_shut(&self.call, placement.endpoint, reason);
+                    self.gateway.recycle(connection, None);
+                    continue;
+                }
+            };
             self.sends += 1;
             self.gateway.metrics.retries.with_label_values(&["resume"]).inc();
-            let mut flying = Flying::start(&self.gateway, &self.call, placement.endpoint);
             let last = self.splitter.last_id().map(str::to_owned);
             let head = head_of(
                 &self.gateway,
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -18,7 +18,7 @@
     },
 };
 
-/// Headers of the tests: `id`, `key`, `tokens`, `not-run` and `signed`.
+/// Headers of the tests: `id`, `key`, `tokens`, `not-run`, `signed`, `leaving` and `backoff-ms`.
 #[derive(Debug)]
 pub(crate) struct Plain;
 
@@ -50,8 +50,18 @@
             id: headers.get("id").and_then(|id| id.to_str().ok()),
             not_run: headers.contains_key("not-run"),
             signed: headers.contains_key("signed"),
+            leaving: headers.contains_key("leaving"),
+            backoff: headers
+                .get("backoff-ms")
+                .and_then(|millis| millis.to_str().ok()?.parse().ok())
+                .map(Duration::from_millis),
         }
     }
+
+    fn clean_answer(&self, headers: &mut HeaderMap) {
+        headers.remove("leaving");
+        headers.remove("backoff-ms");
+    }
 }
 
 /// A gateway that knows nothing yet and listens on free ports.
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -330,7 +330,7 @@
         Message::Config(_) => "config",
         Message::Claim(_) => "claim",
         Message::Poison(_) => "poison",
-        Message::Load(_) => "load",
+        Message::Load(_) | Message::FormerLoad => "load",
         Message::Relay(_) => "relay",
     }
 }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -29,8 +29,10 @@
     Claim(claim::Message),
     /// Suspect requests and crashes.
     Poison(poison::Message),
-    /// Load on endpoints of requests that are forwarded unchanged.
-    Load(load::Digest),
+    /// Load in a former layout, from a router that is not upgraded yet. It is not read.
+    FormerLoad,
     /// Configuration and endpoints for a router that cannot read the store.
     Relay(relay::Message),
+    /// Load on endpoints of requests that are forwarded unchanged.
+    Load(load::Digest),
 }
--- a/siskin-wire/src/load.rs
+++ b/siskin-wire/src/load.rs
@@ -33,6 +33,17 @@
     pub rate: u16,
     /// Routers whose mean `rate` is.
     pub rated: u16,
+    /// Routers that the endpoint has asked to back off.
+    pub backing_off: u16,
+}
+
+/// An endpoint that has said that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Milliseconds since it first said so.
+    pub age_ms: u32,
 }
 
 /// A part of a prompt that an endpoint now keeps.
@@ -74,6 +85,8 @@
     pub kept: Vec<Kept>,
     /// Costs by customer.
     pub usages: Vec<Usage>,
+    /// Endpoints that leave by their own word. It is repeated, as a digest may be lost.
+    pub leaving: Vec<Leaving>,
 }
 
 impl Default for Digest {
@@ -87,6 +100,7 @@
             loads: Vec::new(),
             kept: Vec::new(),
             usages: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 }
@@ -100,6 +114,9 @@
 /// Customers in one datagram.
 const USAGES_MAX: usize = 16;
 
+/// Endpoints that leave in one datagram.
+const LEAVING_MAX: usize = 16;
+
 impl Digest {
     /// The store does not tell the sender of changes.
     pub const NEVER: u16 = u16::MAX;
@@ -109,7 +126,7 @@
     /// ```
     /// use {siskin_types::id::Endpoint, siskin_wire::load::{Digest, Load}};
     /// let load = |id| Load {
-    ///     endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7, rate: 50, rated: 1,
+    ///     endpoint: Endpoint(id), in_flight: 1, backlog: 5_000, read: 7, rate: 50, rated: 1, backing_off: 0,
     /// };
     /// let parts = Digest { loads: (0..100).map(load).collect(), ..Digest::default() }.split();
     /// assert_eq!(parts.len(), 3);
@@ -131,12 +148,13 @@
                 loads: std::mem::replace(&mut self.loads, rest),
                 kept: take(&mut self.kept, KEPT_MAX),
                 usages: take(&mut self.usages, USAGES_MAX),
+                leaving: take(&mut self.leaving, LEAVING_MAX),
                 config_version: self.config_version,
                 directory_revision: self.directory_revision,
                 store_age_ms: self.store_age_ms,
             });
             start = end.saturating_add(1);
-            if last && self.kept.is_empty() && self.usages.is_empty() {
+            if last && !self.is_more_than_loads() {
                 return parts;
             }
             if last {
@@ -147,11 +165,15 @@
         }
     }
 
+    const fn is_more_than_loads(&self) -> bool {
+        !(self.kept.is_empty() && self.usages.is_empty() && self.leaving.is_empty())
+    }
+
     /// Parts for what is left beside the loads.
     #[expect(clippy::reversed_empty_ranges, reason = "the empty range: no endpoint is spoken of")]
     fn without_loads(&mut self) -> Vec<Self> {
         let mut parts = Vec::new();
-        while !(self.kept.is_empty() && self.usages.is_empty()) {
+        while self.is_more_than_loads() {
             parts.push(Self {
                 scope: self.scope,
                 config_version: self.config_version,
@@ -161,6 +183,7 @@
                 loads: Vec::new(),
                 kept: take(&mut self.kept, KEPT_MAX),
                 usages: take(&mut self.usages, USAGES_MAX),
+                leaving: take(&mut self.leaving, LEAVING_MAX),
             });
         }
         parts
