--- a/siskin-dispatch/src/sizes.rs
+++ b/siskin-dispatch/src/sizes.rs
@@ -82,6 +82,19 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Class(usize);
 
+impl Class {
+    /// Name in metrics.
+    ///
+    /// ```
+    /// assert_eq!(siskin_dispatch::sizes::Class::default().label(), "most");
+    /// ```
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        const LABELS: [&str; CLASSES] = ["most", "large", "largest"];
+        LABELS[self.0]
+    }
+}
+
 impl Sizes {
     /// A request of this size has come; tells its class.
     pub fn asked(&mut self, now: Instant, tokens: u64) -> Class {
--- a/siskin-dispatch/tests/main/conditions.rs
+++ b/siskin-dispatch/tests/main/conditions.rs
@@ -333,11 +333,13 @@
         let mut world = World::new(case);
         world.run(case);
         println!(
-            "{}: served {}, refused {}, asked for {} back-offs",
+            "{}: served {}, refused {}, asked for {} back-offs; late {}, stray {}",
             case.name,
             world.served,
             world.refused,
-            world.asked.len()
+            world.asked.len(),
+            world.late(),
+            world.stray()
         );
         expect_that!(world.late(), eq(0), "{}", case.name);
         expect_that!(world.stray(), le(STRAY_MAX), "{}", case.name);
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -176,15 +176,25 @@
 /// The class of the request's size, how much its own prompt counts, and how long it may wait.
 fn size(gateway: &Gateway, call: &Call, patience: f64) -> (Class, f64, f64) {
     let now = gateway.clock.now();
-    gateway.table(|table| {
+    let (class, own_weight, patience) = gateway.table(|table| {
         let sizes = table.sizes.entry(call.route.clone()).or_default();
         let class = sizes.asked(now, call.cost);
         (class, sizes.own_weight(class), sizes.patience(class, patience))
-    })
+    });
+    count_size(gateway, call, class, "asked");
+    (class, own_weight, patience)
+}
+
+/// Counts a request with a prompt by the class of its size.
+fn count_size(gateway: &Gateway, call: &Call, class: Class, step: &str) {
+    if call.cost > 0 {
+        gateway.metrics.sizes.with_label_values(&[class.label(), step]).inc();
+    }
 }
 
 /// Counts that the request was sent to an endpoint.
 fn begun(gateway: &Gateway, call: &Call, class: Class) {
+    count_size(gateway, call, class, "sent");
     gateway.table(|table| {
         if let Some(sizes) = table.sizes.get_mut(&call.route) {
             sizes.served(class);
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     registry: Registry,
     /// Finished requests by kind and outcome.
     pub requests: IntCounterVec,
+    /// Requests with a prompt by class of size and step: asked for, or sent to an endpoint.
+    pub sizes: IntCounterVec,
     /// Requests sent to another endpoint, by reason.
     pub retries: IntCounterVec,
     /// Retries that the budget did not cover.
@@ -69,6 +71,11 @@
                 "Finished requests.",
                 &["kind", "outcome"],
             )?,
+            sizes: create.counters(
+                "siskin_requests_by_size_total",
+                "Requests with a prompt, by class of size and step.",
+                &["class", "step"],
+            )?,
             retries: create.counters(
                 "siskin_retries_total",
                 "Requests sent again.",
