Notice a watch of the store that died in silence

What callers saw: requests sent to an endpoint 2.0 to 2.3 s after the store had acknowledged that it leaves (DRAIN).

The renewal of the lease fails at 12.2 s and succeeds at 20.2 s ('store regained'), but the watch is held for 15 s and given up after 17, so no router hears of any change until 27.2 s, an endpoint that leaves at 22.6 s included. All were deaf at once, so none could tell the others. Class of fault: a wait that relies on the other end to break off.

--- a/siskin-dispatch/src/reading.rs
+++ b/siskin-dispatch/src/reading.rs
@@ -29,8 +29,9 @@
 /// Shortest time that a hub lets the store hold a watch.
 const HOLD_MIN: Duration = Duration::from_millis(100);
 
-/// Longest time that the store holds a watch without a change.
-const HOLD_MAX: Duration = Duration::from_secs(15);
+/// Longest time that the store holds the watch of a router that is no hub, as a share of the time in which a change has to be
+/// in force. A watch whose connection has died tells of nothing; it has to be noticed soon after an outage.
+const HOLD_SHARE: f64 = 1.5;
 
 /// What this router and its hub have read of the store, and when.
 ///
@@ -122,7 +123,7 @@
     #[must_use]
     pub fn hold(&self, now: Instant) -> Duration {
         if self.part != Part::Hub {
-            return HOLD_MAX;
+            return self.within.mul_f64(HOLD_SHARE);
         }
         let interval = self.within.mul_f64(INTERVAL_SHARE);
         let age = self.age(now, Scope::Own).unwrap_or_default();
