--- a/siskin-dispatch/tests/main/conditions.rs
+++ b/siskin-dispatch/tests/main/conditions.rs
@@ -34,7 +34,7 @@
 
 /// What an engine says in its answers after the warm-up.
 #[derive(Clone, Copy)]
-enum Word {
+enum Notice {
     Leaves,
     /// It refuses what it has no slot for, and asks for a back-off.
     Full {
@@ -54,19 +54,19 @@
     routers: u32,
     requests_per_step: u32,
     time: Duration,
-    /// Engines without a word serve and say nothing.
-    words: &'static [(u32, Word)],
+    /// Engines without a notice serve and say nothing.
+    notices: &'static [(u32, Notice)],
     /// Whether requests may be refused.
     refuses: bool,
 }
 
-const fn full(millis: u64) -> Word {
-    Word::Full { slots: 8, backoff: Duration::from_millis(millis) }
+const fn full(millis: u64) -> Notice {
+    Notice::Full { slots: 8, backoff: Duration::from_millis(millis) }
 }
 
-const fn shut(from: u64, until: u64, millis: u64) -> Word {
+const fn shut(from: u64, until: u64, millis: u64) -> Notice {
     let (from, until) = (Duration::from_secs(from), Duration::from_secs(until));
-    Word::Shut { from, until, backoff: Duration::from_millis(millis) }
+    Notice::Shut { from, until, backoff: Duration::from_millis(millis) }
 }
 
 const CASES: [Case; 9] = [
@@ -75,7 +75,7 @@
         routers: 38,
         requests_per_step: 4,
         time: Duration::from_secs(5),
-        words: &[(1, Word::Leaves)],
+        notices: &[(1, Notice::Leaves)],
         refuses: false,
     },
     Case {
@@ -83,7 +83,7 @@
         routers: 200,
         requests_per_step: 4,
         time: Duration::from_secs(5),
-        words: &[(1, Word::Leaves)],
+        notices: &[(1, Notice::Leaves)],
         refuses: false,
     },
     Case {
@@ -91,7 +91,7 @@
         routers: 38,
         requests_per_step: 4,
         time: Duration::from_secs(5),
-        words: &[(1, Word::Leaves), (2, Word::Leaves), (3, Word::Leaves)],
+        notices: &[(1, Notice::Leaves), (2, Notice::Leaves), (3, Notice::Leaves)],
         refuses: false,
     },
     // 8 slots at 20 ms serve 2 requests a step.
@@ -100,7 +100,7 @@
         routers: 38,
         requests_per_step: 24,
         time: Duration::from_secs(6),
-        words: &[(1, full(600)), (2, full(600)), (3, full(600)), (4, full(600))],
+        notices: &[(1, full(600)), (2, full(600)), (3, full(600)), (4, full(600))],
         refuses: true,
     },
     Case {
@@ -108,7 +108,7 @@
         routers: 38,
         requests_per_step: 24,
         time: Duration::from_secs(24),
-        words: &[(1, full(20_000)), (2, full(20_000)), (3, full(20_000)), (4, full(20_000))],
+        notices: &[(1, full(20_000)), (2, full(20_000)), (3, full(20_000)), (4, full(20_000))],
         refuses: true,
     },
     Case {
@@ -116,7 +116,7 @@
         routers: 200,
         requests_per_step: 6,
         time: Duration::from_secs(6),
-        words: &[(1, full(3_000))],
+        notices: &[(1, full(3_000))],
         refuses: false,
     },
     Case {
@@ -124,7 +124,7 @@
         routers: 38,
         requests_per_step: 4,
         time: Duration::from_secs(9),
-        words: &[
+        notices: &[
             (1, shut(2, 4, 2_500)),
             (2, shut(2, 4, 2_500)),
             (3, shut(2, 4, 2_500)),
@@ -137,7 +137,7 @@
         routers: 38,
         requests_per_step: 4,
         time: Duration::from_secs(9),
-        words: &[
+        notices: &[
             (1, shut(1, 3, 2_000)),
             (2, shut(1, 3, 2_000)),
             (3, shut(6, 8, 2_000)),
@@ -150,7 +150,7 @@
         routers: 200,
         requests_per_step: 4,
         time: Duration::from_secs(9),
-        words: &[
+        notices: &[
             (1, shut(1, 3, 2_000)),
             (2, shut(1, 3, 2_000)),
             (3, shut(6, 8, 2_000)),
@@ -186,7 +186,7 @@
 struct World {
     fleet: Fleet,
     start: Instant,
-    words: IndexMap<Endpoint, Word>,
+    notices: IndexMap<Endpoint, Notice>,
     runs: Vec<Run>,
     arrivals: Vec<Arrival>,
     asked: Vec<Asked>,
@@ -206,11 +206,12 @@
             site.pools["engines"].set_salt(index as u64);
         }
         fleet.run(WARM_UP);
-        let words = case.words.iter().map(|(engine, word)| (Endpoint(*engine), *word)).collect();
+        let notices =
+            case.notices.iter().map(|(engine, notice)| (Endpoint(*engine), *notice)).collect();
         Self {
             start: fleet.now,
             fleet,
-            words,
+            notices,
             runs: Vec::new(),
             arrivals: Vec::new(),
             asked: Vec::new(),
@@ -267,12 +268,12 @@
     fn refusal(&self, engine: Endpoint) -> Option<Duration> {
         let since = self.fleet.now - self.start;
         let running = |run: &&Run| run.flight.endpoint == engine && run.backoff.is_none();
-        match self.words.get(&engine)? {
-            Word::Leaves => None,
-            Word::Full { slots, backoff } => {
+        match self.notices.get(&engine)? {
+            Notice::Leaves => None,
+            Notice::Full { slots, backoff } => {
                 (self.runs.iter().filter(running).count() >= *slots).then_some(*backoff)
             }
-            Word::Shut { from, until, backoff } => {
+            Notice::Shut { from, until, backoff } => {
                 (*from..*until).contains(&since).then_some(*backoff)
             }
         }
@@ -295,7 +296,7 @@
                 self.asked.push(Asked { site, engine, at: now, backoff });
                 continue;
             }
-            if matches!(self.words.get(&engine), Some(Word::Leaves)) {
+            if matches!(self.notices.get(&engine), Some(Notice::Leaves)) {
                 pool.leaves(now, engine);
                 self.left.entry(engine).or_insert(now);
             }
@@ -328,7 +329,7 @@
 }
 
 #[googletest::test]
-fn words_of_endpoints_are_heeded() {
+fn notices_of_endpoints_are_heeded() {
     for case in &CASES {
         let mut world = World::new(case);
         world.run(case);
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -291,7 +291,7 @@
     );
 }
 
-/// Logs that a request is not sent to an endpoint, by the endpoint's own word.
+/// Logs that a request is not sent to an endpoint, as the endpoint asked.
 pub(crate) fn log_shut(call: &Call, endpoint: Endpoint, reason: Reason) {
     log::info!(
         request:% = call.id, endpoint:% = endpoint, reason = reason.label();
--- a/siskin-gateway/tests/main/leaving.rs
+++ b/siskin-gateway/tests/main/leaving.rs
@@ -134,10 +134,10 @@
     },
 ];
 
-/// Guards against a word that is forgotten.
+/// Guards against a notice that is forgotten.
 #[googletest::test]
 #[tokio::test]
-async fn word_is_not_taken_back() {
+async fn notice_is_not_taken_back() {
     for told in TOLD {
         let first = CASES[0].first.clone();
         let pair = Pair::start(Kind::Idempotent, &[first, DONE], &[DONE]).await;
@@ -150,7 +150,7 @@
     }
 }
 
-/// Guards against a word that outlives the start of the endpoint that gave it.
+/// Guards against a notice that outlives the start of the endpoint that gave it.
 #[googletest::test]
 #[tokio::test]
 async fn another_start_is_used() {
--- a/siskin-gateway/tests/main/pauses.rs
+++ b/siskin-gateway/tests/main/pauses.rs
@@ -1,5 +1,5 @@
 //! Endpoints that ask for a back-off. Guards against requests during it, against a rush after it, and against callers that take
-//! an endpoint's word for the router's.
+//! an endpoint's notice for the router's.
 
 use {
     crate::{
--- a/siskin-wire/src/load.rs
+++ b/siskin-wire/src/load.rs
@@ -85,7 +85,7 @@
     pub kept: Vec<Kept>,
     /// Costs by customer.
     pub usages: Vec<Usage>,
-    /// Endpoints that leave by their own word. It is repeated, as a digest may be lost.
+    /// Endpoints that have said that they leave. That is told again and again, as a digest may be lost.
     pub leaving: Vec<Leaving>,
 }
 
