--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -190,6 +190,7 @@
     let (head, body) = answer.into_parts();
     let status = head.status;
     let read = gateway.protocol.answer(status.as_u16(), &head.headers);
+    gateway.note_answer(&call.service, flying.endpoint(), &read);
     if let Err(why) = check(call, &read) {
         flying.ends(End::Broken);
         return Fate::Broken(why);
@@ -283,7 +284,6 @@
     match sent {
         Ok(Ok(answer)) => {
             gateway.heard(endpoint);
-            gateway.note_answer(&call.service, endpoint, &answer);
             Ok(answer)
         }
         Ok(Err(error @ upstream::Error::Unsent { .. })) => Err(Failure::NotSent(error.to_string())),
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -2,8 +2,7 @@
 
 use {
     super::Gateway,
-    crate::exchange::millis,
-    hyper::Response,
+    crate::{exchange::millis, protocol::Answer},
     siskin_dispatch::{
         condition::{Gate, News, Reason, Source},
         pool::Pool,
@@ -23,17 +22,16 @@
     }
 
     /// Takes over what an endpoint says of itself in the head of an answer.
-    pub(crate) fn note_answer<T>(&self, service: &str, endpoint: Endpoint, answer: &Response<T>) {
-        let read = self.protocol.answer(answer.status().as_u16(), answer.headers());
+    pub(crate) fn note_answer(&self, service: &str, endpoint: Endpoint, answer: &Answer<'_>) {
         let now = self.clock.now();
         self.table(|table| {
             let Some(pool) = table.pools.get_mut(service) else { return };
-            if read.leaving {
+            if answer.leaving {
                 pool.leaves(now, endpoint);
             }
-            match read.backoff {
+            match answer.backoff {
                 Some(time) => pool.backs_off(now, endpoint, time),
-                None if !read.not_run => pool.accepts(now, endpoint),
+                None if !answer.not_run => pool.accepts(now, endpoint),
                 None => {}
             }
         });
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -226,6 +226,7 @@
             };
             let (head, body) = answer.into_parts();
             let read = self.gateway.protocol.answer(head.status.as_u16(), &head.headers);
+            self.gateway.note_answer(&self.call.service, placement.endpoint, &read);
             if !head.status.is_success() || !read.signed || read.id != Some(&self.call.id) {
                 flying.ends(if read.not_run { End::NotRun } else { End::Broken });
                 continue;
