--- a/siskin-dispatch/tests/main/conditions.rs
+++ b/siskin-dispatch/tests/main/conditions.rs
@@ -69,6 +69,13 @@
     Notice::Shut { from, until, backoff: Duration::from_millis(millis) }
 }
 
+const HALF_BY_TURNS: [(u32, Notice); 4] = [
+    (1, shut(1, 3, 2_000)),
+    (2, shut(1, 3, 2_000)),
+    (3, shut(6, 8, 2_000)),
+    (4, shut(6, 8, 2_000)),
+];
+
 const CASES: [Case; 9] = [
     Case {
         name: "one leaves",
@@ -137,12 +144,7 @@
         routers: 38,
         requests_per_step: 4,
         time: Duration::from_secs(9),
-        notices: &[
-            (1, shut(1, 3, 2_000)),
-            (2, shut(1, 3, 2_000)),
-            (3, shut(6, 8, 2_000)),
-            (4, shut(6, 8, 2_000)),
-        ],
+        notices: &HALF_BY_TURNS,
         refuses: false,
     },
     Case {
@@ -150,12 +152,7 @@
         routers: 200,
         requests_per_step: 4,
         time: Duration::from_secs(9),
-        notices: &[
-            (1, shut(1, 3, 2_000)),
-            (2, shut(1, 3, 2_000)),
-            (3, shut(6, 8, 2_000)),
-            (4, shut(6, 8, 2_000)),
-        ],
+        notices: &HALF_BY_TURNS,
         refuses: false,
     },
 ];
