Log by what a request is recognised when its endpoint breaks off

Change: siskin_outcome::features hashes customer, method, path and body; the two lines name the hash, and 'stream broke' says whether data had arrived.

--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -202,8 +202,7 @@
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return attempt };
         attempt.backlog_ahead = state.backlog();
         attempt.tokens = prompt.tokens() - state.cache.cached_tokens(prompt);
-        let shared = prompt.parts().len().saturating_sub(1);
-        for part in &prompt.parts()[..shared] {
+        for part in prompt.shared_parts() {
             if self.kept.len() < PENDING_PARTS_MAX && !state.cache.contains(part.chain) {
                 self.kept.push(load::Kept { endpoint, chain: part.chain });
             }
--- a/siskin-dispatch/src/prompt.rs
+++ b/siskin-dispatch/src/prompt.rs
@@ -65,11 +65,16 @@
         self.parts.get(shared.saturating_sub(1)).copied()
     }
 
+    /// The parts that other requests may share: all but the last one.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
     /// Length of the shared parts in tokens.
     #[must_use]
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum()
+        self.shared_parts().iter().map(|part| u64::from(part.tokens)).sum()
     }
 }
 
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -25,6 +25,7 @@
         sizes::Class,
     },
     siskin_net::clock::Deadline,
+    siskin_outcome::features::Features,
     siskin_types::id::Endpoint,
     std::{fmt, sync::Arc, time::Duration},
     tokio::time::Instant,
@@ -62,6 +63,8 @@
     pub(crate) deadline: Deadline,
     pub(crate) max_attempts: u32,
     pub(crate) demand: Demand,
+    /// By what the request is recognised when it comes again.
+    pub(crate) features: Features,
     /// Cost in tokens, counted against the customer's fair share; 0 for requests without a prompt.
     pub(crate) cost: u64,
     pub(crate) version: u64,
@@ -146,7 +149,10 @@
             Outcome::Failed(response) => Failure::Failed(response),
             Outcome::NotRun => Failure::NotRun,
             Outcome::Broken(cause) => {
-                log::info!(request:% = call.id, endpoint:% = placement.endpoint, why:% = cause; "attempt broke");
+                log::info!(
+                    request:% = call.id, endpoint:% = placement.endpoint, features:% = call.features, why:% = cause;
+                    "attempt broke"
+                );
                 Failure::Broken
             }
         };
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -11,16 +11,18 @@
     },
     bytes::Bytes,
     hyper::{
-        HeaderMap, Request, Response, StatusCode, Uri,
+        HeaderMap, Method, Request, Response, StatusCode, Uri,
         body::Incoming,
         header::{
             CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TE, TRAILER,
             TRANSFER_ENCODING, UPGRADE,
         },
-        http::request::Parts,
+        http::{request::Parts, uri::PathAndQuery},
     },
     siskin_dispatch::pool::Demand,
     siskin_net::clock::{Deadline, boot_time},
+    siskin_outcome::features::Features,
+    siskin_types::id::Customer,
     std::time::Duration,
     tokio::time::{Instant, timeout},
 };
@@ -81,6 +83,8 @@
         ));
     };
     let allowed = head.allowed.unwrap_or(route.timeout).min(route.timeout);
+    let uri = origin_form(&parts.uri);
+    let features = request_features(account.as_ref(), &parts.method, &uri, &body, service);
     remove_hop_by_hop_headers(&mut parts.headers);
     Ok(Call {
         id: head.id,
@@ -88,7 +92,7 @@
         kind: route.kind,
         service: service.to_owned(),
         account,
-        uri: origin_form(&parts.uri),
+        uri,
         method: parts.method,
         headers: parts.headers,
         body,
@@ -103,11 +107,26 @@
             patience: 1.0,
             own_weight: 1.0,
         },
+        features,
         cost,
         version: catalog.version,
     })
 }
 
+/// By what the request is recognised when it comes again: customer, method, path and body.
+fn request_features(
+    account: Option<&Account>,
+    method: &Method,
+    uri: &Uri,
+    body: &[u8],
+    service: &str,
+) -> Features {
+    let customer = account.map_or_else(Customer::default, |account| account.id);
+    let path = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let content = [method.as_str().as_bytes(), path.as_bytes(), body];
+    Features::new(customer, &content, service, [])
+}
+
 /// Cost of the request in tokens, counted against the customer's fair share; 0 for requests without a prompt.
 fn request_cost(head: &Head) -> u64 {
     let tokens = head.prompt.tokens();
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -121,7 +121,7 @@
             };
             log::info!(
                 request:% = self.call.id, endpoint:% = endpoint, events = self.splitter.event_count(),
-                why:% = error;
+                begun = self.response_started, features:% = self.call.features, why:% = error;
                 "stream broke"
             );
             if let Some(mut source) = self.source.take() {
--- a/siskin-outcome/src/lib.rs
+++ b/siskin-outcome/src/lib.rs
@@ -3,6 +3,7 @@
 //! These are state machines that do no I/O and read no clock. The caller reports each event through a method that
 //! takes the current time, and carries out the actions that the method returns.
 
+pub mod features;
 pub mod life;
 pub mod outcome;
 pub mod poison;
--- a/siskin-types/src/id.rs
+++ b/siskin-types/src/id.rs
@@ -1,4 +1,4 @@
-//! Identifiers of customers, endpoints, pools, models, nodes and requests.
+//! Identifiers of customers, endpoints, pools, models, nodes, requests and their features.
 
 use {
     serde::{Deserialize, Serialize},
@@ -41,6 +41,18 @@
     Node, "n"
 }
 
+/// Hash of something by which requests are recognised when they come again: the content of one request, or one part of
+/// its prompt, which other requests may share. It is the same at all routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Feature(pub u64);
+
+impl fmt::Display for Feature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Identifies one request, unique in the fleet and across router restarts.
 ///
 /// ```
