Add a failing test of a request that crashes endpoint after endpoint

Three gateways with the exchange between them forward one request, sent 20 times, to 12 endpoints that end when they begin to respond to it; a sound request follows each time.

--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -18,10 +18,13 @@
     },
 };
 
-/// Protocol of the tests, with the headers `id`, `key`, `tokens`, `not-run`, `signed`, `leaving` and `backoff-ms`.
+/// Protocol of the tests, with the headers `id`, `key`, `tokens`, `parts`, `not-run`, `signed`, `leaving` and `backoff-ms`.
 #[derive(Debug)]
 pub(crate) struct TestProtocol;
 
+/// Length of each part of a prompt in the header `parts`.
+const PART_TOKENS: u32 = 10;
+
 impl Protocol for TestProtocol {
     fn read(&self, head: &Parts) -> Result<Head, Malformed> {
         let text = |name: &str| {
@@ -29,10 +32,12 @@
         };
         let missing = Malformed { header: "id", remedy: "send it" };
         let tokens = text("tokens").and_then(|tokens| tokens.parse().ok());
+        let parts = text("parts").unwrap_or_default();
+        let parts = parts.split(',').filter_map(|part| Some((part.parse().ok()?, PART_TOKENS)));
         Ok(Head {
             id: text("id").ok_or(missing)?,
             key: text("key"),
-            prompt: Prompt::new("m", tokens.map(|tokens| (1, tokens))),
+            prompt: Prompt::new("m", tokens.map(|tokens| (1, tokens)).into_iter().chain(parts)),
             ..Head::default()
         })
     }
@@ -208,7 +213,8 @@
         Self::serve(gateway()).await
     }
 
-    async fn serve(gateway: Arc<Gateway>) -> Self {
+    /// Serves a gateway that is already configured.
+    pub(crate) async fn serve(gateway: Arc<Gateway>) -> Self {
         let server = Server::start(gateway).await.unwrap();
         let address = server.address();
         Self { server, address }
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway against scripted endpoints.
 
 mod backoff;
+mod crashing_requests;
 mod directory;
 mod endpoint;
 mod fixture;
