Keep half of a data centre's routers ready when many are short of processor time

Cause: a router that was short of processor time said for 20 s that it was not ready, each by itself. The callers of a data centre come to one router and went from one to the next, until 7 of 13 were not ready, six of them idle. Below half, the platform uses all of them again: all callers came back to the first router, which was overloaded for ten seconds and could do nothing about it.

Change: the routers of a data centre tell each other who is strained, twice a second while any is; when more than half would be, those that have recovered and were strained first are ready again.

Why it works: as long as half are ready, the platform never falls back to all routers, so callers always come to a router that has recovered.

The test half_of_a_data_centre_stays_ready fails without the exchange: 6 of 13 ready at the lowest, 7 are half.

--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`share`]: max-min fair shares of the capacity by customer
 //! * [`admit`]: how long a request may wait at an endpoint
 //! * [`spread`]: which routers send load digests to which others
+//! * [`readiness`]: how many routers of a data centre may fail their readiness checks at once
 //! * [`reading`]: which routers read changes from the platform's store
 //! * [`sizes`]: admission of large prompts
 //! * [`budget`]: the fleet's retry budget, divided among the routers
@@ -24,6 +25,7 @@
 pub mod condition;
 pub mod pool;
 pub mod prompt;
+pub mod readiness;
 pub mod reading;
 pub mod share;
 pub mod sizes;
--- a/siskin-gateway/src/gateway/load.rs
+++ b/siskin-gateway/src/gateway/load.rs
@@ -5,6 +5,7 @@
     crate::{descriptors, exchange, overload},
     siskin_dispatch::reading::Freshness,
     siskin_net::{clock::boot_time, lock},
+    siskin_types::time::Instant,
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -40,6 +41,20 @@
         self.stopping() || self.descriptor_state() != descriptors::State::Free || unready_noticed()
     }
 
+    /// Since when the process has been short of processor time, if it is.
+    pub(crate) fn strained_since(&self) -> Option<Instant> {
+        lock(&self.overload).strained_since()
+    }
+
+    /// Returns to readiness at once if the process has recovered.
+    pub(crate) fn end_strain(&self) {
+        if lock(&self.overload).end_strain() {
+            log::warn!(
+                "ready again before the usual time: too many routers of this data centre are short of processor time"
+            );
+        }
+    }
+
     /// How far the process is behind for lack of processor time.
     fn overload(&self) -> overload::State {
         lock(&self.overload).state()
--- a/siskin-gateway/src/overload.rs
+++ b/siskin-gateway/src/overload.rs
@@ -160,6 +160,23 @@
         self.strained_since.is_some_and(|since| now - since >= UNREADY_NOTICE_TIME)
     }
 
+    /// Since when the process has been strained, if it is.
+    #[must_use]
+    pub const fn strained_since(&self) -> Option<Instant> {
+        self.strained_since
+    }
+
+    /// Ends the time for which a process that has recovered stays strained. Returns whether it did.
+    pub fn end_strain(&mut self) -> bool {
+        let recovered = self.slow_mean < RELIEVED_BELOW && self.admitted_share >= OVERLOADED_BELOW;
+        let ends = recovered && self.strained_since.is_some();
+        if ends {
+            self.strained_since = None;
+            self.strained_until = None;
+        }
+        ends
+    }
+
     /// Slow mean of timer lateness.
     #[must_use]
     pub const fn mean(&self) -> Duration {
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod outcome;
 mod overload;
+mod readiness;
 mod resume;
 mod seed;
 mod silent_endpoints;
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -338,5 +338,6 @@
         Message::Load(_) | Message::LegacyLoad => "load",
         Message::Relay(_) => "relay",
         Message::Crash(_) => "crash",
+        Message::Strain(_) => "strain",
     }
 }
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -233,7 +233,11 @@
             Message::Claim(message) => shared.claims.receive(&shared, opened.node, &message),
             Message::Config(message) => configure::receive(&shared, opened.node, &message),
             // Routers with a scheduler share load by reports and grants.
-            Message::Load(_) | Message::LegacyLoad | Message::Relay(_) | Message::Crash(_) => {
+            Message::Load(_)
+            | Message::LegacyLoad
+            | Message::Relay(_)
+            | Message::Crash(_)
+            | Message::Strain(_) => {
                 shared.metrics.control.rejected.with_label_values(&["unexpected"]).inc();
             }
         }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod poison;
 pub mod relay;
 pub mod sched;
+pub mod strain;
 
 /// Any message between two routers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -38,4 +39,6 @@
     Load(load::Digest),
     /// Crashes of endpoints, from a router that forwards requests unchanged.
     Crash(crash::Report),
+    /// Routers that are short of processor time.
+    Strain(strain::Report),
 }
