Refuse requests with a part of a prompt that crashes endpoints

All streams at a crashed endpoint broke.

Change: the shared parts of a prompt are features beside the content. A part is known by its own identifier, not by what stands before it. Responses are remembered for 2 s, so that they clear a part when the news of a crash comes later; a refusal within 1 s of the last crash names a short time.

Why it works: a part that sound requests share gets a response somewhere soon after each crash and is cleared; one that crashes never gets one. Parts that always come together are refused only together.

--- a/siskin-dispatch/src/prompt.rs
+++ b/siskin-dispatch/src/prompt.rs
@@ -4,6 +4,8 @@
 /// parts before it are cached as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
+    /// What identifies this part by itself, whatever comes before it.
+    pub identity: u64,
     /// Hash of the model and of all parts up to and including this one.
     pub chain: u32,
     /// Length of this part.
@@ -39,7 +41,7 @@
             .into_iter()
             .map(|(identity, tokens)| {
                 chain = mix(chain, identity);
-                Part { chain: upper_half(chain), tokens }
+                Part { identity, chain: upper_half(chain), tokens }
             })
             .collect();
         Self { parts }
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -84,7 +84,7 @@
     };
     let allowed = head.allowed.unwrap_or(route.timeout).min(route.timeout);
     let uri = origin_form(&parts.uri);
-    let features = request_features(account.as_ref(), &parts.method, &uri, &body, service);
+    let features = request_features(account.as_ref(), &parts.method, &uri, &body, service, &head);
     remove_hop_by_hop_headers(&mut parts.headers);
     Ok(Call {
         id: head.id,
@@ -114,18 +114,21 @@
     })
 }
 
-/// By what the request is recognised when it comes again: customer, method, path and body.
+/// By what the request is recognised when it comes again: customer, method, path and body, and the shared parts of its
+/// prompt.
 fn request_features(
     account: Option<&Account>,
     method: &Method,
     uri: &Uri,
     body: &[u8],
     service: &str,
+    head: &Head,
 ) -> Features {
     let customer = account.map_or_else(Customer::default, |account| account.id);
     let path = uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let content = [method.as_str().as_bytes(), path.as_bytes(), body];
-    Features::new(customer, &content, service, [])
+    let parts = head.prompt.shared_parts().iter().map(|part| part.identity);
+    Features::new(customer, &content, service, parts)
 }
 
 /// Cost of the request in tokens, counted against the customer's fair share; 0 for requests without a prompt.
--- a/siskin-gateway/tests/main/crashing_requests.rs
+++ b/siskin-gateway/tests/main/crashing_requests.rs
@@ -197,3 +197,11 @@
     let path = |_| "/app/crashing".to_owned();
     play(&Case { name: "whole request", path, parts: "1,2", crashes_max: 3 }).await;
 }
+
+/// Guards against requests with a crashing part of a prompt, no two alike, that crash one endpoint after the other.
+#[googletest::test]
+#[tokio::test]
+async fn a_part_of_prompts_crashes_few_endpoints() {
+    let path = |index| format!("/app/crashing/{index}");
+    play(&Case { name: "part of the prompt", path, parts: "1,9", crashes_max: 5 }).await;
+}
--- a/siskin-outcome/src/quarantine.rs
+++ b/siskin-outcome/src/quarantine.rs
@@ -40,6 +40,9 @@
 pub struct Options {
     /// How long a crash is remembered, and thereby how long its cause is refused.
     pub refusal_ttl: Duration,
+    /// How long after its last crash a cause is provisional: a response that shows it to be none may not be known yet, so
+    /// callers may come back soon.
+    pub provisional_refusal: Duration,
     /// Two reports of a crash of one endpoint within this time are reports of the same crash.
     pub same_crash_window: Duration,
     /// How long all facts of a crash are sent again. After that, only those that are needed for a refusal are.
@@ -57,6 +60,10 @@
     pub max_crashes: usize,
     /// Most requests that are remembered of one crash.
     pub max_requests: usize,
+    /// How long a response is remembered, for the news of a crash that happened before it.
+    pub start_ttl: Duration,
+    /// Most features of responses that are remembered.
+    pub max_starts: usize,
     /// Most clearances that are remembered; the oldest is evicted first.
     pub max_clearances: usize,
 }
@@ -65,6 +72,7 @@
     fn default() -> Self {
         Self {
             refusal_ttl: Duration::from_secs(600),
+            provisional_refusal: Duration::from_secs(1),
             same_crash_window: Duration::from_millis(1_500),
             announcement_time: Duration::from_secs(10),
             repeat_interval: Duration::from_secs(1),
@@ -73,6 +81,8 @@
             sync_timeout: Duration::from_secs(2),
             max_crashes: 64,
             max_requests: 32,
+            start_ttl: Duration::from_secs(2),
+            max_starts: 4_096,
             max_clearances: 1_024,
         }
     }
@@ -170,9 +180,7 @@
     pub fn record_start(&mut self, now: Instant, features: &Features) {
         let now = Timestamp::from(now);
         for feature in features.as_slice() {
-            if self.table.is_involved(*feature) {
-                self.table.clear(now, *feature);
-            }
+            self.table.record_start(now, *feature);
         }
     }
 
@@ -187,9 +195,13 @@
         let now = Timestamp::from(now);
         self.update_causes();
         for cause in &self.causes {
-            let left = self.options.refusal_ttl.saturating_sub(now.duration_since(cause.last));
-            if !left.is_zero() && features.include(&cause.features) {
-                return Verdict::Refuse { retry_after: left, crashes: cause.crashes.len() };
+            let age = now.duration_since(cause.last);
+            let is_provisional = age < self.options.provisional_refusal;
+            let Options { provisional_refusal, refusal_ttl, .. } = self.options;
+            let until = if is_provisional { provisional_refusal } else { refusal_ttl };
+            let retry_after = until.saturating_sub(age);
+            if !retry_after.is_zero() && features.include(&cause.features) {
+                return Verdict::Refuse { retry_after, crashes: cause.crashes.len() };
             }
         }
         match features.content() {
--- a/siskin-outcome/src/quarantine/table.rs
+++ b/siskin-outcome/src/quarantine/table.rs
@@ -30,13 +30,21 @@
     options: Options,
     crashes: Vec<Crash>,
     cleared: IndexMap<Feature, Cleared>,
+    /// When this router last saw a response begin to a request with each feature.
+    started: IndexMap<Feature, Timestamp>,
     /// Number of the last change.
     version: u64,
 }
 
 impl Table {
     pub(super) fn new(options: Options) -> Self {
-        Self { options, crashes: Vec::new(), cleared: IndexMap::new(), version: 0 }
+        Self {
+            options,
+            crashes: Vec::new(),
+            cleared: IndexMap::new(),
+            started: IndexMap::new(),
+            version: 0,
+        }
     }
 
     pub(super) fn crashes(&self) -> &[Crash] {
@@ -77,6 +85,13 @@
         if now.duration_since(at) >= self.options.refusal_ttl {
             return;
         }
+        for feature in features {
+            // The news of the crash may arrive later than a response that began after it.
+            let started = self.started.get(feature).copied();
+            if let Some(started) = started.filter(|started| *started > at) {
+                self.clear(started, *feature);
+            }
+        }
         let uncleared =
             |feature: &&Feature| self.cleared.get(*feature).is_none_or(|cleared| cleared.at <= at);
         let features: Vec<Feature> = features.iter().filter(uncleared).copied().collect();
@@ -102,6 +117,21 @@
         crash.version = self.version;
     }
 
+    /// Records that a response began to a request with this feature.
+    pub(super) fn record_start(&mut self, now: Timestamp, feature: Feature) {
+        if self.is_involved(feature) {
+            self.clear(now, feature);
+        }
+        self.started.insert(feature, now);
+        if self.started.len() > self.options.max_starts {
+            let ttl = self.options.start_ttl;
+            self.started.retain(|_, started| now.duration_since(*started) < ttl);
+        }
+        if self.started.len() > self.options.max_starts {
+            self.started.clear();
+        }
+    }
+
     /// Clears a feature of all crashes before `at`.
     pub(super) fn clear(&mut self, at: Timestamp, feature: Feature) {
         let later = self.cleared.get(&feature).map(|known| at.duration_since(known.at));
--- a/siskin-outcome/tests/main/quarantine.rs
+++ b/siskin-outcome/tests/main/quarantine.rs
@@ -128,6 +128,140 @@
     }
 }
 
+/// A request: its content, and the shared parts of its prompt.
+type Prompted = (&'static str, &'static [u64]);
+
+/// An event as in [`Step`], with prompts.
+enum PromptStep {
+    Crash(&'static [Prompted]),
+    Start(Prompted),
+}
+
+struct PromptCase {
+    name: &'static str,
+    steps: &'static [PromptStep],
+    want_refused: &'static [Prompted],
+    want_sent: &'static [Prompted],
+}
+
+const PROMPT_CASES: [PromptCase; 6] = [
+    PromptCase {
+        name: "a part in two requests, the other part in a sound one",
+        steps: &[
+            PromptStep::Crash(&[("a", &[1, 9])]),
+            PromptStep::Start(("s", &[1, 2])),
+            PromptStep::Crash(&[("b", &[1, 9])]),
+            PromptStep::Start(("t", &[1, 3])),
+        ],
+        want_refused: &[("c", &[9]), ("d", &[1, 9]), ("e", &[2, 9])],
+        want_sent: &[("c", &[1]), ("d", &[1, 2])],
+    },
+    PromptCase {
+        name: "the same request twice says nothing of its parts",
+        steps: &[PromptStep::Crash(&[("a", &[1, 9])]), PromptStep::Crash(&[("a", &[1, 9])])],
+        want_refused: &[("a", &[1, 9])],
+        want_sent: &[("b", &[1, 9]), ("c", &[9])],
+    },
+    PromptCase {
+        name: "the same request twice, then another one with its part",
+        steps: &[
+            PromptStep::Crash(&[("a", &[1, 9])]),
+            PromptStep::Crash(&[("a", &[1, 9])]),
+            PromptStep::Crash(&[("b", &[2, 9])]),
+        ],
+        want_refused: &[("a", &[1, 9]), ("c", &[3, 9])],
+        want_sent: &[("c", &[1]), ("c", &[2])],
+    },
+    PromptCase {
+        name: "two parts that always come together are a cause only together",
+        steps: &[PromptStep::Crash(&[("a", &[8, 9])]), PromptStep::Crash(&[("b", &[8, 9])])],
+        want_refused: &[("c", &[8, 9])],
+        want_sent: &[("c", &[8]), ("c", &[9])],
+    },
+    PromptCase {
+        name: "a crash with one of two parts shows which it is",
+        steps: &[
+            PromptStep::Crash(&[("a", &[8, 9])]),
+            PromptStep::Crash(&[("b", &[8, 9])]),
+            PromptStep::Crash(&[("c", &[9])]),
+        ],
+        want_refused: &[("d", &[9])],
+        want_sent: &[("d", &[8])],
+    },
+    PromptCase {
+        name: "neighbours with a common part",
+        steps: &[
+            PromptStep::Crash(&[("a", &[9]), ("s", &[1])]),
+            PromptStep::Crash(&[("b", &[9]), ("t", &[1])]),
+            PromptStep::Crash(&[("c", &[9])]),
+        ],
+        want_refused: &[("d", &[9])],
+        want_sent: &[("s", &[1]), ("u", &[1])],
+    },
+];
+
+fn prompted((content, parts): Prompted) -> Features {
+    Features::new(Customer(1), &[content.as_bytes()], "engines", parts.iter().copied())
+}
+
+/// Guards against parts of prompts that crash one endpoint after the other, and against refusing sound requests that share
+/// another part with them.
+#[googletest::test]
+fn crashing_parts_are_refused_and_their_neighbours_run() {
+    for case in PROMPT_CASES {
+        let mut register = Register::new(Options::default());
+        let mut now = Instant::from_micros(100_000_000);
+        for (step, endpoint) in case.steps.iter().zip(1..) {
+            now = now + Duration::from_secs(1);
+            match step {
+                PromptStep::Crash(waiting) => {
+                    for request in *waiting {
+                        register.record_crash(now, Endpoint(endpoint), &prompted(*request));
+                    }
+                }
+                PromptStep::Start(request) => register.record_start(now, &prompted(*request)),
+            }
+        }
+        let mut refuses = |request: Prompted| {
+            matches!(register.verdict(now, &prompted(request)), Verdict::Refuse { .. })
+        };
+        for request in case.want_refused {
+            expect_that!(refuses(*request), eq(true), "{}: {request:?}", case.name);
+        }
+        for request in case.want_sent {
+            expect_that!(refuses(*request), eq(false), "{}: {request:?}", case.name);
+        }
+    }
+}
+
+/// Guards against a sound part that counts as involved because the news of the crash came later than a response to it.
+#[googletest::test]
+fn a_response_before_the_news_of_the_crash_clears() {
+    let (mut first, mut second) =
+        (Register::new(Options::default()), Register::new(Options::default()));
+    let at = |millis: u64| Instant::from_micros(100_000_000 + 1_000 * millis);
+    for (crash, name) in [(0, "a"), (300, "b")] {
+        let endpoint = Endpoint(u32::try_from(crash).unwrap());
+        first.record_crash(at(crash), endpoint, &prompted((name, &[1])));
+    }
+    second.record_start(at(350), &prompted(("s", &[1])));
+    for part in first.report(at(400), Node(2)).split() {
+        second.merge(at(400), Node(1), &part);
+    }
+    expect_that!(second.verdict(at(400), &prompted(("t", &[1]))), eq(Verdict::Run));
+    // The first one does not know of the response yet; its callers may come back soon.
+    let verdict = first.verdict(at(400), &prompted(("t", &[1])));
+    let is_provisional = matches!(
+        verdict,
+        Verdict::Refuse { retry_after, .. } if retry_after <= Duration::from_secs(1)
+    );
+    expect_that!(is_provisional, eq(true), "{verdict:?}");
+    for part in second.report(at(410), Node(1)).split() {
+        first.merge(at(410), Node(2), &part);
+    }
+    expect_that!(first.verdict(at(410), &prompted(("t", &[1]))), eq(Verdict::Run));
+}
+
 /// Guards against a router that does not draw the conclusions of its peers, for example after a restart.
 #[googletest::test]
 fn a_new_router_learns_the_causes_from_one_report() {
