Do not believe a refusal without an identifier on a used connection

A refusal with another request's identifier was not believed; one without any identifier was, on any connection. Class: an answer taken by its position in the connection.

Change: a connection knows whether it has carried an earlier response; a refusal without an identifier counts only if it has not. Otherwise the attempt has broken: 502 for what must not repeat.

Why it works: on a connection that has carried nothing else, no earlier refusal can be repeated; on all others the identifier decides.

--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -196,7 +196,7 @@
     let status = head.status;
     let response_info = gateway.protocol.answer(status.as_u16(), &head.headers);
     gateway.record_endpoint_notices(&call.service, in_flight.endpoint(), &response_info);
-    if let Err(why) = check_response_id(call, &response_info) {
+    if let Err(why) = check_response_id(call, &connection, &response_info) {
         in_flight.set_end(End::Broken);
         return Outcome::Broken(why);
     }
@@ -327,12 +327,18 @@
     Some(request)
 }
 
-/// Checks that a response carries the identifier of the request.
-fn check_response_id(call: &Call, response: &Answer<'_>) -> Result<(), String> {
+/// Checks that a response carries the identifier of the request. A refusal may lack it only if the connection has carried no
+/// other response: otherwise it may be a copy of an earlier one, while the endpoint runs this request.
+fn check_response_id(
+    call: &Call,
+    connection: &Connection,
+    response: &Answer<'_>,
+) -> Result<(), String> {
     match response.id {
-        Some(id) if id != call.id => Err(format!("the response belongs to request {id}")),
-        None if !response.not_run => Err("the response carries no request identifier".to_owned()),
-        _ => Ok(()),
+        Some(id) if id == call.id => Ok(()),
+        Some(id) => Err(format!("the response belongs to request {id}")),
+        None if response.not_run && !connection.carried_earlier_response() => Ok(()),
+        None => Err("the response carries no request identifier".to_owned()),
     }
 }
 
--- a/siskin-net/src/upstream/connect.rs
+++ b/siskin-net/src/upstream/connect.rs
@@ -39,7 +39,7 @@
             log::debug!(endpoint:% = address; "connection to endpoint ended: {error}");
         }
     });
-    Ok(Connection { address, announced_idle_timeout: None, sender })
+    Ok(Connection { address, announced_idle_timeout: None, responses: 0, sender })
 }
 
 /// Sets the socket options, so that the kernel detects a dead peer.
--- a/siskin-net/src/upstream/mod.rs
+++ b/siskin-net/src/upstream/mod.rs
@@ -94,6 +94,8 @@
     address: SocketAddr,
     /// Idle timeout announced by the endpoint, if any.
     announced_idle_timeout: Option<Duration>,
+    /// Number of response heads that it has carried.
+    responses: u64,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -111,6 +113,7 @@
         let response = self.sender.try_send_request(request).await;
         if let Ok(response) = &response {
             self.announced_idle_timeout = announced_idle_timeout(response.headers());
+            self.responses += 1;
         }
         response.map_err(|mut error| {
             if error.take_message().is_some() {
@@ -121,6 +124,12 @@
         })
     }
 
+    /// Whether it has carried an earlier response than the last one, which a faulty endpoint may have sent again.
+    #[must_use]
+    pub const fn carried_earlier_response(&self) -> bool {
+        self.responses > 1
+    }
+
     /// The endpoint's address.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
