Do not take a refusal without an identifier for that of a request that must not repeat

Cause: life::Request::endpoint_refused did not retry such a request, as it may be running, but still counted it as not run.

Change: without an identifier the outcome is unknown. The router takes a refusal on a connection that carried no other answer for the request's own, so endpoints that name no request in refusals lose nothing there.

--- a/siskin-outcome/src/life.rs
+++ b/siskin-outcome/src/life.rs
@@ -362,7 +362,7 @@
     }
 
     /// The endpoint answered that it did not start the request, or that it no longer has the stream to resume.
-    /// `echoed` is the request identifier in the answer, if it has one.
+    /// `echoed` is the request identifier in the answer; without one, a request that is not idempotent may be running.
     pub fn endpoint_refused(
         &mut self,
         now: Instant,
@@ -374,13 +374,12 @@
             return actions;
         }
         match self.state {
+            // Without the identifier, the answer may belong to another request, and this one may be running.
+            State::Sent(_) if !self.options.idempotent && echoed.is_none() => {
+                self.handle_mismatched_answer(now, attempt, budget)
+            }
             State::Sent(endpoint) if !self.answer_started => {
                 self.possible_runs -= 1;
-                // Without the identifier, the answer may belong to another request, and this one may be running.
-                // A retry could then run it twice.
-                if !self.options.idempotent && echoed.is_none() {
-                    return self.finish_with_reason(Reason::EndpointRefused);
-                }
                 self.exclude_endpoint(endpoint);
                 self.schedule_retry(now, Reason::EndpointRefused, budget)
             }
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -62,6 +62,9 @@
             if let Some(endpoint) = self.slot {
                 self.shared.ask_again(&self.call.pool, endpoint);
             }
+            // On a connection that carried no other answer, a refusal belongs to this request.
+            let is_first = !connection.carried_earlier_response();
+            let echoed = echoed.or_else(|| is_first.then_some(self.call.request));
             let mut budget = self.call.pool.budget();
             return self.life.endpoint_refused(now, attempt, echoed, &mut budget);
         }
