Resume a stream only with a response of the same type and without an encoding

An encoded response was taken for the rest of the stream (the case 'encoded' failed before: its bytes followed, and the stream ended as complete), and a response of another type would have been if its text ended like an event.

Cause: the check of the first response's head looked at its encoding, that of a resumed one did not. Class: two places that check the same thing.

Change: a resumed response must have no encoding, and be a stream of events exactly if the first one was; a line names what was not accepted.

--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -17,7 +17,7 @@
     hyper::{
         HeaderMap, Response,
         body::{Frame, Incoming},
-        header::CONTENT_TYPE,
+        header::{CONTENT_ENCODING, CONTENT_TYPE},
     },
     siskin_dispatch::pool::{Demand, End},
     siskin_net::upstream::Connection,
@@ -33,6 +33,8 @@
     call: Arc<Call>,
     source: Option<Upstream>,
     splitter: Splitter,
+    /// Whether the response's type is that of a stream of events.
+    is_event_stream: bool,
     /// Whether the response consists of events. If so, only complete events are forwarded.
     whole_events: bool,
     tried: Vec<Endpoint>,
@@ -63,10 +65,12 @@
 ) -> Response<Body> {
     let Stream { head, body, connection, in_flight } = started;
     let resumable = matches!(call.kind, Kind::Stream { resumable: true });
+    let is_event_stream = is_event_stream(head.headers());
     let forwarded = Forwarder {
         gateway,
         call,
-        whole_events: resumable || is_event_stream(head.headers()),
+        is_event_stream,
+        whole_events: resumable || is_event_stream,
         tried: vec![in_flight.endpoint()],
         source: Some(Upstream { body, connection, in_flight }),
         splitter: Splitter::default(),
@@ -253,7 +257,13 @@
             if !head.status.is_success()
                 || !response_info.signed
                 || response_info.id != Some(&self.call.id)
+                || head.headers.contains_key(CONTENT_ENCODING)
+                || is_event_stream(&head.headers) != self.is_event_stream
             {
+                log::info!(
+                    request:% = self.call.id, endpoint:% = placement.endpoint, status = head.status.as_u16();
+                    "response is not the rest of the stream; its connection is closed"
+                );
                 in_flight.set_end(if response_info.not_run { End::NotRun } else { End::Broken });
                 continue;
             }
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -7,6 +7,7 @@
 mod earlier_refusals;
 mod endpoint;
 mod fixture;
+mod foreign_heads;
 mod hostile_answers;
 mod idle_connections;
 mod leaving;
