Do not take a second response for the rest of a body without a length

A faulty endpoint that writes a second response on such a connection had it delivered as the end of the body, or as an event of the stream, which then ended as complete.

Cause: such a body is whatever comes until the connection closes. Class: the end of one message is inferred from the transport.

In a stream of events, a status line in place of a field ends the stream after the last event before it.

Why it works: an endpoint's response has an identifier, and no field of an event has a status line as its name. A body that quotes another head, and an event whose data does, are delivered (cases of the test).

Not covered: bytes in a stream whose type is not events and that cannot be resumed are forwarded as they come.

--- a/siskin-gateway/src/events.rs
+++ b/siskin-gateway/src/events.rs
@@ -1,12 +1,20 @@
 //! Splits a stream of server-sent events into complete events.
 
+use crate::embedded;
+
 /// Longest event in bytes. Longer data is not treated as an event, as its end may never come.
 pub const EVENT_BYTES_MAX: usize = 64 * 1024;
 
-/// An event is longer than [`EVENT_BYTES_MAX`].
+/// Why a stream cannot be used any further: the start of its next event is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event is longer than {EVENT_BYTES_MAX} bytes; the endpoint sends something else")]
-pub struct Overflow;
+pub enum Malformed {
+    /// An event is longer than [`EVENT_BYTES_MAX`].
+    #[error("an event is longer than {EVENT_BYTES_MAX} bytes; the endpoint sends something else")]
+    TooLong,
+    /// The head of another response follows in place of an event.
+    #[error("another response begins inside the stream; its connection is closed")]
+    OtherResponse,
+}
 
 /// Splits a stream into complete events and keeps the identifier of the last one.
 ///
@@ -30,20 +38,23 @@
     ///
     /// # Errors
     ///
-    /// [`Overflow`] if an event does not end in time. The stream cannot be used any further, as the start of the next
-    /// event is not known.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Overflow> {
+    /// [`Malformed`] if an event does not end in time, or is none.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Malformed> {
         // The end marker of an event may span the old and the new bytes.
         let searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.pending, searched) else {
             return if self.pending.len() > EVENT_BYTES_MAX {
-                Err(Overflow)
+                Err(Malformed::TooLong)
             } else {
                 Ok(Vec::new())
             };
         };
-        let rest = self.pending.split_off(end);
+        let other = other_response_start(&self.pending[..end]);
+        if other == Some(0) {
+            return Err(Malformed::OtherResponse);
+        }
+        let rest = self.pending.split_off(other.unwrap_or(end));
         let complete = std::mem::replace(&mut self.pending, rest);
         self.record_ids(&complete);
         Ok(complete)
@@ -61,6 +72,13 @@
         self.event_count
     }
 
+    /// Whether all events before the head of another response have been returned.
+    #[must_use]
+    pub fn is_at_other_response(&self) -> bool {
+        let first_line = self.pending.split(|byte| *byte == b'\n').next().unwrap_or_default();
+        embedded::is_status_line(first_line)
+    }
+
     /// Bytes of an event that is not complete yet.
     #[must_use]
     pub fn pending(&self) -> &[u8] {
@@ -83,6 +101,22 @@
     }
 }
 
+/// Returns the start of the event in which the head of another response begins.
+fn other_response_start(events: &[u8]) -> Option<usize> {
+    let mut event_start = 0;
+    let mut line_start = 0;
+    for line in events.split_inclusive(|byte| *byte == b'\n') {
+        if embedded::is_status_line(line) {
+            return Some(event_start);
+        }
+        line_start += line.len();
+        if matches!(line, b"\n" | b"\r\n") {
+            event_start = line_start;
+        }
+    }
+    None
+}
+
 /// Returns the end of the last complete event, searching from the index `from`.
 fn last_event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let tail = &bytes[from..];
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -3,6 +3,7 @@
 use {
     super::{Call, accept::remove_hop_by_hop_headers, end_for_status},
     crate::{
+        embedded,
         gateway::Gateway,
         protocol::{Answer, Outbound},
         respond::{self, Body},
@@ -220,8 +221,17 @@
         return Outcome::StreamStarted(Box::new(Stream { head, body, connection, in_flight }));
     }
     in_flight.record_response_start();
+    let ends_with_connection = embedded::ends_with_connection(head.headers());
     let collected = gateway.body_memory.read_body(body, RESPONSE_BYTES_MAX);
     match wait_for_endpoint(gateway, call, in_flight.endpoint(), collected).await {
+        Ok(Ok((bytes, _)))
+            if ends_with_connection && embedded::contains_response(&*gateway.protocol, &bytes) =>
+        {
+            in_flight.set_end(End::Broken);
+            Outcome::Broken(
+                "another response begins inside the body, which has no length".to_owned(),
+            )
+        }
         Ok(Ok((bytes, memory))) => {
             in_flight.set_end(end_for_status(status));
             drop(in_flight);
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod descriptors;
 pub mod directory;
+mod embedded;
 pub mod events;
 pub mod exchange;
 pub mod gateway;
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         catalog::Kind,
-        events::{Overflow, Splitter},
+        events::{Malformed, Splitter},
         exchange::{
             Call, Guard, Stream, Summary, connect_to_endpoint, log_not_accepting, log_request_end,
             send_and_await_head, wait_for_endpoint,
@@ -33,10 +33,7 @@
     call: Arc<Call>,
     source: Option<Upstream>,
     splitter: Splitter,
-    /// Whether the response's type is that of a stream of events.
-    is_event_stream: bool,
-    /// Whether the response consists of events. If so, only complete events are forwarded.
-    whole_events: bool,
+    framing: Framing,
     tried: Vec<Endpoint>,
     sends: u32,
     status: u16,
@@ -49,6 +46,27 @@
     longest_gap: Duration,
 }
 
+/// What the response consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// Events, as its type says. Only complete events are forwarded.
+    Events,
+    /// Events, because it can be resumed after one, though its type does not say so.
+    UndeclaredEvents,
+    /// Bytes, forwarded as they arrive.
+    Bytes,
+}
+
+impl Framing {
+    fn new(headers: &HeaderMap, resumable: bool) -> Self {
+        match (is_event_stream(headers), resumable) {
+            (true, _) => Self::Events,
+            (false, true) => Self::UndeclaredEvents,
+            (false, false) => Self::Bytes,
+        }
+    }
+}
+
 /// The response of one endpoint that the stream is read from.
 struct Upstream {
     body: Incoming,
@@ -65,12 +83,10 @@
 ) -> Response<Body> {
     let Stream { head, body, connection, in_flight } = started;
     let resumable = matches!(call.kind, Kind::Stream { resumable: true });
-    let is_event_stream = is_event_stream(head.headers());
     let forwarded = Forwarder {
         gateway,
         call,
-        is_event_stream,
-        whole_events: resumable || is_event_stream,
+        framing: Framing::new(head.headers(), resumable),
         tried: vec![in_flight.endpoint()],
         source: Some(Upstream { body, connection, in_flight }),
         splitter: Splitter::default(),
@@ -103,13 +119,18 @@
         loop {
             let Some(source) = &mut self.source else { return Some(self.fail("broken")) };
             let endpoint = source.in_flight.endpoint();
-            let frame =
-                wait_for_endpoint(&self.gateway, &self.call, endpoint, source.body.frame()).await;
+            let frame = if self.splitter.is_at_other_response() {
+                // The server writes what it has buffered only when it has to wait for more.
+                tokio::task::yield_now().await;
+                Ok(None)
+            } else {
+                wait_for_endpoint(&self.gateway, &self.call, endpoint, source.body.frame()).await
+            };
             let error = match frame {
                 Ok(Some(Ok(frame))) => match self.process_frame(frame) {
                     Ok(Some(part)) => return Some(Ok(part)),
                     Ok(None) => continue,
-                    Err(too_long) => too_long.to_string(),
+                    Err(malformed) => malformed.to_string(),
                 },
                 Ok(None) if self.splitter.pending().is_empty() => {
                     self.complete();
@@ -141,7 +162,7 @@
     }
 
     /// Processes a frame from the endpoint and returns the data to forward, if any.
-    fn process_frame(&mut self, frame: Frame<Bytes>) -> Result<Option<Bytes>, Overflow> {
+    fn process_frame(&mut self, frame: Frame<Bytes>) -> Result<Option<Bytes>, Malformed> {
         let Ok(bytes) = frame.into_data() else { return Ok(None) };
         if let Some(source) = &mut self.source {
             self.gateway.record_heard(source.in_flight.endpoint());
@@ -152,7 +173,7 @@
         }
         self.response_started = true;
         self.record_part_time();
-        if !self.whole_events {
+        if self.framing == Framing::Bytes {
             return Ok(Some(bytes));
         }
         let complete = self.splitter.push(&bytes)?;
@@ -258,7 +279,7 @@
                 || !response_info.signed
                 || response_info.id != Some(&self.call.id)
                 || head.headers.contains_key(CONTENT_ENCODING)
-                || is_event_stream(&head.headers) != self.is_event_stream
+                || Framing::new(&head.headers, resumable) != self.framing
             {
                 log::info!(
                     request:% = self.call.id, endpoint:% = placement.endpoint, status = head.status.as_u16();
--- a/siskin-gateway/tests/main/foreign_heads.rs
+++ b/siskin-gateway/tests/main/foreign_heads.rs
@@ -1,4 +1,5 @@
-//! Streams that break and whose next endpoint answers with something other than the rest of the stream.
+//! Streams that break and whose next endpoint answers with something other than the rest of the stream, and responses with the
+//! head of another response in the middle.
 
 use {
     crate::{
@@ -24,7 +25,7 @@
     response: &'static str,
 }
 
-const RESUMED: [Resumed; 7] = [
+const RESUMED: [Resumed; 8] = [
     Resumed {
         name: "signed error",
         response: "HTTP/1.1 500 Error\r\nid: {id}\r\nsigned: b\r\ncontent-length: 7\r\n\r\nerror\n\n",
@@ -55,6 +56,11 @@
         response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: b\r\ncontent-type: application/json\r\n\
                    content-length: 13\r\n\r\n{\"error\": 1}\n",
     },
+    Resumed {
+        name: "an error's head in the stream",
+        response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: b\r\n\r\n\
+                   HTTP/1.1 500 Error\r\nid: {id}\r\n\r\nerror\n\n",
+    },
 ];
 
 /// Guards against an error's text or head in the middle of a stream, and against a stream that ends there as if it were complete.
@@ -72,3 +78,72 @@
         router.stop().await;
     }
 }
+
+/// Guards against a second response that is taken for the rest of a body without a length, which ends with its connection.
+#[googletest::test]
+#[tokio::test]
+async fn a_second_response_is_no_part_of_a_body_without_length() {
+    struct Case {
+        name: &'static str,
+        kind: Kind,
+        response: &'static str,
+        want_status: u16,
+        want_body: &'static str,
+        want_complete: bool,
+    }
+    let stream = Kind::Stream { resumable: false };
+    let cases = [
+        Case {
+            name: "body without length",
+            kind: Kind::AtMostOnce,
+            response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\n\r\nwhole",
+            want_status: 200,
+            want_body: "whole",
+            want_complete: true,
+        },
+        Case {
+            name: "body without length that quotes a head",
+            kind: Kind::AtMostOnce,
+            response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\n\r\nHTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+            want_status: 200,
+            want_body: "HTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+            want_complete: true,
+        },
+        Case {
+            name: "second response after a body without length",
+            kind: Kind::AtMostOnce,
+            response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\n\r\nwhole\
+                       HTTP/1.1 200 OK\r\nid: other\r\nsigned: a\r\ncontent-length: 1\r\n\r\nx",
+            want_status: 502,
+            want_body: "the endpoint broke off; the request may have run\n",
+            want_complete: true,
+        },
+        Case {
+            name: "events without length",
+            kind: stream,
+            response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\ncontent-type: text/event-stream\r\n\r\n\
+                       id: 1\ndata: a\n\n",
+            want_status: 200,
+            want_body: FIRST_EVENT,
+            want_complete: true,
+        },
+        Case {
+            name: "second response after events without length",
+            kind: stream,
+            response: "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\ncontent-type: text/event-stream\r\n\r\n\
+                       id: 1\ndata: a\n\nHTTP/1.1 500 Error\r\nid: other\r\n\r\nerror\n\n",
+            want_status: 200,
+            want_body: FIRST_EVENT,
+            want_complete: false,
+        },
+    ];
+    for case in cases {
+        let endpoint = Endpoint::start(&[Step::RespondAndClose(case.response)]).await;
+        let router = TestRouter::start(case.kind, &[endpoint.address]).await;
+        let reply = router.send_request("s1", "").await;
+        expect_that!(reply.status, eq(case.want_status), "{}", case.name);
+        expect_that!(reply.body, eq(case.want_body), "{}", case.name);
+        expect_that!(reply.complete, eq(case.want_complete), "{}", case.name);
+        router.stop().await;
+    }
+}
