Keep the readiness of a data centre's routers in a module of its own

Moved to peers/readiness.rs, as a state without I/O; behaviour unchanged, tests of siskin-gateway pass.

--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -4,6 +4,11 @@
 //! their customers; [`siskin_dispatch::spread`] chooses the receivers. Digests also carry the versions of the configuration
 //! and of the list of endpoints. A router with an older version requests the newer one from the sender, so a router that
 //! cannot read the store stays up to date through its peers.
+//!
+//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints, and which routers of the data centre
+//! are short of processor time.
+
+mod readiness;
 
 use {
     crate::{
@@ -12,11 +17,9 @@
         gateway::{Gateway, Source},
     },
     indexmap::IndexMap,
+    readiness::Readiness,
     serde::{Serialize, de::DeserializeOwned},
-    siskin_dispatch::{
-        readiness::{self, Strained},
-        spread::{Due, Exchange, Router},
-    },
+    siskin_dispatch::spread::{Due, Exchange, Router},
     siskin_net::{
         control::{Control, Received},
         lock,
@@ -61,10 +64,7 @@
     by_node: Mutex<IndexMap<Node, Peer>>,
     newest: Mutex<Versions>,
     exchange: Mutex<Exchange>,
-    /// Data centre of each listed router.
-    data_centres: Mutex<IndexMap<Node, String>>,
-    strained: Mutex<Strained>,
-    strain_reported: Mutex<Option<Instant>>,
+    readiness: Mutex<Readiness>,
 }
 
 /// A router that the platform lists.
@@ -110,9 +110,7 @@
             by_node: Mutex::default(),
             newest: Mutex::default(),
             exchange: Mutex::new(Exchange::new(node)),
-            data_centres: Mutex::default(),
-            strained: Mutex::new(Strained::new(node)),
-            strain_reported: Mutex::default(),
+            readiness: Mutex::new(Readiness::new(node)),
         });
         let (queue, received) = mpsc::channel(QUEUE_FRAMES);
         tokio::spawn(control.run(listener, queue));
@@ -125,7 +123,7 @@
     pub fn list(&self, routers: &[Listing]) {
         let fleet: Vec<Router> = routers.iter().map(|listed| listed.router.clone()).collect();
         lock(&self.exchange).list(&fleet);
-        self.set_data_centres(&fleet);
+        lock(&self.readiness).set_routers(&fleet, &self.gateway.options.data_centre);
         let mut peers = lock(&self.by_node);
         for peer in peers.values_mut() {
             peer.listed = false;
@@ -160,7 +158,7 @@
                 Message::Load(digest) => self.handle_digest(opened.node, from, &digest),
                 Message::Relay(message) => self.handle_relay(from, message),
                 Message::Strain(report) => {
-                    lock(&self.strained).merge(self.gateway.clock.now(), &report);
+                    lock(&self.readiness).merge(self.gateway.clock.now(), &report);
                 }
                 Message::Crash(report) => self.gateway.merge_crashes(opened.node, &report),
                 other => {
@@ -304,46 +302,24 @@
         }
     }
 
-    fn set_data_centres(&self, fleet: &[Router]) {
-        let data_centres =
-            fleet.iter().map(|router| (router.node, router.data_centre.clone())).collect();
-        let own = &self.gateway.options.data_centre;
-        let in_own = fleet.iter().filter(|router| router.data_centre == *own);
-        let nodes: Vec<Node> = in_own.map(|router| router.node).collect();
-        lock(&self.strained).set_routers(&nodes);
-        *lock(&self.data_centres) = data_centres;
-    }
-
     /// Tells the routers of this data centre which of them are short of processor time, and returns to readiness if these are
     /// too many.
     fn balance_readiness(&self, targets: &[Node]) {
         let now = self.gateway.clock.now();
-        let mut strained = lock(&self.strained);
-        strained.record_own(now, self.gateway.strained_since());
-        if strained.must_return(now) {
+        let mut readiness = lock(&self.readiness);
+        if readiness.must_return(now, self.gateway.strained_since()) {
             self.gateway.end_strain();
         }
-        let report = strained.report(now);
-        drop(strained);
-        let mut reported = lock(&self.strain_reported);
-        let is_due = reported.is_none_or(|at| at.elapsed() >= readiness::REPORT_INTERVAL);
-        if report.strained.is_empty() || !is_due {
-            return;
-        }
-        *reported = Some(Instant::now());
-        for node in targets.iter().filter(|node| self.is_in_own_data_centre(**node)) {
-            let address = lock(&self.by_node).get(node).map(|peer| peer.address);
+        let Some((receivers, report)) = readiness.due_report(now, targets) else { return };
+        drop(readiness);
+        for node in receivers {
+            let address = lock(&self.by_node).get(&node).map(|peer| peer.address);
             if let Some(address) = address {
-                self.control.send(Some(*node), address, &Message::Strain(report.clone()));
+                self.control.send(Some(node), address, &Message::Strain(report.clone()));
             }
         }
     }
 
-    fn is_in_own_data_centre(&self, node: Node) -> bool {
-        let data_centres = lock(&self.data_centres);
-        data_centres.get(&node).is_some_and(|name| *name == self.gateway.options.data_centre)
-    }
-
     fn send_crash_report(&self, node: Node, report: crash::Report) {
         let address = lock(&self.by_node).get(&node).map(|peer| peer.address);
         let Some(address) = address.filter(|_| !report.is_empty()) else { return };
