Split the resumption of a stream into its steps

One function of 90 lines chose an endpoint, connected, sent the request, checked the head and logged. Five functions now, each with one job; the check of the head stands in one place (is_rest).

--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -9,6 +9,7 @@
             send_and_await_head, wait_for_endpoint,
         },
         gateway::Gateway,
+        protocol::Answer,
         respond::Body,
     },
     bytes::Bytes,
@@ -18,6 +19,7 @@
         HeaderMap, Response,
         body::{Frame, Incoming},
         header::{CONTENT_ENCODING, CONTENT_TYPE},
+        http::response::Parts,
     },
     siskin_dispatch::pool::{Demand, End},
     siskin_net::upstream::Connection,
@@ -217,88 +219,99 @@
     async fn resume(&mut self) -> bool {
         let resumable = matches!(self.call.kind, Kind::Stream { resumable: true });
         while resumable && self.sends < self.call.max_attempts {
-            let Ok(isolation) = self.gateway.check_quarantine(&self.call) else { return false };
-            if !self.gateway.take_retry(&self.call.service) {
-                return false;
+            let Some(endpoint) = self.choose_endpoint() else { return false };
+            self.tried.push(endpoint);
+            let Some((connection, in_flight)) = self.connect(endpoint).await else { continue };
+            if let Some(source) = self.request_rest(connection, in_flight).await {
+                self.response_started = false;
+                self.source = Some(source);
+                return true;
             }
-            self.splitter.discard_pending();
-            let now = self.gateway.clock.now();
-            let allowed = self.call.deadline.left();
-            // The caller has waited already, so any endpoint that responds before the deadline is acceptable.
-            let demand = Demand {
-                aim: allowed,
-                allowed,
-                patience: 1.0,
-                isolation,
-                ..self.call.demand.clone()
-            };
-            let chosen = self.gateway.with_dispatch(|state| {
-                let pool = state.pools.get(&self.call.service)?;
-                pool.choose_endpoint(now, &demand, &self.tried).ok()
-            });
-            let Some(placement) = chosen else { return false };
-            self.tried.push(placement.endpoint);
-            let Ok(mut connection) =
-                connect_to_endpoint(&self.gateway, &self.call, placement.endpoint).await
-            else {
-                continue;
-            };
-            let mut in_flight = match Guard::start(&self.gateway, &self.call, placement.endpoint) {
-                Ok(in_flight) => in_flight,
-                Err(reason) => {
-                    log_not_accepting(&self.call, placement.endpoint, reason);
-                    self.gateway.recycle_connection(connection, None);
-                    continue;
-                }
-            };
-            self.sends += 1;
-            self.gateway.metrics.retries.with_label_values(&["resume"]).inc();
-            let last = self.splitter.last_id().map(str::to_owned);
-            let head = send_and_await_head(
-                &self.gateway,
-                &self.call,
-                &mut connection,
-                placement.endpoint,
-                last.as_deref(),
-            )
-            .await;
-            let Ok(response) = head else {
-                in_flight.set_end(End::Broken);
-                drop(in_flight);
-                self.gateway.record_break(&self.call, placement.endpoint).await;
-                continue;
-            };
-            let (head, body) = response.into_parts();
-            let response_info = self.gateway.protocol.answer(head.status.as_u16(), &head.headers);
-            self.gateway.record_endpoint_notices(
-                &self.call.service,
-                placement.endpoint,
-                &response_info,
-            );
-            if !head.status.is_success()
-                || !response_info.signed
-                || response_info.id != Some(&self.call.id)
-                || head.headers.contains_key(CONTENT_ENCODING)
-                || Framing::new(&head.headers, resumable) != self.framing
-            {
-                log::info!(
-                    request:% = self.call.id, endpoint:% = placement.endpoint, status = head.status.as_u16();
-                    "response is not the rest of the stream; its connection is closed"
-                );
-                in_flight.set_end(if response_info.not_run { End::NotRun } else { End::Broken });
-                continue;
+        }
+        false
+    }
+
+    /// Chooses the endpoint at which the stream is resumed, if a retry is allowed.
+    fn choose_endpoint(&self) -> Option<Endpoint> {
+        let isolation = self.gateway.check_quarantine(&self.call).ok()?;
+        if !self.gateway.take_retry(&self.call.service) {
+            return None;
+        }
+        let now = self.gateway.clock.now();
+        let allowed = self.call.deadline.left();
+        // The caller has waited already, so any endpoint that responds before the deadline is acceptable.
+        let demand =
+            Demand { aim: allowed, allowed, patience: 1.0, isolation, ..self.call.demand.clone() };
+        self.gateway.with_dispatch(|state| {
+            let pool = state.pools.get(&self.call.service)?;
+            Some(pool.choose_endpoint(now, &demand, &self.tried).ok()?.endpoint)
+        })
+    }
+
+    /// Connects to an endpoint and registers the request there, unless the endpoint accepts none now.
+    async fn connect(&self, endpoint: Endpoint) -> Option<(Connection, Guard)> {
+        let connection = connect_to_endpoint(&self.gateway, &self.call, endpoint).await.ok()?;
+        match Guard::start(&self.gateway, &self.call, endpoint) {
+            Ok(in_flight) => Some((connection, in_flight)),
+            Err(reason) => {
+                log_not_accepting(&self.call, endpoint, reason);
+                self.gateway.recycle_connection(connection, None);
+                None
             }
-            self.gateway.metrics.stream_resumes.inc();
+        }
+    }
+
+    /// Requests the rest of the stream. Returns its source if the response is the rest.
+    async fn request_rest(
+        &mut self,
+        mut connection: Connection,
+        mut in_flight: Guard,
+    ) -> Option<Upstream> {
+        let endpoint = in_flight.endpoint();
+        self.splitter.discard_pending();
+        self.sends += 1;
+        self.gateway.metrics.retries.with_label_values(&["resume"]).inc();
+        let last = self.splitter.last_id().map(str::to_owned);
+        let sent = send_and_await_head(
+            &self.gateway,
+            &self.call,
+            &mut connection,
+            endpoint,
+            last.as_deref(),
+        );
+        let Ok(response) = sent.await else {
+            in_flight.set_end(End::Broken);
+            drop(in_flight);
+            self.gateway.record_break(&self.call, endpoint).await;
+            return None;
+        };
+        let (head, body) = response.into_parts();
+        let response_info = self.gateway.protocol.answer(head.status.as_u16(), &head.headers);
+        self.gateway.record_endpoint_notices(&self.call.service, endpoint, &response_info);
+        if !self.is_rest(&head, &response_info) {
             log::info!(
-                request:% = self.call.id, endpoint:% = placement.endpoint,
-                after = last.as_deref().unwrap_or(""), sends = self.sends;
-                "stream goes on at another endpoint"
+                request:% = self.call.id, endpoint:% = endpoint, status = head.status.as_u16();
+                "response is not the rest of the stream; its connection is closed"
             );
-            self.response_started = false;
-            self.source = Some(Upstream { body, connection, in_flight });
-            return true;
+            in_flight.set_end(if response_info.not_run { End::NotRun } else { End::Broken });
+            return None;
         }
-        false
+        self.gateway.metrics.stream_resumes.inc();
+        log::info!(
+            request:% = self.call.id, endpoint:% = endpoint,
+            after = last.as_deref().unwrap_or(""), sends = self.sends;
+            "stream goes on at another endpoint"
+        );
+        Some(Upstream { body, connection, in_flight })
+    }
+
+    /// Whether the head of a response belongs to the rest of this stream.
+    fn is_rest(&self, head: &Parts, response: &Answer<'_>) -> bool {
+        head.status.is_success()
+            && response.signed
+            && response.id == Some(self.call.id.as_str())
+            && !head.headers.contains_key(CONTENT_ENCODING)
+            && Framing::new(&head.headers, true) == self.framing
     }
 }
 
