--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -62,7 +62,8 @@
     let account = find_account(gateway, &catalog, route, &head)?;
     let cost = request_cost(&head);
     if !gateway.admit_request() {
-        log::info!(request:% = head.id, outcome = "overloaded"; "request refused");
+        let customer = account.as_ref().map_or("", |account| &account.name);
+        log::info!(request:% = head.id, customer, outcome = "overloaded"; "request refused");
         count_refusal(gateway, "overloaded");
         if let Some(account) = &account {
             gateway.count_demand(account.id, cost);
