Test that endpoints which only close connections are not taken for crashed

Six copies of a request at endpoints that close each connection are sent twice each and end 502, none refused: a connection that is accepted shows that the endpoint is there. Comments of the new modules in usual terms.

--- a/siskin-dispatch/src/readiness.rs
+++ b/siskin-dispatch/src/readiness.rs
@@ -3,8 +3,8 @@
 //! A router that is short of processor time says that it is not ready, and stays so for a while after it has recovered, so
 //! that its callers find a router with more capacity. If fewer than half of the routers of a data centre are ready, the
 //! platform uses all of them again, and sends the same callers to the same strained router for as long as that lasts.
-//! Therefore the routers of a data centre tell each other which of them are strained, and those that have been so for
-//! longest return when there would be too many.
+//! Therefore the routers of a data centre report to each other which of them are strained, and the ones strained for longest
+//! return when there would be too many.
 
 use {
     indexmap::IndexMap,
@@ -25,7 +25,7 @@
     heard: Instant,
 }
 
-/// The strained routers of a data centre, as far as one of its routers knows.
+/// The strained routers of a data centre, according to the reports that one of its routers has received.
 ///
 /// ```
 /// use {
@@ -59,7 +59,7 @@
 }
 
 impl Strained {
-    /// Creates the state of a router that knows no others yet.
+    /// Creates the state of a router that has no list of routers yet.
     #[must_use]
     pub fn new(own: Node) -> Self {
         Self { own, routers: Vec::new(), entries: IndexMap::new() }
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -302,8 +302,8 @@
         }
     }
 
-    /// Tells the routers of this data centre which of them are short of processor time, and returns to readiness if these are
-    /// too many.
+    /// Reports to the routers of this data centre which of them are short of processor time, and returns to readiness if there
+    /// are too many.
     fn balance_readiness(&self, targets: &[Node]) {
         let now = self.gateway.clock.now();
         let mut readiness = lock(&self.readiness);
--- a/siskin-gateway/src/peers/readiness.rs
+++ b/siskin-gateway/src/peers/readiness.rs
@@ -1,4 +1,4 @@
-//! Which routers of this data centre fail their readiness checks, and when this one tells the others.
+//! Which routers of this data centre fail their readiness checks, and when this router reports them.
 
 use {
     siskin_dispatch::{
--- a/siskin-gateway/tests/main/crashing_requests.rs
+++ b/siskin-gateway/tests/main/crashing_requests.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::{
-        endpoint::{header_value, read_head},
+        endpoint::{Endpoint, Step, header_value, read_head},
         fixture::{TestRouter, catalog, endpoint, gateway},
     },
     googletest::prelude::*,
     siskin_dispatch::spread::Router,
     siskin_gateway::{
-        catalog::{Catalog, Kind},
+        catalog::Kind,
         directory::Directory,
         gateway::{Gateway, Source},
         peers::{Listing, Peers},
@@ -107,7 +107,7 @@
     async fn start(index: u32, directory: &Directory) -> Self {
         let gateway = gateway();
         let streams = Kind::Stream { resumable: true };
-        gateway.set_catalog(Catalog { ..catalog(streams) }, Source::Store);
+        gateway.set_catalog(catalog(streams), Source::Store);
         gateway.set_directory(directory.clone(), Source::Store);
         gateway.set_routers(ROUTERS);
         let node = Node(index + 1);
@@ -205,3 +205,19 @@
     let path = |index| format!("/app/crashing/{index}");
     play(&Case { name: "part of the prompt", path, parts: "1,9", crashes_max: 5 }).await;
 }
+
+/// Guards against taking an endpoint for crashed that only closes connections, and refusing the requests that waited there.
+#[googletest::test]
+#[tokio::test]
+async fn requests_at_endpoints_that_close_connections_are_not_refused() {
+    const COPIES: usize = 6;
+    const ATTEMPTS: usize = 2;
+    let endpoint = Endpoint::start(&[Step::Close]).await;
+    let router = TestRouter::start(Kind::Idempotent, &[endpoint.address; 4]).await;
+    for copy in 0..COPIES {
+        let reply = router.send_request(&format!("c{copy}"), "parts: 1,2,3\r\n").await;
+        expect_that!(reply.status, eq(502), "copy {copy}");
+    }
+    expect_that!(endpoint.received().len(), eq(COPIES * ATTEMPTS));
+    router.stop().await;
+}
--- a/siskin-outcome/src/quarantine.rs
+++ b/siskin-outcome/src/quarantine.rs
@@ -100,7 +100,7 @@
     Refuse {
         /// How long it is refused.
         retry_after: Duration,
-        /// Number of crashes that its features have caused, as far as this router knows.
+        /// Number of crashes that its features have caused, of those that this router has recorded or received.
         crashes: usize,
     },
 }
@@ -125,7 +125,7 @@
     Done,
 }
 
-/// What one router knows of crashes, and the causes that follow from it.
+/// The crashes that one router has recorded or received, and the causes that follow from them.
 ///
 /// ```
 /// use {
--- a/siskin-wire/src/crash.rs
+++ b/siskin-wire/src/crash.rs
@@ -26,10 +26,10 @@
     pub age_ms: u32,
 }
 
-/// What a router knows of recent crashes. A lost datagram is not retransmitted; the facts are sent again a little later.
+/// Recent crashes that a router has recorded or received. A lost datagram is not retransmitted; the facts are sent again a little later.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Whether the sender has just started and wants all that the receiver knows.
+    /// Whether the sender has just started and requests all facts that the receiver has.
     pub requests_all: bool,
     /// Requests that were waiting at endpoints that crashed.
     pub involvements: Vec<Involvement>,
