Wait at most 100 ms to find out whether an endpoint has crashed

A request that broke off without data waited up to 400 ms (the time to open a connection) before it was retried or its caller answered, where the endpoint was cut off and answered nothing. A VM whose process has ended refuses within a round trip.

--- a/siskin-gateway/src/gateway/crashes.rs
+++ b/siskin-gateway/src/gateway/crashes.rs
@@ -14,8 +14,13 @@
         time::Instant,
     },
     std::{io::ErrorKind, sync::Arc, time::Duration},
+    tokio::time::timeout,
 };
 
+/// Longest time to find out whether an endpoint has crashed, for which a retry or the caller waits. A VM in the region refuses a
+/// connection within milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 impl Gateway {
     /// Checks that a request may be sent to an endpoint. Returns the number by which it is isolated from others if it may have
     /// crashed an endpoint.
@@ -58,12 +63,14 @@
     async fn refuses_connections(self: &Arc<Self>, call: &Call, endpoint: Endpoint) -> bool {
         let directory = self.directory();
         let Some(listed) = directory.get(endpoint) else { return false };
-        match self.upstream.open(listed.address).await {
-            Ok(connection) => {
+        match timeout(PROBE_TIMEOUT, self.upstream.open(listed.address)).await {
+            // It may be cut off, which the next request finds out.
+            Err(_) => false,
+            Ok(Ok(connection)) => {
                 self.recycle_connection(connection, None);
                 false
             }
-            Err(error) => {
+            Ok(Err(error)) => {
                 if !error.is_out_of_descriptors() {
                     mark_unreachable(self, &call.service, endpoint, &error.to_string());
                 }
