Show the crashes behind a refusal in siskinctl explain

The line of a request that is refused because it crashes endpoints names its features; the crashes were minutes before, at other routers and under other identifiers, so explain left them out. It now shows every line of a crash or of its cause that shares a feature, from all logs given. run() is split into reading, choosing and printing. Test: crashes_that_explain_a_refusal_are_shown.

--- a/siskin-ctl/src/explain.rs
+++ b/siskin-ctl/src/explain.rs
@@ -1,10 +1,11 @@
 //! The story of one request from the log lines of several routers.
 
 use {
-    anyhow::{Context, bail},
+    anyhow::{Context as _, bail},
     std::{
         fs,
         io::{Read, stdin},
+        ops::RangeInclusive,
     },
 };
 
@@ -14,6 +15,9 @@
 /// Milliseconds after its last line up to which other events are shown.
 const AFTER_MS: u64 = 500;
 
+/// Messages on crashes of endpoints. Their lines name the features of a request that waited, or of a cause.
+const CRASH_MESSAGES: [&str; 2] = ["endpoint crashed while", "cause of crashes found"];
+
 /// A log line and where it was found.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Line<'a> {
@@ -23,53 +27,90 @@
     text: &'a str,
 }
 
-/// Prints the lines of a request from files, or from standard input if there are none, in the order of time. Events that
-/// concern no single request, such as an endpoint that was taken out of use, are shown beside them, indented.
+/// Prints the lines of a request from files, or from standard input if there are none, in the order of time. Shown beside
+/// them, indented:
+///
+/// * events of the same routers at about that time that concern no single request, such as an endpoint that was taken out
+///   of use
+/// * crashes of endpoints at which a request with one of its features waited, at any router and time
 ///
 /// # Errors
 ///
 /// A file cannot be read, or no line names the request.
 pub(crate) fn run(request: &str, files: &[String]) -> anyhow::Result<String> {
-    let mut texts = Vec::new();
-    for file in files {
-        let bytes = fs::read(file).with_context(|| format!("cannot read log file '{file}'"))?;
-        texts.push((file.clone(), String::from_utf8_lossy(&bytes).into_owned()));
-    }
-    if files.is_empty() {
-        let mut bytes = Vec::new();
-        stdin().read_to_end(&mut bytes).context("cannot read log lines from standard input")?;
-        texts.push(("-".to_owned(), String::from_utf8_lossy(&bytes).into_owned()));
-    }
+    let texts = read_texts(files)?;
     let lines: Vec<Line<'_>> = texts
         .iter()
         .flat_map(|(file, text)| text.lines().filter_map(|line| read(file, line)))
         .collect();
-    let story: Vec<&Line<'_>> = lines.iter().filter(|line| names(line.text, request)).collect();
-    let (Some(first), Some(last)) =
-        (story.iter().map(|line| line.at_ms).min(), story.iter().map(|line| line.at_ms).max())
-    else {
+    let own: Vec<&Line<'_>> = lines.iter().filter(|line| names(line.text, request)).collect();
+    let Some(context) = Context::new(&own) else {
         bail!(
             "no line names request '{request}'; check the identifier and add the other routers' logs"
         );
     };
-    let around = first.saturating_sub(BEFORE_MS)..=last + AFTER_MS;
-    let sources: Vec<&str> = story.iter().map(|line| line.source).collect();
     let mut shown: Vec<(&Line<'_>, bool)> = lines
         .iter()
-        .filter_map(|line| {
-            let own = names(line.text, request);
-            let event = !line.text.contains(" request=")
-                && around.contains(&line.at_ms)
-                && sources.contains(&line.source);
-            (own || event).then_some((line, own))
-        })
+        .map(|line| (line, names(line.text, request)))
+        .filter(|(line, is_own)| *is_own || context.includes(line))
         .collect();
     shown.sort_by_key(|(line, _)| line.at_ms);
-    let told = shown.iter().map(|(line, own)| {
-        let indent = if *own { "" } else { "    " };
+    let printed = shown.iter().map(|(line, is_own)| {
+        let indent = if *is_own { "" } else { "    " };
         format!("{indent}{}: {}\n", line.source, line.text)
     });
-    Ok(told.collect())
+    Ok(printed.collect())
+}
+
+/// Reads files, or standard input if there are none. Returns each text with its name.
+fn read_texts(files: &[String]) -> anyhow::Result<Vec<(String, String)>> {
+    let mut texts = Vec::new();
+    for file in files {
+        let bytes = fs::read(file).with_context(|| format!("cannot read log file '{file}'"))?;
+        texts.push((file.clone(), String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    if files.is_empty() {
+        let mut bytes = Vec::new();
+        stdin().read_to_end(&mut bytes).context("cannot read log lines from standard input")?;
+        texts.push(("-".to_owned(), String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    Ok(texts)
+}
+
+/// What decides which lines are shown beside those of a request.
+struct Context<'a> {
+    /// Milliseconds of the day in which events are shown.
+    around: RangeInclusive<u64>,
+    sources: Vec<&'a str>,
+    features: Vec<&'a str>,
+}
+
+impl<'a> Context<'a> {
+    /// The context of a request's own lines; `None` if there are none.
+    fn new(own: &[&Line<'a>]) -> Option<Self> {
+        let first = own.iter().map(|line| line.at_ms).min()?;
+        let last = own.iter().map(|line| line.at_ms).max()?;
+        Some(Self {
+            around: first.saturating_sub(BEFORE_MS)..=last + AFTER_MS,
+            sources: own.iter().map(|line| line.source).collect(),
+            features: own.iter().flat_map(|line| features(line.text)).collect(),
+        })
+    }
+
+    fn includes(&self, line: &Line<'_>) -> bool {
+        let is_event = !line.text.contains(" request=")
+            && self.around.contains(&line.at_ms)
+            && self.sources.contains(&line.source);
+        let is_crash = CRASH_MESSAGES.iter().any(|message| line.text.contains(message));
+        is_event
+            || (is_crash && features(line.text).any(|feature| self.features.contains(&feature)))
+    }
+}
+
+/// The features that a line names.
+fn features(text: &str) -> impl Iterator<Item = &str> {
+    let value = text.split(' ').find_map(|pair| pair.strip_prefix("features="));
+    value.unwrap_or_default().split(',').filter(|feature| !feature.is_empty())
 }
 
 /// Reads a line that begins with a time. Text in front of it, such as the name of a VM, is dropped.
--- a/siskin-ctl/tests/main/explain.rs
+++ b/siskin-ctl/tests/main/explain.rs
@@ -70,3 +70,26 @@
         contains_substring("check the identifier")
     );
 }
+
+/// Guards against a refusal whose cause is not shown because the crashes were long ago and at other routers.
+#[googletest::test]
+fn crashes_that_explain_a_refusal_are_shown() {
+    const REFUSED: &str = "\
+time=2026-12-04T08:20:00.000Z level=info target=t msg=\"request crashes endpoints; it is not sent\" request=ab crashes=2 features=0a,0b retry_after_ms=1\n";
+    const CRASHES: &str = "\
+time=2026-12-04T08:15:30.000Z level=warn target=t msg=\"endpoint crashed while the request waited for its response\" request=cd endpoint=e1 features=0c,0b\n\
+time=2026-12-04T08:15:30.000Z level=warn target=t msg=\"endpoint crashed while the request waited for its response\" request=ef endpoint=e1 features=0d\n\
+time=2026-12-04T08:15:40.000Z level=warn target=t msg=\"cause of crashes found; requests with all these features are refused\" features=0b crashes=2\n\
+time=2026-12-04T08:15:40.100Z level=info target=t msg=\"attempt broke\" request=gh features=0b\n";
+    let input = format!("1 front-a-1 {REFUSED}{}", CRASHES.replace("time=", "2 front-b-1 time="));
+    let output = explain(&["ab"], &input);
+    let text = String::from_utf8(output.stdout).unwrap();
+    expect_that!(
+        text.lines().collect::<Vec<_>>(),
+        elements_are![
+            all![starts_with("    front-b-1: "), contains_substring("request=cd")],
+            all![starts_with("    front-b-1: "), contains_substring("cause of crashes found")],
+            all![starts_with("front-a-1: "), contains_substring("it is not sent")],
+        ]
+    );
+}
