--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,43 @@
+//! Stand-ins and scripts of the review. `standin caseN FOLDER` runs a case and writes FOLDER/record.txt; the variable TROUBLE says
+//! whether with its disruption (1) or without (0).
+
+#![allow(dead_code)]
+
+mod case1;
+mod engine;
+mod http;
+mod json;
+mod site;
+mod store;
+
+use std::{env, path::Path, process::exit};
+
+fn main() {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let command = arguments.first().map_or("", String::as_str);
+    if command == "engine" {
+        exit(engine::run(&arguments[1..]));
+    }
+    let folder = arguments.get(1).map_or(".", String::as_str);
+    let trouble = env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let record = match site::Record::create(&Path::new(folder).join("record.txt")) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("the record cannot be written: {error}");
+            exit(2);
+        }
+    };
+    let ended = match command {
+        "case1" => case1::run(&record, trouble),
+        _ => {
+            eprintln!("usage: standin caseN FOLDER");
+            exit(2);
+        }
+    };
+    let code = ended.unwrap_or_else(|error| {
+        record.say(&format!("the case cannot run: {error}"));
+        2
+    });
+    record.say(&format!("exit {code}: {}", ["the rule held", "the rule was broken", "could not run"][code as usize]));
+    exit(code);
+}
