--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod case1;
+mod case2;
 mod engine;
 mod http;
 mod json;
@@ -29,6 +30,7 @@
     };
     let ended = match command {
         "case1" => case1::run(&record, trouble),
+        "case2" => case2::run(&record, trouble),
         _ => {
             eprintln!("usage: standin caseN FOLDER");
             exit(2);
