--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs case 4 with its disruption, or without it if TROUBLE=0. Needs the build of the deploy file and review/build.sh.
+set -euo pipefail
+folder="$(cd "$(dirname "$0")" && pwd)"
+cd "$folder/../.."
+for program in target/release/siskin-platform target/review/standin; do
+    if [ ! -x "$program" ]; then
+        echo "$program is missing; build it first"
+        exit 2
+    fi
+done
+exec target/review/standin case4 "$folder"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod case1;
 mod case2;
+mod case4;
 mod engine;
 mod http;
 mod json;
@@ -31,6 +32,7 @@
     let ended = match command {
         "case1" => case1::run(&record, trouble),
         "case2" => case2::run(&record, trouble),
+        "case4" => case4::run(&record, trouble),
         _ => {
             eprintln!("usage: standin caseN FOLDER");
             exit(2);
