--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,4 +9,4 @@
         exit 2
     fi
 done
-exec target/review/standin case1 "$folder"
+exec target/review/standin lockout "$folder"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,15 +1,15 @@
-//! Stand-ins and scripts of the review. `standin caseN FOLDER` runs a case and writes FOLDER/record.txt; the variable TROUBLE says
+//! Stand-ins and scripts of the review. `standin CASE FOLDER` runs a case and writes FOLDER/record.txt; the variable TROUBLE says
 //! whether with its disruption (1) or without (0).
 
 #![allow(dead_code)]
 
-mod case1;
-mod case2;
-mod case4;
 mod engine;
 mod http;
 mod json;
+mod lockout;
+mod restart;
 mod site;
+mod stop;
 mod store;
 
 use std::{env, path::Path, process::exit};
@@ -30,11 +30,11 @@
         }
     };
     let ended = match command {
-        "case1" => case1::run(&record, trouble),
-        "case2" => case2::run(&record, trouble),
-        "case4" => case4::run(&record, trouble),
+        "lockout" => lockout::run(&record, trouble),
+        "stop" => stop::run(&record, trouble),
+        "restart" => restart::run(&record, trouble),
         _ => {
-            eprintln!("usage: standin caseN FOLDER");
+            eprintln!("usage: standin lockout|stop|restart FOLDER");
             exit(2);
         }
     };
