--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and scripts of the review. `standin CASE FOLDER` runs a case and writes FOLDER/record.txt; the variable TROUBLE says
-//! whether with its disruption (1) or without (0).
+//! Stand-ins and scripts of the review. `standin CASE RECORD` runs a case and writes what was sent, answered and run to the file
+//! RECORD; the variable TROUBLE says whether with its disruption (1) or without (0).
 
 #![allow(dead_code)]
 
@@ -20,9 +20,9 @@
     if command == "engine" {
         exit(engine::run(&arguments[1..]));
     }
-    let folder = arguments.get(1).map_or(".", String::as_str);
+    let path = arguments.get(1).map_or("record.txt", String::as_str);
     let trouble = env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
-    let record = match site::Record::create(&Path::new(folder).join("record.txt")) {
+    let record = match site::Record::create(Path::new(path)) {
         Ok(record) => record,
         Err(error) => {
             eprintln!("the record cannot be written: {error}");
@@ -34,7 +34,7 @@
         "stop" => stop::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         _ => {
-            eprintln!("usage: standin lockout|stop|restart FOLDER");
+            eprintln!("usage: standin lockout|stop|restart RECORD");
             exit(2);
         }
     };
