Count endpoints that crash together once, and try what is refused again

Cause: `quarantine` took each crash of an endpoint for independent evidence. A part of a prompt that sound requests share waits at several endpoints, so an outage that ends these at the same moment convicted it at once. What is refused is never sent, and only a response that begins clears it, so nothing but `refusal_ttl` ended the refusal. Evidence: the log of a router names "cause of crashes found" with crashes of the same millisecond, and then refuses each request with that part; in virtual time, all 24 endpoints crash once and 919 to 1,131 sound requests are refused until the end of the run.

Change: crashes within 150 ms count as one (an outage ends endpoints together, a request that crashes them ends one after the other). Three seconds after its last crash, a cause is tried with one request, later by a factor of four after each further crash, until a request has crashed three endpoints and a part five. Routers take turns by number, and all trials of a cause go to the same endpoint and to no other one, so the price is that endpoint for the whole fleet. A response clears the cause everywhere. The time of a crash is that of the break and not of the probe after it.

In `many_crashes_take_bounded_memory` the three crashes of the request came at the same instant, which is an outage now; they are 150 ms apart, and all checks are the same.

--- a/siskin-gateway/src/gateway/crashes.rs
+++ b/siskin-gateway/src/gateway/crashes.rs
@@ -22,6 +22,11 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Gateway {
+    /// Sets the number of this router, by which routers take turns in trials of requests that may crash endpoints.
+    pub(crate) fn set_node(&self, node: Node) {
+        lock(&self.crashes).set_node(node);
+    }
+
     /// Checks that a request may be sent to an endpoint. Returns the number by which it is isolated from others if it may have
     /// crashed an endpoint.
     pub(crate) fn check_quarantine(&self, call: &Call) -> Result<Option<u64>, Refusal> {
@@ -29,6 +34,14 @@
         match verdict {
             Verdict::Run => Ok(None),
             Verdict::RunApart => Ok(call.features.content().map(|content| content.0)),
+            Verdict::Trial { number } => {
+                log::info!(
+                    request:% = call.id, features:% = call.features;
+                    "request is tried, to find out whether its features still crash endpoints"
+                );
+                self.metrics.crash_trials.inc();
+                Ok(Some(number))
+            }
             Verdict::Refuse { retry_after, crashes } => {
                 log::info!(
                     request:% = call.id, crashes, features:% = call.features,
@@ -48,7 +61,8 @@
     /// Finds out whether an endpoint has crashed, after it broke the connection of a request that had no response yet. If so,
     /// records the request. An endpoint that leaves, is cut off or only closes connections does not refuse new ones.
     pub(crate) async fn record_break(self: &Arc<Self>, call: &Call, endpoint: Endpoint) {
-        let known = lock(&self.crashes).has_just_crashed(self.clock.now(), endpoint);
+        let now = self.clock.now();
+        let known = lock(&self.crashes).has_just_crashed(now, endpoint);
         if !known && !self.refuses_connections(call, endpoint).await {
             return;
         }
@@ -56,7 +70,7 @@
             request:% = call.id, endpoint:% = endpoint, features:% = call.features;
             "endpoint crashed while the request waited for its response"
         );
-        self.change_crashes(|crashes, now| crashes.record_crash(now, endpoint, &call.features));
+        self.change_crashes(|crashes, _| crashes.record_crash(now, endpoint, &call.features));
     }
 
     /// Opens a connection to an endpoint. Returns whether the endpoint's VM refuses it because no process listens there.
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub crashes_known: IntGauge,
     /// Causes of crashes that were found: requests with their features are refused.
     pub crash_causes: IntGauge,
+    /// Requests that were tried to find out whether their features still crash endpoints.
+    pub crash_trials: IntCounter,
     /// Other routers that are listed or have recently sent digests.
     pub peers: IntGauge,
     /// Calls to the platform by kind.
@@ -135,6 +137,10 @@
                 "siskin_crash_causes",
                 "Causes of crashes; requests with their features are refused.",
             )?,
+            crash_trials: create.counter(
+                "siskin_crash_trials_total",
+                "Requests with a cause of crashes that were let through to try it.",
+            )?,
             peers: create.gauge("siskin_peers", "Routers heard of lately.")?,
             platform_calls: create.counters(
                 "siskin_platform_calls_total",
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -102,6 +102,7 @@
         control: Control,
         listener: TcpListener,
     ) -> Arc<Self> {
+        gateway.set_node(node);
         let control = Arc::new(control);
         let peers = Arc::new(Self {
             gateway,
--- a/siskin-gateway/tests/main/crash_fleet.rs
+++ b/siskin-gateway/tests/main/crash_fleet.rs
@@ -41,19 +41,61 @@
 struct Case {
     name: &'static str,
     routers: u32,
-    /// Features of the crashing request with this number.
-    crashing: fn(u64) -> Features,
+    /// Features of the crashing request with this number, if there are any.
+    crashing: Option<fn(u64) -> Features>,
     /// Crashes that the users' rules allow before the routers have to know.
     crashes_allowed: usize,
+    /// When all endpoints crash at once, whatever they run.
+    outages: &'static [Duration],
 }
 
+const NO_OUTAGES: &[Duration] = &[];
+const OUTAGE: &[Duration] = &[Duration::from_secs(8)];
+const OUTAGES: &[Duration] = &[Duration::from_secs(8), Duration::from_secs(14)];
+
 const CASES: [Case; 6] = [
-    Case { name: "8 routers", routers: 8, crashing: same_request, crashes_allowed: 3 },
-    Case { name: "73 routers", routers: 73, crashing: same_request, crashes_allowed: 3 },
-    Case { name: "1,200 routers", routers: 1_200, crashing: same_request, crashes_allowed: 3 },
-    Case { name: "8 routers, part", routers: 8, crashing: same_part, crashes_allowed: 5 },
-    Case { name: "73 routers, part", routers: 73, crashing: same_part, crashes_allowed: 5 },
-    Case { name: "1,200 routers, part", routers: 1_200, crashing: same_part, crashes_allowed: 5 },
+    Case {
+        name: "8 routers",
+        routers: 8,
+        crashing: Some(same_request),
+        crashes_allowed: 3,
+        outages: NO_OUTAGES,
+    },
+    Case {
+        name: "73 routers",
+        routers: 73,
+        crashing: Some(same_request),
+        crashes_allowed: 3,
+        outages: NO_OUTAGES,
+    },
+    Case {
+        name: "1,200 routers",
+        routers: 1_200,
+        crashing: Some(same_request),
+        crashes_allowed: 3,
+        outages: NO_OUTAGES,
+    },
+    Case {
+        name: "8 routers, part",
+        routers: 8,
+        crashing: Some(same_part),
+        crashes_allowed: 5,
+        outages: NO_OUTAGES,
+    },
+    Case {
+        name: "73 routers, part",
+        routers: 73,
+        crashing: Some(same_part),
+        crashes_allowed: 5,
+        outages: NO_OUTAGES,
+    },
+    Case {
+        name: "1,200 routers, part",
+        routers: 1_200,
+        crashing: Some(same_part),
+        crashes_allowed: 5,
+        outages: NO_OUTAGES,
+    },
 ];
 
 fn same_request(_: u64) -> Features {
@@ -84,6 +126,17 @@
     waiting: Vec<Waiting>,
 }
 
+impl Engine {
+    /// Ends the endpoint for a while; all routers with a request there record it.
+    fn crash(&mut self, now: Instant, index: usize, members: &mut [Member]) {
+        self.down_until = Some(now + ENDPOINT_DOWN_TIME);
+        let id = Endpoint(u32::try_from(index).unwrap() + ENDPOINTS * self.incarnation);
+        for Waiting { router, features, .. } in self.waiting.drain(..) {
+            members[router].register.record_crash(now, id, &features);
+        }
+    }
+}
+
 struct Member {
     node: Node,
     routing: Routing,
@@ -99,12 +152,14 @@
     members: Vec<Member>,
     engines: Vec<Engine>,
     in_transit: Vec<(Node, usize, Scope, Report)>,
-    /// When endpoints crashed.
+    /// When endpoints were crashed by requests.
     crashes: Vec<Instant>,
     /// When crashing requests were sent.
     crashing_sends: Vec<Instant>,
     /// When sound requests were refused.
     sound_refused: Vec<Instant>,
+    /// When responses to sound requests began.
+    sound_begun: Vec<Instant>,
 }
 
 impl Fleet {
@@ -129,6 +184,7 @@
             crashes: Vec::new(),
             crashing_sends: Vec::new(),
             sound_refused: Vec::new(),
+            sound_begun: Vec::new(),
         }
     }
 
@@ -139,6 +195,9 @@
                 return;
             }
             self.now = self.now + STEP;
+            if case.outages.iter().any(|outage| self.now == START + *outage) {
+                self.crash_all_endpoints();
+            }
             if !restarted && self.now >= START + RESTART_AT {
                 restarted = true;
                 self.restart_a_quarter();
@@ -148,8 +207,10 @@
             if self.random.random_bool(SOUND_REQUEST) {
                 self.send(features("sound", number, [1, 2 + number % 5]), false);
             }
-            if self.random.random_bool(CRASHING_REQUEST) {
-                self.send((case.crashing)(number), true);
+            if let Some(crashing) = case.crashing
+                && self.random.random_bool(CRASHING_REQUEST)
+            {
+                self.send(crashing(number), true);
             }
             self.begin_responses();
         }
@@ -208,10 +269,12 @@
                 }
                 return;
             }
+            _ if up.is_empty() => return,
             Verdict::RunApart => {
                 let number = features.content().unwrap().0;
                 up[usize::try_from(number % up.len() as u64).unwrap()]
             }
+            Verdict::Trial { number } => up[usize::try_from(number % up.len() as u64).unwrap()],
             Verdict::Run => up[self.random.random_range(0..up.len())],
         };
         if crashes {
@@ -234,17 +297,19 @@
             if !crashed {
                 for Waiting { router, features, .. } in begun {
                     self.members[router].register.record_start(now, &features);
+                    self.sound_begun.push(now);
                 }
                 continue;
             }
             self.crashes.push(now);
-            engine.down_until = Some(now + ENDPOINT_DOWN_TIME);
-            let id = Endpoint(u32::try_from(index).unwrap() + ENDPOINTS * engine.incarnation);
-            for Waiting { router, features, .. } in
-                begun.into_iter().chain(engine.waiting.drain(..))
-            {
-                self.members[router].register.record_crash(now, id, &features);
-            }
+            engine.waiting.extend(begun);
+            engine.crash(now, index, &mut self.members);
+        }
+    }
+
+    fn crash_all_endpoints(&mut self) {
+        for (index, engine) in self.engines.iter_mut().enumerate() {
+            engine.crash(self.now, index, &mut self.members);
         }
     }
 
@@ -270,10 +335,12 @@
     fn start(node: Node, routers: &[Router], now: Instant) -> Self {
         let mut routing = Routing::new(node);
         routing.set_routers(routers);
+        let mut register = Register::new(Options::default());
+        register.set_node(node);
         Self {
             node,
             routing,
-            register: Register::new(Options::default()),
+            register,
             next_report: now + Duration::from_millis(u64::from(node.0 % 50)),
             sent_bytes: 0,
         }
@@ -281,13 +348,13 @@
 }
 
 /// Plays each case with each of its seeds.
-fn play_all(mut check: impl FnMut(&str, &Case, &Fleet)) {
-    for case in CASES {
+fn play_all(cases: &[Case], mut check: impl FnMut(&str, &Case, &Fleet)) {
+    for case in cases {
         let seeds = if case.routers > 100 { 1..=2 } else { 1..=20 };
         for seed in seeds {
             let mut fleet = Fleet::new(case.routers, seed);
-            fleet.run(&case);
-            check(&format!("{}, seed {seed}", case.name), &case, &fleet);
+            fleet.run(case);
+            check(&format!("{}, seed {seed}", case.name), case, &fleet);
         }
     }
 }
@@ -296,7 +363,7 @@
 /// requests that stay refused for their neighbours, and against too much traffic between routers.
 #[googletest::test]
 fn all_routers_refuse_what_crashed_endpoints() {
-    play_all(|name, case, fleet| {
+    play_all(&CASES, |name, case, fleet| {
         let late = fleet.late_sends(case.crashes_allowed);
         expect_that!(late, le(LATE_SENDS_MAX), "{name}: late sends");
         let late_refusals = fleet.late_refusals(case.crashes_allowed);
@@ -316,7 +383,72 @@
 #[googletest::test]
 #[ignore = "KNOWN-RED"]
 fn no_sound_request_is_refused() {
-    play_all(|name, _, fleet| {
+    play_all(&CASES, |name, _, fleet| {
         expect_that!(fleet.sound_refused.len(), eq(0), "{name}: sound requests refused");
     });
 }
+
+const OUTAGE_CASES: [Case; 6] = [
+    Case {
+        name: "8 routers, one outage",
+        routers: 8,
+        crashing: None,
+        crashes_allowed: 1,
+        outages: OUTAGE,
+    },
+    Case {
+        name: "73 routers, one outage",
+        routers: 73,
+        crashing: None,
+        crashes_allowed: 1,
+        outages: OUTAGE,
+    },
+    Case {
+        name: "8 routers, request and outages",
+        routers: 8,
+        crashing: Some(same_request),
+        crashes_allowed: 3,
+        outages: OUTAGES,
+    },
+    Case {
+        name: "73 routers, request and outages",
+        routers: 73,
+        crashing: Some(same_request),
+        crashes_allowed: 3,
+        outages: OUTAGES,
+    },
+    Case {
+        name: "8 routers, part and outages",
+        routers: 8,
+        crashing: Some(same_part),
+        crashes_allowed: 5,
+        outages: OUTAGES,
+    },
+    Case {
+        name: "73 routers, part and outages",
+        routers: 73,
+        crashing: Some(same_part),
+        crashes_allowed: 5,
+        outages: OUTAGES,
+    },
+];
+
+/// Guards against sound requests that are refused for good after a crash of all endpoints that no request caused.
+#[googletest::test]
+fn sound_requests_run_again_after_an_outage_of_all_endpoints() {
+    play_all(&OUTAGE_CASES, |name, case, fleet| {
+        let returned = START + *case.outages.last().unwrap() + ENDPOINT_DOWN_TIME;
+        let calm = returned + PROPAGATION_LIMIT;
+        let refused = fleet.sound_refused.iter().filter(|at| **at > calm).count();
+        expect_that!(refused, eq(0), "{name}: sound requests refused later");
+        let begun = fleet.sound_begun.iter().filter(|at| **at > returned && **at <= calm).count();
+        expect_that!(begun, gt(0), "{name}: responses soon after the outage");
+        let late = fleet.late_sends(case.crashes_allowed);
+        expect_that!(late, le(LATE_SENDS_MAX), "{name}: late sends");
+        println!(
+            "{name}: {} crashes by requests, {late} late sends, {} sound requests refused, {begun} begun soon",
+            fleet.crashes.len(),
+            fleet.sound_refused.len()
+        );
+    });
+}
--- a/siskin-outcome/src/quarantine.rs
+++ b/siskin-outcome/src/quarantine.rs
@@ -12,15 +12,22 @@
 //! [`crate::poison`], which isolates requests with the help of the owner of a pool, this needs no view of the requests
 //! that other routers have sent.
 //!
+//! Endpoints that crash at the same moment count as one crash: an outage ends them together, whatever they were running.
+//!
+//! What is refused gets no response that could clear it. Some time after its last crash, one request with the cause is
+//! therefore let through ([`Verdict::Trial`]). A response to it clears the cause at all routers. Another crash makes the
+//! next trial later, until the cause has had as many crashes as it may have.
+//!
 //! **Bound.** Requests with the same cause, sent one after another, crash two endpoints, or three if a part of the
-//! prompt is the cause and the same request was sent twice. Each request that was sent before its router learned of the
-//! last crash may add one.
+//! prompt is the cause and the same request was sent twice. Trials take a request to three, and a part to five. Each
+//! request that was sent before its router learned of the last crash may add one.
 //!
-//! **Limits.** The state is lost when all routers restart at the same time. A rare part that was present at three crashes
-//! by chance is refused until [`Options::refusal_ttl`] has passed.
+//! **Limits.** The state is lost when all routers restart at the same time. A request that was present at three crashes
+//! by chance, or a part at five, is refused until [`Options::refusal_ttl`] has passed.
 
 mod cause;
 mod table;
+mod trial;
 
 pub use {cause::Cause, siskin_wire::crash::Report};
 
@@ -33,6 +40,7 @@
     },
     std::time::Duration,
     table::Table,
+    trial::{Trials, Turn},
 };
 
 /// Settings of a [`Register`].
@@ -45,6 +53,19 @@
     pub provisional_refusal: Duration,
     /// Two reports of a crash of one endpoint within this time are reports of the same crash.
     pub same_crash_window: Duration,
+    /// Crashes of different endpoints within this time count once: an outage ends endpoints together, a request that crashes
+    /// endpoints ends one after the other.
+    pub outage_window: Duration,
+    /// Time from the second crash with a cause to the first trial of a request with it.
+    pub trial_delay: Duration,
+    /// Factor by which that time grows with each further crash.
+    pub trial_backoff: u32,
+    /// Time for which a group of routers has its turn to make a trial: longer than the news of a crash mostly takes.
+    pub trial_slot: Duration,
+    /// Crashed endpoints from which a single request is not tried again.
+    pub request_crashes_max: usize,
+    /// Crashed endpoints from which a part of prompts is not tried again.
+    pub part_crashes_max: usize,
     /// How long all facts of a crash are sent again. After that, only those that are needed for a refusal are.
     pub announcement_time: Duration,
     /// Interval at which facts are sent to a receiver again.
@@ -74,6 +95,12 @@
             refusal_ttl: Duration::from_secs(600),
             provisional_refusal: Duration::from_secs(1),
             same_crash_window: Duration::from_millis(1_500),
+            outage_window: Duration::from_millis(150),
+            trial_delay: Duration::from_secs(3),
+            trial_backoff: 4,
+            trial_slot: Duration::from_millis(300),
+            request_crashes_max: 3,
+            part_crashes_max: 5,
             announcement_time: Duration::from_secs(10),
             repeat_interval: Duration::from_secs(1),
             clearance_ttl: Duration::from_secs(60),
@@ -96,6 +123,12 @@
     /// It was waiting at an endpoint that crashed. It may run, but apart from other such requests, which would be involved
     /// in the next crash as well, and at the same endpoint as its copies, which would crash further ones.
     RunApart,
+    /// It has the features of a cause, and may run to show whether they still crash endpoints: at the endpoint that `number`
+    /// chooses, as all trials of this cause, and at no other one if that fails.
+    Trial {
+        /// Number that identifies the cause.
+        number: u64,
+    },
     /// It crashes endpoints, so it may not run.
     Refuse {
         /// How long it is refused.
@@ -153,6 +186,7 @@
     causes_version: u64,
     sent: IndexMap<Node, Sent>,
     sync: Synchronization,
+    trials: Trials,
 }
 
 impl Register {
@@ -166,9 +200,15 @@
             causes_version: 0,
             sent: IndexMap::new(),
             sync: Synchronization::NotStarted,
+            trials: Trials::default(),
         }
     }
 
+    /// Sets the router that this register belongs to. Routers with different numbers make trials at different times.
+    pub const fn set_node(&mut self, node: Node) {
+        self.trials.set_node(node);
+    }
+
     /// Records that a request was waiting for its response at an endpoint that crashed.
     pub fn record_crash(&mut self, now: Instant, endpoint: Endpoint, features: &Features) {
         let now = Timestamp::from(now);
@@ -190,23 +230,28 @@
         self.table.has_crash(Timestamp::from(now), endpoint)
     }
 
-    /// Decides whether a request may be sent to an endpoint.
+    /// Decides whether a request may be sent to an endpoint. A trial that is allowed counts as made.
     pub fn verdict(&mut self, now: Instant, features: &Features) -> Verdict {
         let now = Timestamp::from(now);
         self.update_causes();
-        for cause in &self.causes {
-            let age = now.duration_since(cause.last);
-            let is_provisional = age < self.options.provisional_refusal;
-            let Options { provisional_refusal, refusal_ttl, .. } = self.options;
-            let until = if is_provisional { provisional_refusal } else { refusal_ttl };
-            let retry_after = until.saturating_sub(age);
-            if !retry_after.is_zero() && features.include(&cause.features) {
-                return Verdict::Refuse { retry_after, crashes: cause.crashes.len() };
-            }
+        let Options { provisional_refusal, refusal_ttl, .. } = self.options;
+        let is_in_force = |cause: &&Cause| now.duration_since(cause.last) < refusal_ttl;
+        let present = |cause: &&Cause| is_in_force(cause) && features.include(&cause.features);
+        let causes: Vec<&Cause> = self.causes.iter().filter(present).collect();
+        let Some(last) = causes.iter().map(|cause| cause.last).max() else {
+            return match features.content() {
+                Some(content) if self.table.is_involved(content) => Verdict::RunApart,
+                _ => Verdict::Run,
+            };
+        };
+        let crashes = causes.iter().map(|cause| cause.crashes.len()).max().unwrap_or(0);
+        let provisional = provisional_refusal.saturating_sub(now.duration_since(last));
+        if !provisional.is_zero() {
+            return Verdict::Refuse { retry_after: provisional, crashes };
         }
-        match features.content() {
-            Some(content) if self.table.is_involved(content) => Verdict::RunApart,
-            _ => Verdict::Run,
+        match self.trials.take_turn(now, &self.options, features, &causes) {
+            Turn::Now { number } => Verdict::Trial { number },
+            Turn::After(retry_after) => Verdict::Refuse { retry_after, crashes },
         }
     }
 
@@ -259,7 +304,9 @@
     /// Forgets what is too old, and receivers for which `kept` is false.
     pub fn expire(&mut self, now: Instant, kept: impl Fn(Node) -> bool) {
         self.sent.retain(|receiver, _| kept(*receiver));
-        self.table.expire(Timestamp::from(now));
+        let now = Timestamp::from(now);
+        self.table.expire(now);
+        self.trials.expire(now, &self.options);
     }
 
     /// The causes of crashes that were found.
@@ -283,7 +330,7 @@
     /// Concludes the causes from the crashes if these have changed.
     fn update_causes(&mut self) {
         if self.causes_version != self.table.version() {
-            self.causes = cause::find_causes(self.table.crashes());
+            self.causes = cause::find_causes(self.table.crashes(), self.options.outage_window);
             self.causes_version = self.table.version();
         }
     }
--- a/siskin-outcome/src/timestamp.rs
+++ b/siskin-outcome/src/timestamp.rs
@@ -17,6 +17,10 @@
         Self(self.0.saturating_sub(i64::from(ms) * 1_000))
     }
 
+    pub(crate) fn plus(self, time: Duration) -> Self {
+        Self(self.0.saturating_add(i64::try_from(time.as_micros()).unwrap_or(i64::MAX)))
+    }
+
     pub(crate) fn age_ms(self, earlier: Self) -> u32 {
         u32::try_from(self.duration_since(earlier).as_millis()).unwrap_or(u32::MAX)
     }
--- a/siskin-outcome/tests/main/quarantine.rs
+++ b/siskin-outcome/tests/main/quarantine.rs
@@ -292,6 +292,7 @@
     let mut now = Instant::from_micros(100_000_000);
     for endpoint in 0..3 {
         register.record_crash(now, Endpoint(endpoint), &request("crashing"));
+        now = now + options.outage_window;
     }
     for endpoint in 3..1_000 {
         now = now + Duration::from_millis(200);
@@ -337,3 +338,106 @@
     // Ten seconds with one repeat a second of two facts in each direction, and the facts as news.
     expect_that!(facts, le(2 * 2 * 11 + 4));
 }
+
+/// Time of a test in milliseconds.
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(100_000_000 + 1_000 * millis)
+}
+
+fn refuses(register: &mut Register, now: Instant, features: &Features) -> bool {
+    matches!(register.verdict(now, features), Verdict::Refuse { .. })
+}
+
+/// Guards against sound requests that are refused because an outage ended several endpoints that ran them.
+#[googletest::test]
+fn endpoints_that_crash_together_are_no_evidence_against_a_shared_part() {
+    struct Case {
+        name: &'static str,
+        /// When endpoints crash that all run a request with part 1.
+        crashes_ms: &'static [u64],
+        want_refused: bool,
+    }
+    let cases = [
+        Case { name: "at the same moment", crashes_ms: &[0, 0, 0], want_refused: false },
+        Case { name: "within the window", crashes_ms: &[0, 80, 149], want_refused: false },
+        Case { name: "one after the other", crashes_ms: &[0, 900], want_refused: true },
+        Case { name: "two outages", crashes_ms: &[0, 50, 5_000, 5_050], want_refused: true },
+    ];
+    for case in cases {
+        let mut register = Register::new(Options::default());
+        for (crash, endpoint) in case.crashes_ms.iter().zip(0..) {
+            let content = format!("sound {endpoint}");
+            let features = Features::new(Customer(1), &[content.as_bytes()], "engines", [1]);
+            register.record_crash(at(*crash), Endpoint(endpoint), &features);
+        }
+        let now = at(*case.crashes_ms.last().unwrap());
+        let refused = refuses(&mut register, now, &prompted(("next", &[1])));
+        expect_that!(refused, eq(case.want_refused), "{}", case.name);
+    }
+}
+
+/// A register of a router with part 9 or, if `same`, one request as the cause of two crashes; the last one at 1 s.
+fn register_with_cause(node: Node, same: bool) -> Register {
+    let mut register = Register::new(Options::default());
+    register.set_node(node);
+    let second = if same { "a" } else { "b" };
+    register.record_crash(at(0), Endpoint(1), &prompted(("a", &[9])));
+    register.record_crash(at(1_000), Endpoint(2), &prompted((second, &[9])));
+    register
+}
+
+/// First time after `from` at which a request may run, in steps of 10 ms; `None` if there is none within two minutes.
+fn first_trial(register: &mut Register, from: u64, request: Prompted) -> Option<u64> {
+    let times = (from..from + 120_000).step_by(10);
+    let mut tried = times.filter(|time| {
+        matches!(register.verdict(at(*time), &prompted(request)), Verdict::Trial { .. })
+    });
+    tried.next()
+}
+
+/// Guards against a refusal that only time ends, as what is refused gets no response that could clear it.
+#[googletest::test]
+fn a_trial_with_a_response_clears_a_wrong_cause() {
+    let mut register = register_with_cause(Node(3), false);
+    let tried = first_trial(&mut register, 1_000, ("c", &[9])).unwrap();
+    expect_that!(tried, all![ge(4_000), le(6_400)]);
+    expect_that!(refuses(&mut register, at(tried + 10), &prompted(("d", &[9]))), eq(true));
+    register.record_start(at(tried + 200), &prompted(("c", &[9])));
+    expect_that!(register.verdict(at(tried + 200), &prompted(("d", &[9]))), eq(Verdict::Run));
+}
+
+/// Guards against trials that crash endpoints without end: a request gets three of them, a part five.
+#[googletest::test]
+fn trials_that_crash_endpoints_end() {
+    for (same, want) in [(true, 3), (false, 5)] {
+        let mut register = register_with_cause(Node(0), same);
+        let (mut crashes, mut now) = (2, 1_000);
+        let requests: [Prompted; 2] = [("a", &[9]), ("c", &[9])];
+        let request = requests[usize::from(!same)];
+        while let Some(tried) = first_trial(&mut register, now, request) {
+            now = tried + 100;
+            register.record_crash(at(now), Endpoint(10 + crashes), &prompted(request));
+            crashes += 1;
+        }
+        expect_that!(crashes, eq(want), "one request: {same}");
+    }
+}
+
+/// Guards against a trial by each router: they take turns, and all of them choose one endpoint.
+#[googletest::test]
+fn routers_take_turns_in_trials() {
+    let mut made = Vec::new();
+    let mut numbers = Vec::new();
+    for node in 0..8 {
+        let mut register = register_with_cause(Node(node), false);
+        let tried = first_trial(&mut register, 1_000, ("c", &[9])).unwrap();
+        made.push(tried);
+        let mut register = register_with_cause(Node(node), false);
+        if let Verdict::Trial { number } = register.verdict(at(tried), &prompted(("d", &[9]))) {
+            numbers.push(number);
+        }
+    }
+    let expected: Vec<u64> = (0..8).map(|node| 4_000 + 300 * node).collect();
+    expect_that!(made, eq(&expected));
+    expect_that!(numbers, eq(&vec![numbers[0]; 8]));
+}
