Take the word of routers that read the store for which endpoints are gone

Cause: a router that is served again keeps endpoints whose entries are missing, as they may have run out in an outage. It did so for 2.3 s from its own first successful call, which comes up to 1.2 s after the store's return and is longer than an endpoint serves after its entry is removed. That the store had served other routers meanwhile was seen only from a newer list of a peer that was over 1.5 s old, so not where nothing had changed until the endpoints left.

Change: each digest already says how long ago its sender read the store, and a router says so only while it keeps no missing entries itself. The news of a peer is now kept after the return too.

--- a/siskin-dispatch/src/reading.rs
+++ b/siskin-dispatch/src/reading.rs
@@ -34,7 +34,10 @@
 /// reports no changes, which has to be detected soon after an outage.
 const WATCH_TIMEOUT_SHARE: f64 = 1.5;
 
-/// When this router and its hub last read the store.
+/// Longest time that a digest is on its way. An age in it looks smaller by that time.
+const DIGEST_DELAY_MAX: Duration = Duration::from_millis(500);
+
+/// When this router, its hub and other routers last read the store.
 ///
 /// ```
 /// use {
@@ -59,6 +62,8 @@
     own_read: Option<Instant>,
     /// When a hub last had all changes from the store, if this router has everything that the hub has.
     hub_read: Option<Instant>,
+    /// When any other router last had all changes from the store, as far as its digests have said.
+    peer_read: Option<Instant>,
     delegates_to_hub: bool,
 }
 
@@ -71,6 +76,7 @@
             role: Role::Peer,
             own_read: None,
             hub_read: None,
+            peer_read: None,
             delegates_to_hub: false,
         }
     }
@@ -95,10 +101,11 @@
         self.own_read = None;
     }
 
-    /// Discards both times after the process was suspended, as its clock did not count the suspension.
+    /// Discards all times after the process was suspended, as its clock did not count the suspension.
     pub const fn reset(&mut self) {
         self.own_read = None;
         self.hub_read = None;
+        self.peer_read = None;
     }
 
     /// Age of the read to report in a digest of this scope. A hub reports to its members the newest read that it knows
@@ -119,6 +126,28 @@
         self.hub_read = self.hub_read.max(Some(now.saturating_sub(age)));
     }
 
+    /// Records that another router read the store `age` ago, whether or not this router has everything that it has.
+    pub fn record_peer_read(&mut self, now: Instant, age: Duration) {
+        self.peer_read = self.peer_read.max(Some(now.saturating_sub(age)));
+    }
+
+    /// Whether the store has served another router later than `lost`, when this router lost it. Routers do not report a read while
+    /// entries may still return after an outage, so what the store does not list then is gone.
+    ///
+    /// ```
+    /// use {siskin_dispatch::reading::Freshness, siskin_types::time::Instant, std::time::Duration};
+    /// let mut reading = Freshness::new(Duration::from_secs(4));
+    /// let lost = Instant::from_micros(10_000_000);
+    /// reading.record_peer_read(lost + Duration::from_secs(1), Duration::from_millis(900));
+    /// assert!(!reading.peer_has_read_since(lost), "the digest may have been on its way");
+    /// reading.record_peer_read(lost + Duration::from_secs(1), Duration::from_millis(100));
+    /// assert!(reading.peer_has_read_since(lost));
+    /// ```
+    #[must_use]
+    pub fn peer_has_read_since(&self, lost: Instant) -> bool {
+        self.peer_read.is_some_and(|read| read > lost + DIGEST_DELAY_MAX)
+    }
+
     /// Whether the hub's read is recent enough that this router need not read the store.
     #[must_use]
     pub fn hub_read_suffices(&self, now: Instant) -> bool {
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -165,7 +165,7 @@
     stop_end: Mutex<Option<time::Instant>>,
     /// Whether this router currently receives changes from the store.
     watching_store: AtomicBool,
-    /// Time at which a peer first reported newer versions while this router received none from the store.
+    /// Time at which a peer first reported newer versions in the time in which this router last received none from the store.
     peer_ahead_since: Mutex<Option<time::Instant>>,
     overload: Mutex<overload::Meter>,
     reading: Mutex<Freshness>,
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -37,8 +37,8 @@
 
     /// Sets whether this router receives changes from the store. If not, it takes them from its peers.
     pub fn set_watching_store(&self, watching_store: bool) {
-        self.watching_store.store(watching_store, Ordering::Relaxed);
-        if watching_store {
+        let was_watching = self.watching_store.swap(watching_store, Ordering::Relaxed);
+        if was_watching && !watching_store {
             *lock(&self.peer_ahead_since) = None;
         }
     }
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Time since a peer first reported newer versions while this router received none from the store.
+    /// Time since a peer first reported newer versions in the time in which this router last received none from the store.
     #[must_use]
     pub fn time_since_newer_version_at_peer(&self) -> Option<Duration> {
         lock(&self.peer_ahead_since).map(|at| at.elapsed())
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -187,6 +187,10 @@
         });
         drop(exchange);
         self.gateway.log_condition_changes();
+        if digest.store_age_ms != Digest::NEVER {
+            let age = Duration::from_millis(u64::from(digest.store_age_ms));
+            self.gateway.reading(|reading| reading.record_peer_read(now, age));
+        }
         if counted && digest.scope != Scope::Own {
             self.record_hub_reading(digest);
         }
