--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -9,7 +9,7 @@
     },
     anyhow::Context,
     futures_util::future::join_all,
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Request, Response, StatusCode,
         header::{HOST, HeaderValue},
@@ -31,6 +31,9 @@
 /// Longest time to wait for the response of a seed.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Largest snapshot that is read: several times that of a fleet with thousands of endpoints.
+const SNAPSHOT_BYTES_MAX: usize = 4 * 1024 * 1024;
+
 /// The configuration and endpoints of a router, sent to one that has none.
 #[derive(Debug, Serialize, Deserialize)]
 struct Snapshot {
@@ -96,6 +99,7 @@
     let response = connection.send(request).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "the seed responded with status {status}");
-    let bytes = response.into_body().collect().await?.to_bytes();
+    let read = Limited::new(response.into_body(), SNAPSHOT_BYTES_MAX).collect().await;
+    let bytes = read.map_err(anyhow::Error::from_boxed)?.to_bytes();
     postcard::from_bytes(&bytes).context("the snapshot cannot be read")
 }
--- a/siskin-gateway/tests/main/hostile_answers.rs
+++ b/siskin-gateway/tests/main/hostile_answers.rs
@@ -8,7 +8,7 @@
         fixture::{Reply, TestRouter, gateway_with_memory},
     },
     googletest::prelude::*,
-    siskin_gateway::catalog::Kind,
+    siskin_gateway::{catalog::Kind, seed},
     std::{
         net::SocketAddr,
         sync::{
@@ -47,6 +47,8 @@
     address: SocketAddr,
     /// Number of connections on which it is sending.
     sending: Arc<AtomicUsize>,
+    /// Most bytes that were taken of it on one connection.
+    most_sent: Arc<AtomicUsize>,
 }
 
 impl EndlessEndpoint {
@@ -54,18 +56,25 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let sending = Arc::new(AtomicUsize::new(0));
-        let counted = Arc::clone(&sending);
+        let most_sent = Arc::new(AtomicUsize::new(0));
+        let (counted, most) = (Arc::clone(&sending), Arc::clone(&most_sent));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(send_script(stream, script, Arc::clone(&counted)));
+                let (counted, most) = (Arc::clone(&counted), Arc::clone(&most));
+                tokio::spawn(async move {
+                    let sent = send_script(stream, script, counted).await;
+                    most.fetch_max(sent, Ordering::Relaxed);
+                });
             }
         });
-        Self { address, sending }
+        Self { address, sending, most_sent }
     }
 }
 
-async fn send_script(mut stream: TcpStream, script: Script, sending: Arc<AtomicUsize>) {
-    let Some(head) = read_head(&mut stream).await else { return };
+/// Sends a script until the connection is closed. Returns the number of bytes that were taken.
+async fn send_script(mut stream: TcpStream, script: Script, sending: Arc<AtomicUsize>) -> usize {
+    let Some(head) = read_head(&mut stream).await else { return 0 };
+    let mut sent = 0;
     sending.fetch_add(1, Ordering::Relaxed);
     let id = header_value(&head, "id").unwrap_or_default();
     let begin = script.begin.replace("{id}", id);
@@ -73,10 +82,14 @@
         if script.pause.is_zero() { script.repeated.repeat(512) } else { script.repeated.into() };
     let mut open = stream.write_all(begin.as_bytes()).await.is_ok();
     while open && !repeated.is_empty() {
-        sleep(script.pause).await;
+        if !script.pause.is_zero() {
+            sleep(script.pause).await;
+        }
         open = stream.write_all(repeated.as_bytes()).await.is_ok();
+        sent += repeated.len();
     }
     sending.fetch_sub(1, Ordering::Relaxed);
+    sent
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -282,6 +295,25 @@
     }
 }
 
+/// Guards against a starting router that keeps all bytes of a seed's answer until its memory is exhausted.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_of_a_seed_without_end_is_bounded() {
+    /// Most bytes that may be read of one answer, with what the sockets hold.
+    const READ_BYTES_MAX: usize = 32 << 20;
+    let begin = "HTTP/1.1 200 OK\r\n\r\n";
+    let script = Script { begin, repeated: "aaaaaaaa", pause: FULL_SPEED };
+    let seed = EndlessEndpoint::start(script).await;
+    let starting = gateway_with_memory(MEMORY_BYTES);
+    let asking = tokio::spawn(seed::run(starting, vec![seed.address]));
+    let start = Instant::now();
+    while seed.most_sent.load(Ordering::Relaxed) == 0 && start.elapsed() < RESPONSE_TIME_MAX {
+        sleep(Duration::from_millis(10)).await;
+    }
+    asking.abort();
+    expect_that!(seed.most_sent.load(Ordering::Relaxed), all![gt(0), le(READ_BYTES_MAX)]);
+}
+
 /// Guards against delivering a second copy of a response, or other bytes after a response, to the next caller on the
 /// connection.
 #[googletest::test]
