Count answers against the memory of the process until slow readers have them

What callers would see: answers that wait for slow readers take the memory of the router, and when the process is ended for it, all its callers lose their requests.

Cause: the reservation of an answer ended when the server had taken its body, which is one frame, and not when that was sent.

Change: the reservation belongs to the bytes and ends with their last copy.

Limit: a reader that takes a byte now and then holds its answer's memory for as long as its connection lasts (TCP ends one that takes nothing for 3 s).

--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -222,7 +222,12 @@
     }
     in_flight.record_response_start();
     let ends_with_connection = embedded::ends_with_connection(head.headers());
-    let collected = gateway.body_memory.read_body(body, RESPONSE_BYTES_MAX);
+    let reserving = gateway.body_memory.reserve_stated_length(&body, RESPONSE_BYTES_MAX);
+    let Ok(memory) = timeout_at(call.deadline.at(), reserving).await else {
+        log::warn!(request:% = call.id; "no memory for the response became free before the deadline");
+        return Outcome::TimedOut;
+    };
+    let collected = memory.read_body(body, RESPONSE_BYTES_MAX);
     match wait_for_endpoint(gateway, call, in_flight.endpoint(), collected).await {
         Ok(Ok((bytes, _)))
             if ends_with_connection && embedded::contains_response(&*gateway.protocol, &bytes) =>
@@ -242,7 +247,7 @@
             if let (true, Some(length)) = (bytes.is_empty(), length) {
                 head.headers_mut().insert(CONTENT_LENGTH, length);
             }
-            let response = head.map(|()| respond::full_body_with_reservation(bytes, memory));
+            let response = head.map(|()| respond::full_body(memory.attach(bytes)));
             if status.is_server_error() {
                 Outcome::Failed(response)
             } else {
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -69,7 +69,7 @@
 const RECYCLE_BYTES_MAX: usize = 64 * 1024;
 
 /// Bodies in flight may take the memory limit of the process divided by this.
-const BODY_MEMORY_DIVISOR: usize = 4;
+const BODY_MEMORY_DIVISOR: usize = 3;
 
 /// Most idle connections kept for each endpoint. File descriptors are scarce, and most endpoints get few requests.
 const IDLE_CONNECTIONS_MAX: usize = 16;
--- a/siskin-gateway/src/respond.rs
+++ b/siskin-gateway/src/respond.rs
@@ -1,7 +1,6 @@
 //! Responses that the gateway itself makes, and bodies of forwarded ones.
 
 use {
-    crate::body_memory::Reservation,
     bytes::Bytes,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
     hyper::{
@@ -19,15 +18,6 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Makes a body that keeps its memory reservation until it has been sent.
-pub fn full_body_with_reservation(bytes: Bytes, reservation: Reservation) -> Body {
-    let sent = move |frame| {
-        let _until_sent = &reservation;
-        frame
-    };
-    Full::new(bytes).map_frame(sent).map_err(|never| match never {}).boxed_unsync()
-}
-
 /// Makes a plain-text response with a short explanation.
 #[must_use]
 pub fn text_response(status: StatusCode, message: &str) -> Response<Body> {
--- a/siskin-gateway/tests/main/hostile_answers.rs
+++ b/siskin-gateway/tests/main/hostile_answers.rs
@@ -244,7 +244,7 @@
 }
 
 /// Resident memory of this process in bytes.
-fn resident_bytes() -> usize {
+pub(crate) fn resident_bytes() -> usize {
     let status = std::fs::read_to_string("/proc/self/status").unwrap();
     let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
     line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -19,4 +19,5 @@
 mod resume;
 mod seed;
 mod silent_endpoints;
+mod slow_readers;
 mod truncated_heads;
