Bound what siskin-router keeps of answers without end

What callers would see: an engine that sends an event without end, or a chat answer without end that the router collects for a caller who wants one JSON document, takes all memory of the process, and the requests of all its callers end with it.

Cause: the parser of events keeps an event until its empty line, however long it is; the collector, parts that wait for a slow caller (64 of them) and the rest after the last event had no bound either, nor had the answer to an order.

Change: an event may have 64 KiB. What callers do not have yet counts against 64 MiB for the whole process until it has been sent, with the account of `siskin-gateway`, which moves to `siskin_net::body_memory`; an answer that does not fit is broken off. The rest after the last event has a second, and 64 KiB of the answer to an order are read.

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -6,7 +6,6 @@
 
 use {
     crate::{
-        body_memory::Reservation,
         catalog::{Account, Kind},
         directory::hash_to_u32,
         gateway::Gateway,
@@ -24,7 +23,7 @@
         share::Usage,
         sizes::Class,
     },
-    siskin_net::clock::Deadline,
+    siskin_net::{body_memory::Reservation, clock::Deadline},
     siskin_outcome::features::Features,
     siskin_types::id::Endpoint,
     std::{fmt, sync::Arc, time::Duration},
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -3,7 +3,6 @@
 use {
     super::{Call, UNAVAILABLE_RETRY_AFTER},
     crate::{
-        body_memory::{self, Reservation},
         catalog::{Account, Catalog, Kind, Limits, Route},
         gateway::Gateway,
         protocol::Head,
@@ -20,7 +19,10 @@
         http::{request::Parts, uri::PathAndQuery},
     },
     siskin_dispatch::pool::Demand,
-    siskin_net::clock::{Deadline, boot_time},
+    siskin_net::{
+        body_memory::{self, Reservation},
+        clock::{Deadline, boot_time},
+    },
     siskin_outcome::features::Features,
     siskin_types::id::Customer,
     std::time::Duration,
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -8,8 +8,7 @@
 
 use {
     crate::{
-        body_memory::Limiter, catalog::Catalog, directory::Directory, metrics::Metrics, overload,
-        protocol::Protocol,
+        catalog::Catalog, directory::Directory, metrics::Metrics, overload, protocol::Protocol,
     },
     hyper::body::Incoming,
     indexmap::IndexMap,
@@ -21,6 +20,7 @@
         sizes::Classes,
     },
     siskin_net::{
+        body_memory::Limiter,
         clock::Clock,
         lock,
         server::{self, Limits},
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -9,7 +9,6 @@
 //! * [`exchange`]: forwards one request, from its head to the response
 //! * [`peers`]: exchanges load and newer configurations with the other routers
 
-pub mod body_memory;
 pub mod catalog;
 pub mod descriptors;
 pub mod directory;
--- a/siskin-gateway/src/body_memory.rs
+++ b/siskin-net/src/body_memory.rs
@@ -29,7 +29,7 @@
 /// Accounts for the memory that all buffered bodies together may take.
 ///
 /// ```
-/// use siskin_gateway::body_memory::Limiter;
+/// use siskin_net::body_memory::Limiter;
 /// let memory = Limiter::new(1_000);
 /// let mut first = memory.empty_reservation();
 /// assert!(first.try_grow(800));
@@ -167,6 +167,18 @@
         Ok((bytes.freeze(), self))
     }
 
+    /// Takes all reserved bytes and leaves none.
+    #[must_use]
+    pub fn take(&mut self) -> Self {
+        let empty = self.memory.empty_reservation();
+        std::mem::replace(self, empty)
+    }
+
+    /// Releases all reserved bytes.
+    pub fn release(&mut self) {
+        drop(self.take());
+    }
+
     /// Attaches the reservation to its bytes, so that it lasts until their last copy is dropped.
     #[must_use]
     pub fn attach(self, bytes: Bytes) -> Bytes {
--- a/siskin-net/src/lib.rs
+++ b/siskin-net/src/lib.rs
@@ -1,6 +1,7 @@
-//! Network code shared by the programs of the fleet: HTTP server with graceful shutdown, connections to endpoints, frames
+//! Network code shared by the programs of the fleet: HTTP server with graceful shutdown, connections to endpoints, memory of bodies, frames
 //! between routers, the process's clock, and the registration of metrics.
 
+pub mod body_memory;
 pub mod clock;
 pub mod control;
 pub mod failures;
--- a/siskin-router/src/exchange/deliver.rs
+++ b/siskin-router/src/exchange/deliver.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Call, Exchange, Kind, error_event,
-        read::{Part, StreamEvent, parts},
+        read::{self, Part, StreamEvent, parts},
     },
     crate::caller::{
         answer,
@@ -16,6 +16,7 @@
         body::Incoming,
         header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
     },
+    siskin_net::body_memory::Reservation,
     siskin_outcome::{life::Action, outcome::Outcome},
     std::time::Duration,
     tokio::time,
@@ -69,6 +70,8 @@
     usage: Option<Usage>,
     /// Parts that the caller does not have yet.
     buffer: BytesMut,
+    /// Memory reserved for them.
+    memory: Reservation,
     /// Whether parts are sent on as they arrive.
     streaming: bool,
     first_byte: Option<Duration>,
@@ -77,7 +80,7 @@
 }
 
 impl Delivery {
-    pub(super) fn new(call: &Call) -> Self {
+    pub(super) fn new(call: &Call, memory: Reservation) -> Self {
         let mode = match &call.kind {
             Kind::Chat { chat, .. } if chat.stream => {
                 Mode::Events { include_usage: chat.include_usage }
@@ -95,6 +98,7 @@
             last_id: None,
             usage: None,
             buffer: BytesMut::new(),
+            memory,
             streaming: false,
             first_byte: None,
             retry_after: None,
@@ -106,7 +110,7 @@
         &mut self,
         response: Response<Incoming>,
         streamed: bool,
-    ) -> BoxStream<'static, Result<Part, hyper::Error>> {
+    ) -> BoxStream<'static, Result<Part, read::Error>> {
         let (head, body) = response.into_parts();
         self.streamed = streamed;
         self.status = head.status;
@@ -164,6 +168,18 @@
         self.last_id = None;
         self.usage = None;
         self.buffer.clear();
+        self.memory.release();
+    }
+
+    /// Reserves memory for a part. Returns whether there is enough.
+    pub(super) fn try_reserve(&mut self, bytes: usize) -> bool {
+        self.memory.try_grow(bytes)
+    }
+
+    /// Takes the parts that the caller does not have yet. Their memory is reserved until they have been sent.
+    fn take_buffer(&mut self) -> Bytes {
+        let bytes = self.buffer.split().freeze();
+        self.memory.take().attach(bytes)
     }
 
     /// Adds an event of a stream.
@@ -206,7 +222,7 @@
         if self.delivery.holds() || self.delivery.buffer.is_empty() {
             return Vec::new();
         }
-        let bytes = self.delivery.buffer.split().freeze();
+        let bytes = self.delivery.take_buffer();
         self.send_part(bytes).await
     }
 
@@ -279,11 +295,10 @@
             Mode::Collected(collector) if self.delivery.streamed => {
                 headers = HeaderMap::new();
                 headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-                Bytes::from(collector.finish().to_string())
-            }
-            Mode::Collected(_) | Mode::Events { .. } | Mode::Bytes => {
-                self.delivery.buffer.split().freeze()
+                let bytes = Bytes::from(collector.finish().to_string());
+                self.delivery.memory.take().attach(bytes)
             }
+            Mode::Collected(_) | Mode::Events { .. } | Mode::Bytes => self.delivery.take_buffer(),
         };
         let mut response = Response::new(answer::full(body.clone()));
         *response.status_mut() = self.delivery.status;
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 //! silent endpoints, and reports each event back.
 
 mod deliver;
+mod event_size;
 mod read;
 mod send;
 mod stage;
@@ -177,7 +178,7 @@
         resumable: matches!(call.kind, Kind::Chat { .. }),
         ..life::Options::new(call.request, call.deadline)
     };
-    let delivery = deliver::Delivery::new(&call);
+    let delivery = deliver::Delivery::new(&call, shared.answer_memory.empty_reservation());
     let exchange = Exchange {
         life: Lifecycle::new(options),
         deaths: shared.deaths.subscribe(),
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -1,7 +1,7 @@
 //! Reads answers of endpoints.
 
 use {
-    super::{Answer, Exchange, Kind, Stage, final_cost, running_cost},
+    super::{Answer, Exchange, Kind, Stage, event_size, final_cost, running_cost},
     crate::caller::{
         answer::REQUEST_ID,
         chat::{Chunk, DONE},
@@ -11,7 +11,7 @@
     futures_util::{StreamExt, TryStreamExt, stream::BoxStream},
     http_body_util::BodyExt,
     hyper::{Response, StatusCode, body::Incoming, header::CONTENT_TYPE},
-    siskin_net::upstream::{Connection, Error},
+    siskin_net::upstream::{self, Connection},
     siskin_outcome::{
         life::{Action, Attempt},
         outcome::Outcome,
@@ -21,8 +21,13 @@
         id::{Node, Request},
         time::Instant,
     },
+    std::time::Duration,
+    tokio::time::timeout,
 };
 
+/// Longest time in which the end of an answer has to follow its last event, for its connection to be kept.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Header by which an endpoint says that it did not start a request.
 const NOT_STARTED: &str = "x-not-started";
 
@@ -86,16 +91,23 @@
         Vec::new()
     }
 
-    async fn unanswered(&mut self, now: Instant, attempt: Attempt, error: &Error) -> Vec<Action> {
+    async fn unanswered(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        error: &upstream::Error,
+    ) -> Vec<Action> {
         log::info!(request:% = self.call.request; "{error}");
         match error {
             // Nothing was written to any connection, which is what a refusal before the start means too.
-            Error::Connect { .. } | Error::Unsent { .. } | Error::Unconfigured { .. } => {
+            upstream::Error::Connect { .. }
+            | upstream::Error::Unsent { .. }
+            | upstream::Error::Unconfigured { .. } => {
                 self.endpoint_failed();
                 let own = Some(self.call.request);
                 self.life.endpoint_refused(now, attempt, own, &mut self.call.pool.budget())
             }
-            Error::Broken { .. } => self.connection_lost(attempt).await,
+            upstream::Error::Broken { .. } => self.connection_lost(attempt).await,
         }
     }
 
@@ -104,7 +116,7 @@
         &mut self,
         now: Instant,
         attempt: Attempt,
-        part: Option<Result<Part, hyper::Error>>,
+        part: Option<Result<Part, Error>>,
     ) -> Vec<Action> {
         self.started_waiting();
         match part {
@@ -112,6 +124,9 @@
             Some(Ok(Part::Bytes(bytes))) => {
                 let used = self.elapsed_cost();
                 self.charge(used);
+                if !self.delivery.try_reserve(bytes.len()) {
+                    return self.out_of_memory(attempt).await;
+                }
                 self.delivery.add_bytes(&bytes);
                 self.hand_over(now, attempt, used)
             }
@@ -144,6 +159,15 @@
         self.life.broken(now, attempt, &mut self.call.pool.budget())
     }
 
+    /// The answer is given up, as it does not fit beside those of other requests.
+    async fn out_of_memory(&mut self, attempt: Attempt) -> Vec<Action> {
+        log::warn!(
+            request:% = self.call.request;
+            "answer broken off: answers take all memory reserved for them; check what the endpoint sends"
+        );
+        self.connection_lost(attempt).await
+    }
+
     async fn event(&mut self, now: Instant, attempt: Attempt, event: StreamEvent) -> Vec<Action> {
         let prompt = self.prompt_cost();
         if event.data == DONE {
@@ -166,6 +190,9 @@
             return Vec::new();
         }
         if offset == self.delivery.received() {
+            if !self.delivery.try_reserve(event.data.len()) {
+                return self.out_of_memory(attempt).await;
+            }
             self.delivery.add_event(event, chunk);
             return self.hand_over(now, attempt, used);
         }
@@ -209,7 +236,7 @@
             let shared = std::sync::Arc::clone(&self.shared);
             tokio::spawn(async move {
                 // An event stream may have bytes after its last event; a connection with more data is not kept.
-                if parts.next().await.is_none() {
+                if let Ok(None) = timeout(RELEASE_TIMEOUT, parts.next()).await {
                     drop(parts);
                     shared.upstream.release(connection).await;
                 }
@@ -255,16 +282,31 @@
             .is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
+/// Why an answer cannot be read any further.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Error {
+    /// The connection broke, or what it carries is no HTTP.
+    #[error("{0}")]
+    Transport(#[from] hyper::Error),
+    /// The end of an event does not come.
+    #[error("{0}")]
+    Event(#[from] event_size::TooLong),
+}
+
 /// The parts of a body.
-pub(super) fn parts(
-    body: Incoming,
-    streamed: bool,
-) -> BoxStream<'static, Result<Part, hyper::Error>> {
-    let data = body.into_data_stream();
+pub(super) fn parts(body: Incoming, streamed: bool) -> BoxStream<'static, Result<Part, Error>> {
+    let data = body.into_data_stream().map_err(Error::Transport);
     if !streamed {
         return data.map_ok(Part::Bytes).boxed();
     }
-    data.eventsource()
+    let mut meter = event_size::Meter::default();
+    let bounded = data.map(move |bytes| {
+        let bytes = bytes?;
+        meter.add(&bytes)?;
+        Ok(bytes)
+    });
+    bounded
+        .eventsource()
         .filter_map(|event| async move {
             match event {
                 Ok(event) => Some(Ok(Part::Event(StreamEvent { id: event.id, data: event.data }))),
--- a/siskin-router/src/exchange/stage.rs
+++ b/siskin-router/src/exchange/stage.rs
@@ -1,7 +1,10 @@
 //! What an exchange waits for.
 
 use {
-    super::{Answer, read::Part},
+    super::{
+        Answer,
+        read::{self, Part},
+    },
     crate::pool::Assignment,
     futures_util::{StreamExt, future::BoxFuture, stream::BoxStream},
     siskin_net::upstream::{Connection, Error},
@@ -20,7 +23,7 @@
     /// The head of an answer arrived, or none will.
     Answered(Attempt, Connection, Answer),
     /// A part of an answer arrived, or its end.
-    Part(Attempt, Option<Result<Part, hyper::Error>>),
+    Part(Attempt, Option<Result<Part, read::Error>>),
     /// The endpoint has been silent for too long.
     Quiet,
     /// The time of [`siskin_outcome::life::Lifecycle::next_tick`] has come.
@@ -82,7 +85,7 @@
         /// Kept for the next request once the answer was read to its end.
         connection: Connection,
         /// The parts.
-        parts: BoxStream<'static, Result<Part, hyper::Error>>,
+        parts: BoxStream<'static, Result<Part, read::Error>>,
     },
 }
 
--- a/siskin-router/src/orders.rs
+++ b/siskin-router/src/orders.rs
@@ -11,7 +11,7 @@
         view::{View, route_number},
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Request, StatusCode,
         header::{CONTENT_TYPE, HOST},
@@ -45,6 +45,9 @@
 /// Time after which no router has a grant for an engine that is being drained.
 const GRANT_LAPSE: Duration = Duration::from_millis(3_300);
 
+/// Most bytes that are read of the answer to an order.
+const ANSWER_BYTES_MAX: usize = 64 * 1024;
+
 /// Longest time for an engine to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -340,7 +343,7 @@
     let response = connection.send(request).await.ok()?;
     let status = response.status();
     // The answer is read to its end so that the engine does not see a broken connection.
-    drop(response.into_body().collect().await);
+    drop(Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await);
     Some(match status {
         StatusCode::CONFLICT => orders::Answer::Stale,
         status if status.is_success() => orders::Answer::Accepted,
--- a/siskin-router/src/shared.rs
+++ b/siskin-router/src/shared.rs
@@ -20,7 +20,7 @@
     indexmap::IndexMap,
     siskin_config::follower::{Follower, Options},
     siskin_member::Member,
-    siskin_net::{clock::Clock, control::Control, failures::Limiter, upstream},
+    siskin_net::{body_memory, clock::Clock, control::Control, failures::Limiter, upstream},
     siskin_outcome::{
         outcome::{Outcome, Reason},
         poison::Hasher,
@@ -50,6 +50,9 @@
     },
 };
 
+/// Most memory for answers that callers do not have yet.
+const ANSWERS_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// State that all tasks of a router share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -58,6 +61,8 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) upstream: upstream::Pool,
+    /// Memory for answers that callers do not have yet.
+    pub(crate) answer_memory: body_memory::Limiter,
     pub(crate) fingerprints: Hasher,
     pub(crate) claims: Claims,
     pub(crate) config: Config,
@@ -113,6 +118,7 @@
             settings,
             metrics,
             upstream: upstream::Pool::new(upstream::Options::default()),
+            answer_memory: body_memory::Limiter::new(ANSWERS_BYTES_MAX),
             control,
             member: Mutex::new(member),
             estimator: Mutex::new(Estimator::new(ESTIMATES, DEFAULT_OUTPUT)),
