End no answer that nothing else can serve because a probe of its endpoint fails

Cause: after 0.7 s without data the router opens another connection to the endpoint, and took a refusal for the endpoint's death. An endpoint at its limit of connections refuses too, and the connection that carries the answer is whole. Evidence: with an endpoint that serves its first connection, accepts no further one and pauses for 0.9 s before each part, a stream, a request that is not repeatable and one with a single attempt were answered 502 by the code before.

Change: a failed probe still takes the endpoint out of use for other requests, but ends the wait only for a request that may go on at another endpoint. For the others, giving up sooner helps no caller; the kernel ends their connection within about 4 s if the path is lost.

Regression test: `answers_of_endpoints_that_accept_no_further_connection_are_not_ended` (three cases, all failed before).

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -76,6 +76,13 @@
     pub(crate) version: u64,
 }
 
+impl Call {
+    /// Whether the request may be sent to a second endpoint after it was sent to one.
+    pub(crate) const fn can_go_on_elsewhere(&self) -> bool {
+        self.kind.repeatable() && self.max_attempts > 1
+    }
+}
+
 /// Handles one request of a caller and returns the response.
 pub(crate) async fn handle_request(
     gateway: &Arc<Gateway>,
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -358,7 +358,8 @@
 }
 
 /// Waits for an operation at an endpoint until the request's deadline. Whenever the endpoint has sent nothing for
-/// [`PROBE_AFTER_SILENCE`], a connection is opened to probe it; that connection is kept for the next request.
+/// [`PROBE_AFTER_SILENCE`], a connection is opened to probe it; that connection is kept for the next request. If that fails, the
+/// wait ends early only for a request that can go on at another endpoint.
 pub(crate) async fn wait_for_endpoint<T>(
     gateway: &Arc<Gateway>,
     call: &Call,
@@ -397,7 +398,10 @@
             Err(error) => {
                 mark_unreachable(gateway, &call.service, endpoint, &error.to_string());
                 gateway.upstream.purge(listed.address);
-                return Err(Interruption::Dead);
+                if call.can_go_on_elsewhere() {
+                    return Err(Interruption::Dead);
+                }
+                // The endpoint may only accept no further connections. The kernel ends this one if the path to it is lost.
             }
         }
     }
--- a/siskin-gateway/tests/main/silent_endpoints.rs
+++ b/siskin-gateway/tests/main/silent_endpoints.rs
@@ -89,3 +89,54 @@
         expect_that!(requests.load(Ordering::Relaxed), eq(1), "{}", case.name);
     }
 }
+
+/// Starts an endpoint that serves its first connection and accepts no further one. It pauses before each part of its response.
+async fn endpoint_at_its_connection_limit(parts: &'static [&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        let Some(head) = read_head(&mut stream).await else { return };
+        let id = header_value(&head, "id").unwrap_or_default();
+        for part in parts {
+            sleep(SILENCE).await;
+            let _ = stream.write_all(part.replace("{id}", id).as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against ending an answer because its silent endpoint accepts no further connection, where nothing else can serve it.
+#[googletest::test]
+#[tokio::test]
+async fn answers_of_endpoints_that_accept_no_further_connection_are_not_ended() {
+    const HEAD: &str =
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    struct Case {
+        name: &'static str,
+        kind: Kind,
+        max_attempts: u32,
+    }
+    let cases = [
+        Case { name: "stream", kind: Kind::Stream { resumable: false }, max_attempts: 2 },
+        Case { name: "not repeatable", kind: Kind::AtMostOnce, max_attempts: 2 },
+        Case { name: "one attempt", kind: Kind::Idempotent, max_attempts: 1 },
+    ];
+    for case in cases {
+        let address = endpoint_at_its_connection_limit(&[
+            HEAD,
+            "f\r\nid: 1\ndata: a\n\n\r\n",
+            "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+        ])
+        .await;
+        let mut catalog: Catalog = catalog(case.kind);
+        catalog.routes[0].timeout = Duration::from_secs(8);
+        catalog.routes[0].max_attempts = case.max_attempts;
+        let router = TestRouter::start_configured(gateway(), catalog, &[address]).await;
+        let reply = router.send_request("slow", "").await;
+        expect_that!(reply.status, eq(200), "{}", case.name);
+        expect_that!(reply.body, eq("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "{}", case.name);
+        expect_that!(reply.complete, eq(true), "{}", case.name);
+    }
+}
