Ask seeds for newer versions until the store serves a router that starts

All that could bring newer versions afterwards needs the store: the list of routers and the fleet's secret, without which there is no exchange with peers.

`newest_snapshot_is_used` awaited the end of `seed::run`, which now comes with the store; it waits for the version and checks the same.

--- a/siskin-gateway/src/gateway/serve.rs
+++ b/siskin-gateway/src/gateway/serve.rs
@@ -150,7 +150,7 @@
         path if path == gateway.options.ready_path => {
             respond::text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
-        seed::SNAPSHOT_PATH => seed::snapshot_response(gateway),
+        seed::SNAPSHOT_PATH => seed::snapshot_response(gateway, request.uri()),
         "/metrics" => Response::new(respond::full_body(gateway.metrics.page())),
         _ => respond::text_response(StatusCode::NOT_FOUND, "use the readiness path or /metrics"),
     }
--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -1,4 +1,5 @@
-//! Start without the store: a router that has no configuration requests one from other routers (seeds).
+//! Start without the store: a router that the store does not serve requests the configuration and the list of endpoints from
+//! other routers (seeds), until it reads the store. Without the store it knows no other routers that could send it newer ones.
 
 use {
     crate::{
@@ -8,14 +9,16 @@
         respond::{self, Body},
     },
     anyhow::Context,
+    bytes::Bytes,
     futures_util::future::join_all,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Request, Response, StatusCode,
+        Request, Response, StatusCode, Uri,
         header::{HOST, HeaderValue},
     },
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    siskin_types::position::Position,
+    std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -41,40 +44,76 @@
     directory: Directory,
 }
 
-/// Requests snapshots from the seeds until a configuration is known, from them or from the store. Uses the newest
-/// configuration and the newest list of endpoints of all responses: a seed that was cut off from the store may still have
-/// customers' keys and endpoints that were removed.
+/// Versions that a router has, as the query of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Versions {
+    /// Configuration version, 0 for none.
+    config: u64,
+    /// Position of the list of endpoints.
+    directory: Position,
+}
+
+impl Versions {
+    fn parse(query: &str) -> Option<Self> {
+        let mut numbers = query.strip_prefix("known=")?.split('.').map(str::parse);
+        let (config, era, revision) =
+            (numbers.next()?.ok()?, numbers.next()?.ok()?, numbers.next()?.ok()?);
+        Some(Self { config, directory: Position::new(era, revision) })
+    }
+
+    /// Whether these are the same as the others or newer.
+    fn include(&self, other: &Self) -> bool {
+        self.config >= other.config && self.directory >= other.directory
+    }
+}
+
+impl fmt::Display for Versions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { config, directory } = self;
+        write!(f, "known={config}.{}.{}", directory.era(), directory.revision())
+    }
+}
+
+/// Requests snapshots from the seeds until this router reads the store. Uses the newest configuration and the newest list of
+/// endpoints of all responses: a seed that was cut off from the store may still have customers' keys and endpoints that were
+/// removed.
 pub async fn run(gateway: Arc<Gateway>, seeds: Vec<SocketAddr>) {
     sleep(STORE_HEAD_START).await;
-    while gateway.catalog().is_none() {
+    while !gateway.watching_store() {
         let requests = seeds.iter().map(|seed| fetch_snapshot(&gateway, *seed));
-        let snapshots: Vec<Snapshot> = join_all(requests).await.into_iter().flatten().collect();
-        let (catalogs, directories): (Vec<_>, Vec<_>) =
-            snapshots.into_iter().map(|one| (one.catalog, one.directory)).unzip();
-        let directory = directories.into_iter().max_by_key(Directory::position);
-        let catalog = catalogs.into_iter().max_by_key(|catalog| catalog.version);
-        if let (Some(directory), Some(catalog)) = (directory, catalog) {
-            gateway.set_directory(directory, Source::Peer);
-            gateway.set_catalog(catalog, Source::Peer);
-            return;
-        }
+        let snapshots = join_all(requests).await;
+        apply_newest(&gateway, snapshots.into_iter().flatten());
         sleep(ROUND_INTERVAL).await;
     }
 }
 
+/// Puts the newest configuration and the newest list of endpoints in force, unless this router has newer ones.
+fn apply_newest(gateway: &Gateway, snapshots: impl Iterator<Item = Snapshot>) {
+    let (catalogs, directories): (Vec<_>, Vec<_>) =
+        snapshots.map(|one| (one.catalog, one.directory)).unzip();
+    let directory = directories.into_iter().max_by_key(Directory::position);
+    let catalog = catalogs.into_iter().max_by_key(|catalog| catalog.version);
+    if let Some(directory) = directory.filter(|one| *one != *gateway.directory()) {
+        gateway.set_directory(directory, Source::Peer);
+    }
+    if let Some(catalog) = catalog {
+        gateway.set_catalog(catalog, Source::Peer);
+    }
+}
+
 /// Fetches the snapshot of a seed, if it responds in time.
 async fn fetch_snapshot(gateway: &Gateway, seed: SocketAddr) -> Option<Snapshot> {
     match timeout(RESPONSE_TIMEOUT, request_snapshot(gateway, seed)).await {
-        Ok(Ok(snapshot)) => return Some(snapshot),
+        Ok(Ok(snapshot)) => return snapshot,
         Ok(Err(error)) => log::info!(seed:% = seed; "snapshot cannot be fetched: {error:#}"),
         Err(_) => log::info!(seed:% = seed; "seed did not respond in time"),
     }
     None
 }
 
-/// Builds the response to a router that requests a snapshot: this router's configuration and endpoints, or 503 if it has
-/// none.
-pub(crate) fn snapshot_response(gateway: &Gateway) -> Response<Body> {
+/// Builds the response to a router that requests a snapshot: this router's configuration and endpoints, 304 if that router has the
+/// same or newer ones, or 503 if this one has none.
+pub(crate) fn snapshot_response(gateway: &Gateway, uri: &Uri) -> Response<Body> {
     let Some(catalog) = gateway.catalog() else {
         return respond::text_response(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -82,6 +121,12 @@
         );
     };
     let directory = gateway.directory().without_expired();
+    let own = Versions { config: catalog.version, directory: directory.position() };
+    if uri.query().and_then(Versions::parse).is_some_and(|known| known.include(&own)) {
+        let mut response = Response::new(respond::full_body(Bytes::new()));
+        *response.status_mut() = StatusCode::NOT_MODIFIED;
+        return response;
+    }
     match postcard::to_stdvec(&Snapshot { catalog: (*catalog).clone(), directory }) {
         Ok(bytes) => Response::new(respond::full_body(bytes)),
         Err(error) => {
@@ -91,15 +136,23 @@
     }
 }
 
-async fn request_snapshot(gateway: &Gateway, seed: SocketAddr) -> anyhow::Result<Snapshot> {
+/// Requests a snapshot. Returns `None` if the seed has nothing newer.
+async fn request_snapshot(gateway: &Gateway, seed: SocketAddr) -> anyhow::Result<Option<Snapshot>> {
+    let known = Versions {
+        config: gateway.catalog().map_or(0, |catalog| catalog.version),
+        directory: gateway.directory().position(),
+    };
     let mut connection = gateway.upstream.open(seed).await?;
     let mut request = Request::new(Full::default());
-    *request.uri_mut() = SNAPSHOT_PATH.parse()?;
+    *request.uri_mut() = format!("{SNAPSHOT_PATH}?{known}").parse()?;
     request.headers_mut().insert(HOST, HeaderValue::from_str(&seed.to_string())?);
     let response = connection.send(request).await?;
     let status = response.status();
+    if status == StatusCode::NOT_MODIFIED {
+        return Ok(None);
+    }
     anyhow::ensure!(status.is_success(), "the seed responded with status {status}");
     let read = Limited::new(response.into_body(), SNAPSHOT_BYTES_MAX).collect().await;
     let bytes = read.map_err(anyhow::Error::from_boxed)?.to_bytes();
-    postcard::from_bytes(&bytes).context("the snapshot cannot be read")
+    postcard::from_bytes(&bytes).map(Some).context("the snapshot cannot be read")
 }
--- a/siskin-gateway/tests/main/seed.rs
+++ b/siskin-gateway/tests/main/seed.rs
@@ -6,11 +6,11 @@
     siskin_gateway::{
         catalog::{Catalog, Kind},
         directory::Directory,
-        gateway::{Server, Source},
+        gateway::{Gateway, Server, Source},
         seed,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Guards against refusing requests for the whole store outage although another router has the configuration.
@@ -51,8 +51,41 @@
         [newer.control().unwrap(), outdated.control()],
     ] {
         let starting = gateway_at(SocketAddr::from(([127, 0, 0, 1], 0)));
-        seed::run(Arc::clone(&starting), seeds.to_vec()).await;
+        let asking = tokio::spawn(seed::run(Arc::clone(&starting), seeds.to_vec()));
+        wait_for_version(&starting, 2).await;
+        asking.abort();
         expect_that!(starting.catalog().unwrap().version, eq(2));
         expect_that!(starting.directory().endpoints().len(), eq(0));
     }
 }
+
+/// Waits until a gateway has this configuration version.
+async fn wait_for_version(gateway: &Gateway, version: u64) {
+    let start = Instant::now();
+    let has_version = || gateway.catalog().is_some_and(|catalog| catalog.version >= version);
+    while !has_version() && start.elapsed() < Duration::from_secs(5) {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against a revoked key or a removed endpoint that a router uses for as long as the store turns it away, because it knows no
+/// other router than its seeds and asked them only at its start.
+#[googletest::test]
+#[tokio::test]
+async fn newer_versions_are_fetched_from_seeds_while_the_store_is_away() {
+    let endpoint = SocketAddr::from(([127, 0, 0, 1], 9));
+    let gateway = gateway_at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let router = TestRouter::start_with(Arc::clone(&gateway), Kind::AtMostOnce, &[endpoint]).await;
+    let starting = gateway_at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let asking = tokio::spawn(seed::run(Arc::clone(&starting), vec![router.control()]));
+    wait_for_version(&starting, 1).await;
+    expect_that!(starting.directory().endpoints().len(), eq(1));
+    gateway.set_catalog(Catalog { version: 2, ..catalog(Kind::AtMostOnce) }, Source::Store);
+    gateway.set_directory(Directory::new(7, Vec::new()), Source::Store);
+    wait_for_version(&starting, 2).await;
+    expect_that!(starting.catalog().unwrap().version, eq(2));
+    expect_that!(starting.directory().endpoints().len(), eq(0));
+    starting.set_watching_store(true);
+    expect_that!(timeout(Duration::from_secs(3), asking).await.is_ok(), eq(true), "it ends");
+    router.stop().await;
+}
