Try an endpoint again that failed some requests

What callers saw: requests wait or are refused while an endpoint that works again stands idle.

Cause: an endpoint whose share of failed responses reaches 0.3, which four responses in a row that fail or break off do, is chosen for nothing while any other endpoint fails less. The share changes only with responses, and an endpoint that gets no requests sends none, so the router avoids it until it restarts under another name: after a cut of the network too, in which nothing of the endpoint was wrong.

Change: five seconds after its last response the share begins to decrease, in proportion to the time since. An endpoint that failed ten requests is tried after about 11 s, and costs as much as before until then; one that fails again is avoided again, for at least 5 s.

Looked at and found to end by themselves: endpoints out of use (`health`, 3 s at most), full ones (0.1 s), back-offs and their trial, limits and usage (windows), readiness (`must_return`), shares (windows).

--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -231,11 +231,11 @@
         state.record_end(if attempt.response_begun { 0 } else { attempt.tokens });
         match end {
             End::Completed | End::Failed => {
-                state.record_answer(end == End::Failed);
+                state.record_answer(now, end == End::Failed);
                 self.mean_time = endpoint::moving_average(self.mean_time, now - attempt.since);
                 self.health.record_success(attempt.endpoint);
             }
-            End::Broken => state.record_answer(true),
+            End::Broken => state.record_answer(now, true),
             End::NotRun => state.mark_full(now),
             End::Abandoned => {}
         }
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -167,10 +167,10 @@
                 !matches!(self.availability(now, *id), Availability::Blocked(_))
             });
         let least_failing =
-            reachable.iter().map(|(_, state)| state.failure_share()).fold(1.0, f64::min);
+            reachable.iter().map(|(_, state)| state.failure_share(now)).fold(1.0, f64::min);
         let homes = home_endpoints(demand, open.iter().map(|(id, _)| *id));
         let sound = reachable.iter().filter(|(_, state)| {
-            state.failure_share() < FAILURE_SHARE_AVOIDED.max(2.0 * least_failing)
+            state.failure_share(now) < FAILURE_SHARE_AVOIDED.max(2.0 * least_failing)
         });
         let best = demand.isolation.and_then(|number| {
             let in_time = sound.clone().filter(|(_, state)| self.begins_in_time(demand, state));
@@ -282,7 +282,7 @@
     let in_flight = state.total_in_flight();
     let running = u64::from(in_flight) * RUNNING_TOKENS * 64 / u64::from(state.slots);
     let full = if in_flight >= state.slots || state.is_full(now) { FULL_TOKENS } else { 0 };
-    let failing = scaled(FAILING_TOKENS, state.failure_share());
+    let failing = scaled(FAILING_TOKENS, state.failure_share(now));
     let remote = if state.same_data_centre { 0 } else { REMOTE_TOKENS };
     let backing_off = u64::from(state.peers_backing_off()) * BACKING_OFF_TOKENS;
     let backing_off = backing_off.min(FULL_TOKENS);
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -33,6 +33,10 @@
 /// Weight of a new sample in the share of failed responses: roughly the last ten responses count.
 const FAILURE_WEIGHT: f64 = 0.1;
 
+/// Time since its last response after which the share of failed responses of an endpoint counts less and less: an endpoint that is
+/// avoided gets no requests, so no response can show that it works again.
+const FAILURES_VALID_FOR: Duration = Duration::from_secs(5);
+
 /// Fewest prompt tokens for which the time to the response says something about the prefill rate.
 const RATE_TOKENS_MIN: u64 = 4_000;
 
@@ -95,6 +99,8 @@
     shared_rate: f64,
     /// Share of recent responses that were failures.
     failure_share: f64,
+    /// When the last response arrived or broke off.
+    last_response: Option<Instant>,
     full_until: Option<Instant>,
     /// When this router last sent a request to the endpoint.
     last_sent: Option<Instant>,
@@ -118,6 +124,7 @@
             samples: 0,
             shared_rate: RATE_INITIAL,
             failure_share: 0.0,
+            last_response: None,
             full_until: None,
             last_sent: None,
         }
@@ -153,9 +160,13 @@
         Duration::from_secs_f64(tokens as f64 / self.shared_rate / 1_000.0)
     }
 
-    /// Share of recent responses that were failures.
-    pub(super) const fn failure_share(&self) -> f64 {
-        self.failure_share
+    /// Share of recent responses that were failures. It decreases while there are no responses.
+    pub(super) fn failure_share(&self, now: Instant) -> f64 {
+        let age = self.last_response.map_or(Duration::ZERO, |at| now - at);
+        if age <= FAILURES_VALID_FOR {
+            return self.failure_share;
+        }
+        self.failure_share * FAILURES_VALID_FOR.div_duration_f64(age)
     }
 
     /// Whether this router likely has an open connection to the endpoint.
@@ -195,9 +206,11 @@
         self.rate += (sample.clamp(RATE_MIN, RATE_MAX) - self.rate) * SAMPLE_WEIGHT;
     }
 
-    pub(super) fn record_answer(&mut self, failed: bool) {
+    pub(super) fn record_answer(&mut self, now: Instant, failed: bool) {
         let sample = if failed { 1.0 } else { 0.0 };
-        self.failure_share += (sample - self.failure_share) * FAILURE_WEIGHT;
+        let share = self.failure_share(now);
+        self.failure_share = share + (sample - share) * FAILURE_WEIGHT;
+        self.last_response = Some(now);
     }
 
     pub(super) fn mark_full(&mut self, now: Instant) {
