Show trials of requests in explain

A request that was refused for a cause of crashes is explained by the trials of that cause too: lines "request is tried" with one of its features, at any router and time, as those of crashes and causes. The tests of explain pass.

--- a/siskin-ctl/src/explain.rs
+++ b/siskin-ctl/src/explain.rs
@@ -16,7 +16,8 @@
 const AFTER_MS: u64 = 500;
 
 /// Messages on crashes of endpoints. Their lines name the features of a request that waited, or of a cause.
-const CRASH_MESSAGES: [&str; 2] = ["endpoint crashed while", "cause of crashes found"];
+const CRASH_MESSAGES: [&str; 3] =
+    ["endpoint crashed while", "cause of crashes found", "request is tried"];
 
 /// A log line and where it was found.
 #[derive(Clone, Debug, PartialEq, Eq)]
