--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -1,5 +1,5 @@
 //! Start without the store: a router that the store does not serve requests the configuration and the list of endpoints from
-//! other routers (seeds), until it reads the store. Without the store it knows no other routers that could send it newer ones.
+//! other routers (seeds), until it reads the store. The list of all routers, which could send it newer ones, is in the store.
 
 use {
     crate::{
--- a/siskin-gateway/tests/main/seed.rs
+++ b/siskin-gateway/tests/main/seed.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Guards against a revoked key or a removed endpoint that a router uses for as long as the store turns it away, because it knows no
-/// other router than its seeds and asked them only at its start.
+/// Guards against a revoked key or a removed endpoint that a router uses for as long as the store turns it away, because it asked its
+/// seeds only at its start.
 #[googletest::test]
 #[tokio::test]
 async fn newer_versions_are_fetched_from_seeds_while_the_store_is_away() {
