--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`pool`]: the endpoints of one service, their load, and the choice of an endpoint
 //! * [`condition`]: which endpoints are leaving (draining) or have asked for a back-off
 //! * [`limit`]: limits that endpoints name, which hold for all routers together
+//! * [`warm_up`]: limits of endpoints that are cold after their start
 //! * [`share`]: max-min fair shares of the capacity by customer
 //! * [`admit`]: how long a request may wait at an endpoint
 //! * [`spread`]: which routers send load digests to which others
@@ -32,3 +33,4 @@
 pub mod share;
 pub mod sizes;
 pub mod spread;
+pub mod warm_up;
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -63,6 +63,10 @@
     pub same_data_centre: bool,
     /// Whether it is leaving and accepts no new requests.
     pub leaving: bool,
+    /// Whether its data centre is drained, so that it accepts no new requests until the drain ends.
+    pub drained: bool,
+    /// Time for which it is still cold according to the list; zero if it is warm.
+    pub cold_for: Duration,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/siskin-dispatch/tests/main/fixture.rs
+++ b/siskin-dispatch/tests/main/fixture.rs
@@ -39,6 +39,8 @@
         memory_tokens: 700_000,
         same_data_centre: true,
         leaving: false,
+        drained: false,
+        cold_for: Duration::ZERO,
     };
     (1..=count).map(info).collect()
 }
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -144,6 +144,8 @@
                         memory_tokens: service.memory_tokens.unwrap_or(0),
                         same_data_centre: endpoint.data_centre == self.options.data_centre,
                         leaving: endpoint.leaving,
+                        drained: false,
+                        cold_for: Duration::ZERO,
                     })
                     .collect();
                 let pool = state.pools.entry(name.clone()).or_default();
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -340,5 +340,7 @@
         Message::Crash(_) => "crash",
         Message::Strain(_) => "strain",
         Message::Limit(_) => "limit",
+        Message::Work(_) => "work",
+        Message::Capacity(_) => "capacity",
     }
 }
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -238,7 +238,9 @@
             | Message::Relay(_)
             | Message::Crash(_)
             | Message::Strain(_)
-            | Message::Limit(_) => {
+            | Message::Limit(_)
+            | Message::Work(_)
+            | Message::Capacity(_) => {
                 shared.metrics.control.rejected.with_label_values(&["unexpected"]).inc();
             }
         }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub mod capacity;
 pub mod claim;
 pub mod config;
 pub mod crash;
@@ -16,6 +17,7 @@
 pub mod relay;
 pub mod sched;
 pub mod strain;
+pub mod work;
 
 /// Any message between two routers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -44,4 +46,8 @@
     Strain(strain::Report),
     /// Limits that endpoints have named, and their use.
     Limit(limit::Report),
+    /// Remaining work of endpoints.
+    Work(work::Report),
+    /// Processor time that the routers of a data centre use.
+    Capacity(capacity::Report),
 }
