Keep to what cold endpoints sustain, over all routers together

Cause: endpoints that have just started get up to twice the load that they can sustain, as no router knows what the others send. Change: one router, given by the list of routers, issues permits for a cold endpoint; a request is sent there only with a permit, and all permits that can be used within a second are counted at the issuer. New message Permit at the end of the enumeration.

--- a/siskin-dispatch/src/condition.rs
+++ b/siskin-dispatch/src/condition.rs
@@ -2,20 +2,22 @@
 //!
 //! An endpoint that is leaving (draining before it stops) is marked in the platform's list or reports it in its
 //! answers. An overloaded endpoint may ask a router to back off for a while, or name a limit that holds for all routers
-//! together (see [`limit`]). All of this applies to one instance of the endpoint: after a restart it is another
-//! [`Endpoint`].
+//! together (see [`limit`]). A cold endpoint gets only requests that have a permit (see [`warm_up`]). All of this applies to
+//! one instance of the endpoint: after a restart it is another [`Endpoint`].
 //!
 //! Routers announce to each other that an endpoint is leaving, and the announcement is never withdrawn: a list older
 //! than the endpoint's own answer must not return it to use. A back-off applies only to the router that was asked; for
 //! the others it is a sign of load. When a back-off ends, a single trial request is sent before others follow, and the
 //! end is jittered so that routers do not resume at the same moment.
 
+mod cold;
 mod limits;
 
 use {
     crate::{
         limit::{self, Rate},
         prompt::mix,
+        warm_up,
     },
     indexmap::IndexMap,
     siskin_types::{
@@ -94,7 +96,7 @@
     Backoff(Instant),
     /// The back-off has ended, and the trial request has no answer yet.
     Trial,
-    /// This router's part of the endpoint's limit is used up until this time.
+    /// This router's part of the endpoint's limit is used up until this time, or the endpoint is cold and this router has no permit.
     Limited(Instant),
 }
 
@@ -140,6 +142,15 @@
         /// Where this was learned from.
         source: Source,
     },
+    /// It is cold.
+    Cold {
+        /// Time for which it remains cold.
+        time: Duration,
+        /// Where this was learned from.
+        source: Source,
+    },
+    /// It is no longer cold.
+    Warm,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -155,7 +166,7 @@
     trial_sent: Option<Instant>,
 }
 
-/// State of one endpoint; kept only while the endpoint is leaving, backing off or limited.
+/// State of one endpoint; kept only while the endpoint is leaving, backing off, limited or cold.
 #[derive(Clone, Debug, Default)]
 struct Condition {
     /// When the endpoint was found missing from the platform's list; `None` while it is listed.
@@ -166,6 +177,7 @@
     listed_leaving: Option<Leaving>,
     backoff: Option<Backoff>,
     limit: Option<limit::Usage>,
+    cold: Option<warm_up::State>,
 }
 
 impl Condition {
@@ -174,7 +186,8 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.leaving().is_none() && self.backoff.is_none() && self.limit.is_none()
+        let is_unlimited = self.limit.is_none() && self.cold.is_none();
+        self.leaving().is_none() && self.backoff.is_none() && is_unlimited
     }
 
     fn availability(&self, now: Instant, demand: &limit::Demand) -> Availability {
@@ -192,7 +205,9 @@
             Some(_) => Availability::Trial,
         };
         let limit = self.limit.as_ref();
-        let blocked_until = limit.and_then(|limit| limit.blocked_until(now, demand.part(now)));
+        let limited_until = limit.and_then(|limit| limit.blocked_until(now, demand.part(now)));
+        let cold_until = self.cold.as_ref().and_then(|cold| cold.blocked_until(now));
+        let blocked_until = limited_until.max(cold_until);
         blocked_until.map_or(unlimited, |until| Availability::Blocked(Reason::Limited(until)))
     }
 
@@ -201,7 +216,7 @@
     }
 }
 
-/// Which endpoints of a service are leaving, backing off or limited.
+/// Which endpoints of a service are leaving, backing off, limited or cold.
 ///
 /// ```
 /// use {
@@ -224,6 +239,8 @@
     changes: Vec<(Endpoint, Change)>,
     /// Demand for the service, by which limits are divided.
     demand: limit::Demand,
+    /// How endpoints warm up; `None` if they need not.
+    warm_up: Option<warm_up::Options>,
 }
 
 impl Conditions {
@@ -246,6 +263,12 @@
         self.by_endpoint.get(&endpoint).is_some_and(|condition| condition.leaving().is_some())
     }
 
+    /// Whether an endpoint is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant, endpoint: Endpoint) -> bool {
+        self.by_endpoint.get(&endpoint).is_some_and(|condition| condition.is_cold(now))
+    }
+
     /// Whether a back-off that an endpoint asked this router for has not ended yet.
     #[must_use]
     pub fn is_backing_off(&self, now: Instant, endpoint: Endpoint) -> bool {
@@ -290,6 +313,9 @@
         if let Some(limit) = &mut condition.limit {
             limit.record_sent(now, self.demand.part(now));
         }
+        if let Some(cold) = &mut condition.cold {
+            cold.record_sent(now);
+        }
     }
 
     /// Records that an endpoint accepted a request. This ends a back-off whose time has passed.
@@ -335,12 +361,16 @@
             if let Some(limit) = &mut condition.limit {
                 limit.suspended(time);
             }
+            if let Some(cold) = &mut condition.cold {
+                cold.suspended(time);
+            }
         }
     }
 
     /// Drops the state of endpoints that have been unlisted for long, and of the excess over `UNLISTED_MAX`, what has become
     /// old, and the reports of peers for which `kept` is false.
     pub fn expire(&mut self, now: Instant, kept: impl Fn(Node) -> bool) {
+        self.expire_cold(now);
         self.demand.expire(now, &kept);
         let part = self.demand.part(now);
         for condition in self.by_endpoint.values_mut() {
--- a/siskin-dispatch/src/limit/demand.rs
+++ b/siskin-dispatch/src/limit/demand.rs
@@ -1,7 +1,7 @@
 //! The requests that callers make for a service, by which its endpoints' limits are divided among the routers.
 
 use {
-    super::{count::Count, from_thousandths, to_thousandths},
+    super::{MEMORY, count::Count, from_thousandths, to_thousandths},
     indexmap::IndexMap,
     siskin_types::{id::Node, time::Instant},
     siskin_wire::limit,
@@ -11,6 +11,9 @@
 /// How long a peer's demand counts after its last report.
 const PEER_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Shortest time over which the rate of requests is taken: a single one shows no rate.
+const RATE_TIME_MIN: Duration = Duration::from_secs(1);
+
 /// The parts of a limit that routers may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Part {
@@ -31,6 +34,10 @@
 #[derive(Debug)]
 pub(crate) struct Demand {
     asked: Count,
+    /// When the first request arrived.
+    first_asked: Option<Instant>,
+    /// When the last request arrived.
+    last_asked: Option<Instant>,
     /// Number of routers in the fleet, as listed.
     routers: u32,
     /// Differs between routers, so that they send to an endpoint at different times.
@@ -45,6 +52,8 @@
     fn default() -> Self {
         Self {
             asked: Count::default(),
+            first_asked: None,
+            last_asked: None,
             routers: 1,
             salt: 0,
             peers: IndexMap::new(),
@@ -70,6 +79,20 @@
     /// Counts a request of a caller.
     pub(crate) fn record_request(&mut self, now: Instant) {
         self.asked.add(now);
+        self.first_asked.get_or_insert(now);
+        self.last_asked = Some(now);
+    }
+
+    /// Requests per second that callers of this router make.
+    pub(crate) fn requests_per_second(&self, now: Instant) -> f64 {
+        let Some(first) = self.first_asked else { return 0.0 };
+        let counted = (now - first).max(RATE_TIME_MIN).div_duration_f64(MEMORY);
+        self.asked.value(now) / MEMORY.as_secs_f64() / (1.0 - (-counted).exp())
+    }
+
+    /// When the last request arrived.
+    pub(crate) const fn last_request(&self) -> Option<Instant> {
+        self.last_asked
     }
 
     /// The parts of a limit that this router and all known ones may use.
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -1,6 +1,7 @@
 //! The endpoints of one service, their load as this router sees it, and the choice of an endpoint for a request.
 
 mod choose;
+mod cold;
 mod endpoint;
 mod limits;
 
@@ -125,6 +126,10 @@
     /// it has no requests in flight.
     pub fn set_endpoints(&mut self, now: Instant, infos: &[Info]) {
         self.conditions.update_listed(now, infos.iter().map(|info| (info.id, info.leaving)));
+        for info in infos {
+            let in_use = self.endpoints.contains_key(&info.id);
+            self.conditions.update_cold(now, info.id, info.cold_for, in_use);
+        }
         let listed: HashSet<Endpoint> = infos.iter().map(|info| info.id).collect();
         self.endpoints.retain(|id, state| {
             state.listed = listed.contains(id);
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -80,7 +80,7 @@
     Unreachable,
     /// All reachable endpoints have asked this router to back off, or take no more within their limits, and a back-off ends first.
     Backoff,
-    /// No reachable endpoint takes more requests of this router within its limit now.
+    /// No reachable endpoint takes more requests of this router now within its limit, or while it is cold.
     Limited,
     /// The expected wait is too long.
     Busy,
--- a/siskin-dispatch/src/spread.rs
+++ b/siskin-dispatch/src/spread.rs
@@ -12,6 +12,7 @@
 mod changes;
 mod exchange;
 mod limits;
+mod permits;
 
 use {
     crate::prompt::mix,
@@ -292,6 +293,26 @@
         }
     }
 
+    /// Whether this router, as a hub, hears from more than half of the fleet, directly or through other hubs.
+    fn hears_most(&self, now: Instant) -> bool {
+        let heard = |node: &Node| {
+            *node == self.own || self.is_member(now, *node) || self.is_heard_hub(now, *node)
+        };
+        let counted = |group: &Vec<Node>| {
+            if group.iter().any(|node| self.is_heard_hub(now, *node)) {
+                return group.len();
+            }
+            group.iter().filter(|node| heard(node)).count()
+        };
+        let known: usize = self.groups.iter().map(counted).sum();
+        let fleet: usize = self.groups.iter().map(Vec::len).sum();
+        2 * known > fleet
+    }
+
+    fn is_heard_hub(&self, now: Instant, node: Node) -> bool {
+        self.sent_recently(now, node, Scope::Group)
+    }
+
     /// Whether a router's last digest was one from hub to hub. How long its load counts is the pool's decision.
     fn is_other_hub(&self, node: Node) -> bool {
         self.peers.get(&node).is_some_and(|peer| matches!(peer.last, Some((Scope::Group, _))))
--- a/siskin-dispatch/src/warm_up.rs
+++ b/siskin-dispatch/src/warm_up.rs
@@ -2,9 +2,49 @@
 //!
 //! An endpoint that has just started, or has lost its caches, is slow for some seconds and crashes under the load that it serves
 //! later. Its service states how long that lasts and how many requests a second it sustains meanwhile.
+//!
+//! One router issues the permits for a cold endpoint (see [`spread`](crate::spread)), and a request is sent only with a permit.
+//! The bound holds because all permits that can be used within one second are counted in one place: a permit expires
+//! [`PERMIT_LIFETIME`] after it was requested, by the clock of the router that requested it. Shares that each router computes
+//! from what it hears, as for limits that endpoints name, add up to more than the bound while routers hear different things.
+
+mod issue;
+mod state;
 
 use std::time::Duration;
 
+pub(crate) use state::State;
+
+/// Time after its request for which a permit can be used.
+pub(crate) const PERMIT_LIFETIME: Duration = Duration::from_millis(600);
+
+/// Longest time from the use of a permit to the arrival of the request.
+pub(crate) const SEND_TIME: Duration = Duration::from_millis(100);
+
+/// Time between requests for permits. Shortest time until one that has none can get one.
+pub(crate) const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time over which the bound counts requests.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Time over which the issuing router counts permits: those issued within it may arrive within one [`WINDOW`].
+const ISSUED_WINDOW: Duration = Duration::from_millis(1_700);
+
+/// Time without permits after an endpoint that was in use has become cold: what was sent in the second before counts, and some
+/// routers learn of it later than others.
+const QUIET_TIME: Duration = Duration::from_millis(1_250);
+
+/// Time after the end for which permits are still issued, as other routers may learn of the end later.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Longest cold time. An endpoint that is cold for longer has to say so again.
+const COLD_MAX: Duration = Duration::from_secs(600);
+
+const _: () = assert!(
+    ISSUED_WINDOW.as_millis()
+        >= WINDOW.as_millis() + PERMIT_LIFETIME.as_millis() + SEND_TIME.as_millis()
+);
+
 /// How endpoints of a service warm up.
 ///
 /// ```
--- /dev/null
+++ b/siskin-dispatch/tests/main/cold_endpoints.rs
@@ -0,0 +1,191 @@
+//! Load: all endpoints of a data centre are cold at the same time, and callers ask for more than they can sustain. Guards against
+//! fleets that crash them, and against endpoints that get too few requests to warm up.
+
+use {
+    crate::{
+        fixture::infos,
+        fleet::STEP,
+        limits::{BASE, Case, GROWN, LARGE, Simulation, most_in_window, seeds},
+    },
+    googletest::prelude::*,
+    siskin_dispatch::{pool::Info, warm_up::Options},
+    siskin_types::{id::Endpoint, time::Instant},
+    std::time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const OPTIONS: Options = Options {
+    duration: Duration::from_secs(3),
+    requests_per_second: 18.0,
+    burst_factor: 1.5,
+    burst_requests: 5.0,
+};
+
+/// The users' settings without tolerance.
+const STRICT: Options = Options { burst_factor: 1.0, burst_requests: 0.0, ..OPTIONS };
+
+/// Time until the issuers of permits are settled.
+const SETTLED: Duration = Duration::from_secs(2);
+
+/// Steps by which routers learn of cold endpoints, so that they learn at different times.
+const LIST_DELAY: Duration = Duration::from_millis(50);
+const LIST_STEPS: usize = 5;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    None,
+    /// This share of the messages between routers is lost.
+    Loss(f64),
+    /// All routers lose their state after a second.
+    Restart,
+    /// A quarter of the routers is cut off before.
+    Cut,
+    /// No router hears from another.
+    Silence,
+}
+
+struct ColdCase {
+    fleet: Case,
+    endpoints: u32,
+    options: Options,
+    /// Whether the endpoints are new; otherwise they have been in use.
+    new: bool,
+    trouble: Trouble,
+    /// Least share of the sustained rate that has to be used.
+    use_min: f64,
+}
+
+const SMALL: Case = Case { limits: &[], ..BASE };
+const MEDIUM: Case = Case { limits: &[], ..GROWN };
+const UNEVEN: Case = Case { name: "73 routers, uneven callers", uneven: true, ..MEDIUM };
+const SPARSE: Case =
+    Case { name: "73 routers, few callers", requests_per_second: 100.0, retry: true, ..MEDIUM };
+const MANY: Case =
+    Case { name: "73 routers, 60 endpoints", requests_per_second: 1_500.0, ..UNEVEN };
+const LARGE_UNEVEN: Case =
+    Case { name: "1,200 routers, uneven callers", uneven: true, limits: &[], ..LARGE };
+
+const NEW: ColdCase = ColdCase {
+    fleet: SMALL,
+    endpoints: 4,
+    options: OPTIONS,
+    new: true,
+    trouble: Trouble::None,
+    use_min: 0.5,
+};
+
+const CASES: [ColdCase; 15] = [
+    NEW,
+    ColdCase { new: false, use_min: 0.3, ..NEW },
+    ColdCase { options: STRICT, ..NEW },
+    ColdCase { trouble: Trouble::Silence, use_min: 0.0, ..NEW },
+    ColdCase { fleet: MEDIUM, ..NEW },
+    ColdCase { fleet: UNEVEN, ..NEW },
+    ColdCase { fleet: UNEVEN, options: STRICT, ..NEW },
+    ColdCase { fleet: SPARSE, ..NEW },
+    ColdCase { fleet: MANY, endpoints: 60, ..NEW },
+    ColdCase { fleet: UNEVEN, new: false, use_min: 0.3, ..NEW },
+    ColdCase { fleet: UNEVEN, trouble: Trouble::Loss(0.3), use_min: 0.3, ..NEW },
+    ColdCase { fleet: UNEVEN, trouble: Trouble::Restart, use_min: 0.1, ..NEW },
+    ColdCase { fleet: UNEVEN, trouble: Trouble::Cut, use_min: 0.1, ..NEW },
+    ColdCase { fleet: LARGE_UNEVEN, ..NEW },
+    ColdCase { fleet: LARGE_UNEVEN, new: false, trouble: Trouble::Cut, use_min: 0.1, ..NEW },
+];
+
+impl ColdCase {
+    fn infos(&self, cold_for: Duration) -> Vec<Info> {
+        let renumber = |info: Info| Info {
+            id: if self.new { Endpoint(info.id.0 + 10) } else { info.id },
+            cold_for,
+            ..info
+        };
+        infos(self.endpoints).into_iter().map(renumber).collect()
+    }
+
+    /// Plays the case. Returns when all routers knew of the cold endpoints, and the simulation at the end of the cold time.
+    fn play(&self, seed: u64) -> (Instant, Instant, Simulation) {
+        let mut simulation = Simulation::new(&self.fleet, seed);
+        simulation.run(&self.fleet, SETTLED);
+        match self.trouble {
+            Trouble::Loss(share) => simulation.fleet.loss = share,
+            Trouble::Cut => self.cut(&mut simulation, 4),
+            Trouble::Silence => self.cut(&mut simulation, 1),
+            Trouble::None | Trouble::Restart => {}
+        }
+        let start = simulation.fleet.now;
+        for step in 0..LIST_STEPS {
+            self.list(&mut simulation, start, |node| node % LIST_STEPS == step);
+            simulation.run(&self.fleet, LIST_DELAY);
+        }
+        let known = simulation.fleet.now;
+        if self.trouble == Trouble::Restart {
+            simulation.run(&self.fleet, SECOND);
+            (0..simulation.fleet.nodes.len()).for_each(|node| simulation.fleet.restart(node));
+            simulation.active_requests.clear();
+            self.list(&mut simulation, start, |_| true);
+        }
+        let passed = simulation.fleet.now - start;
+        simulation.run(&self.fleet, OPTIONS.duration.saturating_sub(passed + STEP));
+        (start, known, simulation)
+    }
+
+    fn cut(&self, simulation: &mut Simulation, step: usize) {
+        let nodes = simulation.fleet.nodes.iter_mut().step_by(step);
+        nodes.for_each(|node| node.connected = false);
+        simulation.run(&self.fleet, SECOND);
+    }
+
+    /// Gives the list with the cold endpoints to some routers.
+    fn list(&self, simulation: &mut Simulation, start: Instant, to: impl Fn(usize) -> bool) {
+        let now = simulation.fleet.now;
+        let infos = self.infos(OPTIONS.duration.saturating_sub(now - start));
+        for (index, node) in simulation.fleet.nodes.iter_mut().enumerate() {
+            if to(index) {
+                let pool = &mut node.pools["engines"];
+                pool.set_salt(index as u64 + 77);
+                pool.set_warm_up(Some(self.options));
+                pool.set_endpoints(now, &infos);
+            }
+        }
+    }
+}
+
+/// Guards against more requests to a cold endpoint in any second than it can stand, whatever happens to routers and their messages,
+/// and against capacity that is lost because routers hold back.
+#[googletest::test]
+fn cold_endpoints_get_what_they_sustain_and_no_more() {
+    for case in &CASES {
+        for seed in seeds(&case.fleet) {
+            let (start, known, simulation) = case.play(seed);
+            let name = format!("{}, new {}, {:?}", case.fleet.name, case.new, case.trouble);
+            let since = if case.new { start } else { known };
+            let mut arrived = 0;
+            let mut most = 0;
+            for info in case.infos(Duration::ZERO) {
+                let arrivals = simulation.arrivals.get(&info.id).cloned().unwrap_or_default();
+                most = most.max(most_in_window(&arrivals, SECOND, since));
+                arrived += arrivals.iter().filter(|at| **at >= since).count();
+            }
+            let time = simulation.fleet.now - since;
+            #[expect(clippy::cast_precision_loss)]
+            let used = arrived as f64
+                / (f64::from(case.endpoints)
+                    * case.options.requests_per_second
+                    * time.as_secs_f64());
+            let nodes = simulation.fleet.nodes.iter();
+            let (messages, bytes) = nodes.fold((0, 0), |(messages, bytes), node| {
+                (messages + node.permits_sent, bytes + node.permit_bytes_sent)
+            });
+            let routers = simulation.fleet.nodes.len();
+            println!(
+                "{name}, seed {seed}: most {most}, used {used:.2}, {messages} messages, {} B of a router",
+                bytes / routers
+            );
+            #[expect(clippy::cast_precision_loss)]
+            let most = most as f64;
+            expect_that!(most, le(case.options.requests_per_second_max()), "{name}, seed {seed}");
+            expect_that!(used, ge(case.use_min), "{name}, seed {seed}");
+        }
+    }
+}
--- a/siskin-dispatch/tests/main/fleet.rs
+++ b/siskin-dispatch/tests/main/fleet.rs
@@ -13,7 +13,7 @@
         id::{Customer, Endpoint, Node},
         time::Instant,
     },
-    siskin_wire::{limit, load::Digest},
+    siskin_wire::{limit, load::Digest, permit},
     std::time::Duration,
 };
 
@@ -36,6 +36,9 @@
     pub(crate) digests_received: usize,
     /// Bytes of the reports of limits.
     pub(crate) limit_bytes_sent: usize,
+    /// Bytes of the messages about permits, and their number.
+    pub(crate) permit_bytes_sent: usize,
+    pub(crate) permits_sent: usize,
 }
 
 impl RouterNode {
@@ -57,10 +60,20 @@
             digests_sent: 0,
             digests_received: 0,
             limit_bytes_sent: 0,
+            permit_bytes_sent: 0,
+            permits_sent: 0,
         }
     }
 }
 
+impl RouterNode {
+    fn count_permits(&mut self, message: permit::Message) -> Content {
+        self.permit_bytes_sent += postcard::to_stdvec(&message).unwrap().len();
+        self.permits_sent += 1;
+        Content::Permits(message)
+    }
+}
+
 /// A simulated fleet, in which a digest arrives one step after it is sent.
 pub(crate) struct Fleet {
     pub(crate) now: Instant,
@@ -77,6 +90,7 @@
 enum Content {
     Load(Digest),
     Limits(limit::Report),
+    Permits(permit::Message),
 }
 
 impl Fleet {
@@ -117,6 +131,10 @@
                     node.limit_bytes_sent += postcard::to_stdvec(&report).unwrap().len();
                     self.in_transit.push((from, to, Content::Limits(report)));
                 }
+                for (to, message) in due.permits {
+                    let content = node.count_permits(message);
+                    self.in_transit.push((from, to, content));
+                }
             }
         }
     }
@@ -141,6 +159,14 @@
                 Content::Limits(report) => {
                     node.exchange.take_limits(self.now, from, &report, &mut node.pools);
                 }
+                Content::Permits(message) => {
+                    let pools = &mut node.pools;
+                    let answer = node.exchange.take_permits(self.now, from, &message, pools);
+                    if let Some(answer) = answer {
+                        let content = node.count_permits(answer);
+                        self.in_transit.push((to, from, content));
+                    }
+                }
             }
         }
     }
--- a/siskin-dispatch/tests/main/limits.rs
+++ b/siskin-dispatch/tests/main/limits.rs
@@ -12,7 +12,7 @@
         pool::{Attempt, Demand, End},
     },
     siskin_types::{id::Endpoint, time::Instant},
-    std::time::Duration,
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// Window over which the users' rule counts requests.
@@ -25,6 +25,9 @@
 /// Time after an endpoint first named its limit from which the rule holds: the users' `contact_ms`.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Time after which refused callers come back.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 const SECOND: Duration = Duration::from_secs(1);
 const WARM_UP: Duration = Duration::from_secs(2);
@@ -41,7 +44,7 @@
 
 /// What happens to some of the routers while endpoints are limited.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Trouble {
+pub(crate) enum Trouble {
     None,
     /// This share of the messages between routers is lost.
     Loss(f64),
@@ -51,32 +54,36 @@
     Cut,
 }
 
-struct Case {
-    name: &'static str,
-    routers: u32,
-    requests_per_second: f64,
+pub(crate) struct Case {
+    pub(crate) name: &'static str,
+    pub(crate) routers: u32,
+    pub(crate) requests_per_second: f64,
     /// Whether half of the requests come to a sixteenth of the routers.
-    uneven: bool,
+    pub(crate) uneven: bool,
     /// Limits of the engines, in requests per second.
-    limits: &'static [(u32, f64)],
-    trouble: Trouble,
+    pub(crate) limits: &'static [(u32, f64)],
+    pub(crate) trouble: Trouble,
+    /// Whether refused callers come back to the same router.
+    pub(crate) retry: bool,
 }
 
 const ALL_AT_FIVE: [(u32, f64); 4] = [(1, 5.0), (2, 5.0), (3, 5.0), (4, 5.0)];
 const ALL_DIFFERENT: [(u32, f64); 4] = [(1, 0.5), (2, 2.0), (3, 6.0), (4, 30.0)];
 
-const BASE: Case = Case {
+pub(crate) const BASE: Case = Case {
     name: "8 routers",
     routers: 8,
     requests_per_second: 120.0,
     uneven: false,
     limits: &ALL_AT_FIVE,
     trouble: Trouble::None,
+    retry: false,
 };
 
-const GROWN: Case = Case { name: "73 routers", routers: 73, requests_per_second: 500.0, ..BASE };
+pub(crate) const GROWN: Case =
+    Case { name: "73 routers", routers: 73, requests_per_second: 500.0, ..BASE };
 
-const LARGE: Case =
+pub(crate) const LARGE: Case =
     Case { name: "1,200 routers", routers: 1_200, requests_per_second: 6_000.0, ..BASE };
 
 const CASES: [Case; 13] = [
@@ -95,21 +102,23 @@
     LARGE,
 ];
 
-struct ActiveRequest {
+pub(crate) struct ActiveRequest {
     node: usize,
     attempt: Attempt,
     ends: Instant,
 }
 
-struct Simulation {
-    fleet: Fleet,
+pub(crate) struct Simulation {
+    pub(crate) fleet: Fleet,
     start: Instant,
     random: StdRng,
     limits: IndexMap<Endpoint, f64>,
-    active_requests: Vec<ActiveRequest>,
-    arrivals: IndexMap<Endpoint, Vec<Instant>>,
+    pub(crate) active_requests: Vec<ActiveRequest>,
+    pub(crate) arrivals: IndexMap<Endpoint, Vec<Instant>>,
     /// When requests were refused.
     refused: Vec<Instant>,
+    /// When refused callers come back, and to which router.
+    retries: VecDeque<(Instant, usize)>,
     /// Requests that have arrived and are not processed yet, as a fraction.
     due_requests: f64,
     /// When an answer first said that an engine's limit has ended.
@@ -117,7 +126,7 @@
 }
 
 impl Simulation {
-    fn new(case: &Case, seed: u64) -> Self {
+    pub(crate) fn new(case: &Case, seed: u64) -> Self {
         let mut fleet = Fleet::new(case.routers);
         for (index, node) in fleet.nodes.iter_mut().enumerate() {
             node.pools["engines"].set_salt(index as u64 + 1_000 * seed);
@@ -131,12 +140,13 @@
             active_requests: Vec::new(),
             arrivals: IndexMap::new(),
             refused: Vec::new(),
+            retries: VecDeque::new(),
             due_requests: 0.0,
             end_known_since: IndexMap::new(),
         }
     }
 
-    fn run(&mut self, case: &Case, time: Duration) {
+    pub(crate) fn run(&mut self, case: &Case, time: Duration) {
         let end = self.fleet.now + time;
         while self.fleet.now < end {
             self.cause_trouble(case);
@@ -148,6 +158,12 @@
                 let node = self.draw_router(case);
                 self.process_request(case, node);
             }
+            while let Some((_, node)) = self.retries.front().filter(|(at, _)| *at <= self.fleet.now)
+            {
+                let node = *node;
+                self.retries.pop_front();
+                self.process_request(case, node);
+            }
         }
     }
 
@@ -173,7 +189,7 @@
         }
     }
 
-    /// Whether the users' rule excuses a router: it has just restarted, or is cut off or was so lately.
+    /// Whether the users' rule for limits excuses a router: it has just restarted, or is cut off or was so lately.
     fn is_excused(&self, case: &Case, node: usize) -> bool {
         let since_start = self.since_start();
         let excused = match case.trouble {
@@ -205,6 +221,9 @@
         pool.record_request(now);
         let Ok(placement) = pool.choose_endpoint(now, &demand, &[]) else {
             self.refused.push(now);
+            if case.retry {
+                self.retries.push_back((now + RETRY_AFTER, node));
+            }
             return;
         };
         let attempt = pool.sent(now, placement.endpoint, &demand.prompt);
@@ -258,18 +277,24 @@
         let arrivals = self.arrivals.get(&engine).map(Vec::as_slice).unwrap_or_default();
         let counted: Vec<Instant> =
             arrivals.iter().copied().filter(|at| held.contains(at)).collect();
-        let in_window = |(index, end): (usize, &Instant)| {
-            counted[..=index].iter().rev().take_while(|at| *end - **at < WINDOW).count()
-        };
-        let most = counted.iter().enumerate().map(in_window).max().unwrap_or(0);
+        let most = most_in_window(&counted, WINDOW, Instant::ZERO);
         #[expect(clippy::cast_precision_loss)]
         let most = most as f64;
         most / allowed
     }
 }
 
+/// The most arrivals in a window that ends with an arrival after the time `since`.
+pub(crate) fn most_in_window(arrivals: &[Instant], window: Duration, since: Instant) -> usize {
+    let in_window = |(index, end): (usize, &Instant)| {
+        arrivals[..=index].iter().rev().take_while(|at| *end - **at < window).count()
+    };
+    let ends = arrivals.iter().enumerate().filter(|(_, at)| **at >= since);
+    ends.map(in_window).max().unwrap_or(0)
+}
+
 /// The seeds of the large fleet are few, as each takes seconds.
-fn seeds(case: &Case) -> std::ops::RangeInclusive<u64> {
+pub(crate) fn seeds(case: &Case) -> std::ops::RangeInclusive<u64> {
     if case.routers > 100 { 1..=1 } else { 1..=5 }
 }
 
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the placement of requests that are forwarded unchanged.
 
+mod cold_endpoints;
 mod cold_start;
 mod conditions;
 mod failing_endpoints;
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -342,5 +342,6 @@
         Message::Limit(_) => "limit",
         Message::Work(_) => "work",
         Message::Capacity(_) => "capacity",
+        Message::Permit(_) => "permit",
     }
 }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod permit;
 pub mod poison;
 pub mod relay;
 pub mod sched;
@@ -50,4 +51,6 @@
     Work(work::Report),
     /// Processor time that the routers of a data centre use.
     Capacity(capacity::Report),
+    /// Permits to send requests to cold endpoints.
+    Permit(permit::Message),
 }
