Read X-Cold-Ms from responses, log cold endpoints and count them

Cause: the decision on cold endpoints was not connected to messages, responses, logs and metrics. Change: protocol::Answer::cold, log lines 'endpoint is cold' and 'endpoint is warm', gauge siskin_endpoints_cold, message Permit sent and received; a request that could not be written on an idle connection is sent again to a cold endpoint only within the time of its permit.

--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -294,6 +294,7 @@
         return Err(Error::Deadline);
     }
     let address = connection.address();
+    let counted = gateway.clock.now();
     let resend = request.clone();
     let mut sent = wait_for_endpoint(gateway, call, endpoint, connection.send(request)).await;
     if let Ok(Err(upstream::Error::Unsent { .. })) = sent {
@@ -302,7 +303,7 @@
             Ok(reopened) => *connection = reopened,
             Err(error) => return Err(Error::NotSent(error.to_string())),
         }
-        if let Some(reason) = gateway.not_accepting_reason(&call.service, endpoint) {
+        if let Some(reason) = gateway.not_accepting_reason(&call.service, endpoint, counted) {
             return Err(Error::Blocked(reason));
         }
         sent = wait_for_endpoint(gateway, call, endpoint, connection.send(resend)).await;
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -11,25 +11,37 @@
         limit::Notice,
         pool::Pool,
     },
-    siskin_types::id::Endpoint,
+    siskin_types::{id::Endpoint, time::Instant},
     std::time::Duration,
 };
 
 impl Gateway {
-    /// Why a request that was counted at an endpoint may no longer be sent there; `None` if it may. It is itself the trial request
-    /// after a back-off, and has its part of a limit.
-    pub(crate) fn not_accepting_reason(&self, service: &str, endpoint: Endpoint) -> Option<Reason> {
+    /// Why a request that was counted at an endpoint at the time `counted` may no longer be sent there; `None` if it may. It is
+    /// itself the trial request after a back-off, and has its part of a limit. Its permit for a cold endpoint lapses.
+    pub(crate) fn not_accepting_reason(
+        &self,
+        service: &str,
+        endpoint: Endpoint,
+        counted: Instant,
+    ) -> Option<Reason> {
         let now = self.clock.now();
-        self.with_dispatch(|state| match state.pools.get(service)?.availability(now, endpoint) {
-            Availability::Open
-            | Availability::Trial
-            | Availability::Blocked(Reason::Trial | Reason::Limited(_)) => None,
-            Availability::Blocked(reason) => Some(reason),
+        self.with_dispatch(|state| {
+            let pool = state.pools.get(service)?;
+            match pool.availability(now, endpoint) {
+                Availability::Open
+                | Availability::Trial
+                | Availability::Blocked(Reason::Trial | Reason::Limited(_)) => {
+                    let is_lapsed = pool.is_permit_lapsed(now, endpoint, counted);
+                    is_lapsed.then_some(Reason::Limited(now))
+                }
+                Availability::Blocked(reason) => Some(reason),
+            }
         })
     }
 
     /// Applies the notices in the response head that an endpoint has sent to a request. One that belongs to another request may
-    /// be an old copy, so it ends no limit.
+    /// be an old copy, so it ends no limit and no cold
+    /// time.
     pub(crate) fn record_endpoint_notices(
         &self,
         call: &Call,
@@ -43,6 +55,9 @@
             if is_own || response.limit != Notice::Unlimited {
                 pool.record_limit(now, endpoint, response.limit);
             }
+            if let Some(time) = response.cold.filter(|time| is_own || !time.is_zero()) {
+                pool.record_cold(now, endpoint, time);
+            }
             if response.leaving {
                 pool.record_leaving(now, endpoint);
             }
@@ -100,6 +115,13 @@
                     endpoint:% = endpoint, instance, source = source.label();
                     "endpoint no longer names a limit"
                 ),
+                Change::Cold { time, source } => log::info!(
+                    endpoint:% = endpoint, instance, source = source.label(), time_ms = saturating_millis(time);
+                    "endpoint is cold; it gets only requests with a permit"
+                ),
+                Change::Warm => log::info!(
+                    endpoint:% = endpoint, instance; "endpoint is warm"
+                ),
             }
         }
     }
@@ -110,14 +132,15 @@
         self.with_dispatch(|state| state.pools.values().map(Pool::limited).sum())
     }
 
-    /// Sets the gauges of endpoints that are leaving, of those that have asked this router to back off, and of those that name
-    /// a limit.
+    /// Sets the gauges of endpoints that are leaving, of those that have asked this router to back off, of those that name a limit,
+    /// and of those that are cold.
     pub(crate) fn update_condition_metrics(&self) {
         let now = self.clock.now();
-        let (leaving, backing_off) = self.with_dispatch(|state| {
+        let (leaving, backing_off, cold) = self.with_dispatch(|state| {
             let leaving: Vec<Source> = state.pools.values().flat_map(Pool::leaving).collect();
             let backing_off = state.pools.values().map(|pool| pool.backing_off(now)).sum::<usize>();
-            (leaving, backing_off)
+            let cold = state.pools.values().map(|pool| pool.cold(now)).sum::<usize>();
+            (leaving, backing_off, cold)
         });
         for source in Source::ALL {
             let count = leaving.iter().filter(|one| **one == source).count();
@@ -125,6 +148,7 @@
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
         self.metrics.endpoints_backing_off.set(i64::try_from(backing_off).unwrap_or(i64::MAX));
+        self.metrics.endpoints_cold.set(i64::try_from(cold).unwrap_or(i64::MAX));
         let limited = self.limited_endpoints();
         self.metrics.endpoints_limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
     }
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     pub endpoints_backing_off: IntGauge,
     /// Endpoints that name a limit.
     pub endpoints_limited: IntGauge,
+    /// Endpoints that are cold.
+    pub endpoints_cold: IntGauge,
     /// Times that an endpoint asked this router to back off.
     pub backoffs: IntCounter,
     /// Endpoints that were found unreachable.
@@ -123,6 +125,8 @@
                 "siskin_endpoints_limited",
                 "Endpoints that name a limit on the requests of all routers together.",
             )?,
+            endpoints_cold: create
+                .gauge("siskin_endpoints_cold", "Endpoints that are cold after their start.")?,
             backoffs: create.counter(
                 "siskin_backoffs_total",
                 "Times that an endpoint asked this router to back off.",
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -5,8 +5,8 @@
 //! and of the list of endpoints. A router with an older version requests the newer one from the sender, so a router that
 //! cannot read the store stays up to date through its peers.
 //!
-//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints and of their limits, and which routers
-//! of the data centre are short of processor time.
+//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints and of their limits, permits
+//! for cold endpoints, and which routers of the data centre are short of processor time.
 
 mod readiness;
 
@@ -28,7 +28,7 @@
     siskin_wire::{
         Message, crash, limit,
         load::{Digest, Scope},
-        relay,
+        permit, relay,
     },
     std::{
         net::SocketAddr,
@@ -162,6 +162,7 @@
                     lock(&self.readiness).merge(self.gateway.clock.now(), &report);
                 }
                 Message::Limit(report) => self.handle_limits(opened.node, &report),
+                Message::Permit(message) => self.handle_permits(opened.node, &message),
                 Message::Crash(report) => self.gateway.merge_crashes(opened.node, &report),
                 other => {
                     log::debug!(from:% = from; "message that this program does not handle: {other:?}");
@@ -215,6 +216,18 @@
         self.gateway.log_condition_changes();
     }
 
+    fn handle_permits(&self, node: Node, message: &permit::Message) {
+        let now = self.gateway.clock.now();
+        let mut exchange = lock(&self.exchange);
+        let answer = self
+            .gateway
+            .with_dispatch(|state| exchange.take_permits(now, node, message, &mut state.pools));
+        drop(exchange);
+        if let Some(answer) = answer {
+            self.send_to(node, &Message::Permit(answer));
+        }
+    }
+
     /// Records how long ago a hub read the store, unless this router has older versions than the hub.
     fn record_hub_reading(&self, digest: &Digest) {
         let (config_version, directory_position) = self.known_versions();
@@ -274,8 +287,9 @@
             let interval = lock(&self.exchange).interval();
             time::sleep(interval).await;
             self.request_newer_versions();
-            let Due { digests, limits, targets, role, hub: chosen, silent } =
+            let Due { digests, limits, permits, targets, role, hub: chosen, silent } =
                 self.take_due_digests();
+            self.gateway.log_condition_changes();
             for node in silent {
                 log::info!(peer:% = node; "no digests of a router for a while; it is not used as a hub until it sends one");
             }
@@ -291,6 +305,9 @@
             for (node, report) in limits {
                 self.send_to(node, &Message::Limit(report));
             }
+            for (node, message) in permits {
+                self.send_to(node, &Message::Permit(message));
+            }
             self.balance_readiness(&targets);
             for (node, report) in self.gateway.crash_reports(&targets) {
                 self.send_crash_report(node, report);
--- a/siskin-gateway/src/protocol.rs
+++ b/siskin-gateway/src/protocol.rs
@@ -59,6 +59,8 @@
     pub backoff: Option<Duration>,
     /// What the endpoint states of its limit.
     pub limit: limit::Notice,
+    /// Time for which the endpoint states that it is still cold.
+    pub cold: Option<Duration>,
 }
 
 /// Translates between the platform's headers and the gateway's types.
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -69,6 +69,10 @@
                 .get("limit")
                 .and_then(|rate| Rate::from_per_second(rate.to_str().ok()?.parse().ok()?))
                 .map_or(Notice::Unlimited, Notice::Limited),
+            cold: headers
+                .get("cold-ms")
+                .and_then(|millis| millis.to_str().ok()?.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -240,7 +240,8 @@
             | Message::Strain(_)
             | Message::Limit(_)
             | Message::Work(_)
-            | Message::Capacity(_) => {
+            | Message::Capacity(_)
+            | Message::Permit(_) => {
                 shared.metrics.control.rejected.with_label_values(&["unexpected"]).inc();
             }
         }
