Let two routers issue the permits of a cold endpoint, half each

Cause: while the one issuer of an endpoint has stopped, the endpoint got no request until its cold time ended. Change: two issuers, each with half of the rate and of the bound.

--- a/siskin-dispatch/src/condition/cold.rs
+++ b/siskin-dispatch/src/condition/cold.rs
@@ -102,12 +102,17 @@
         wanted
     }
 
-    /// Issues up to `wanted` permits for an endpoint.
-    pub fn issue_permits(&mut self, now: Instant, endpoint: Endpoint, wanted: u32) -> u32 {
+    /// Issues permits for an endpoint, up to the number `wanted`, of the part that this router issues.
+    pub fn issue_permits(
+        &mut self,
+        now: Instant,
+        part: warm_up::Part,
+        wanted: permit::Permits,
+    ) -> u32 {
         let Some(options) = self.warm_up else { return 0 };
-        let condition = self.by_endpoint.get_mut(&endpoint);
+        let condition = self.by_endpoint.get_mut(&wanted.endpoint);
         let cold = condition.and_then(|condition| condition.cold.as_mut());
-        cold.map_or(0, |cold| cold.issue(now, &options, wanted))
+        cold.map_or(0, |cold| cold.issue(now, &options, part, wanted.count))
     }
 
     /// Adds permits that this router requested at the time `requested`.
--- a/siskin-dispatch/src/pool/cold.rs
+++ b/siskin-dispatch/src/pool/cold.rs
@@ -61,9 +61,15 @@
         self.conditions.permits_to_request(now, round, self.open(), scarce)
     }
 
-    /// Issues up to `wanted` permits for a cold endpoint; none for an endpoint of another service.
-    pub fn issue_permits(&mut self, now: Instant, endpoint: Endpoint, wanted: u32) -> u32 {
-        self.conditions.issue_permits(now, endpoint, wanted)
+    /// Issues permits for a cold endpoint, up to the number `wanted`, of the part that this router issues; none for an endpoint of
+    /// another service.
+    pub fn issue_permits(
+        &mut self,
+        now: Instant,
+        part: warm_up::Part,
+        wanted: permit::Permits,
+    ) -> u32 {
+        self.conditions.issue_permits(now, part, wanted)
     }
 
     /// Adds permits that this router requested at the time `requested`; those for other services are skipped.
--- a/siskin-dispatch/src/spread/permits.rs
+++ b/siskin-dispatch/src/spread/permits.rs
@@ -1,16 +1,16 @@
 //! Permits for cold endpoints, requested from and issued by the routers of the fleet.
 //!
-//! The issuer of an endpoint follows from the list of routers: among the preferred hubs of all groups, the one that rendezvous hashing
-//! gives. It does not depend on which routers are reachable, so that two sides of a partition never have an issuer each; the
-//! endpoints of an issuer that has stopped get no requests while they are cold. An issuer that hears from at most half of the fleet
-//! issues nothing, as the others may have dropped it from their lists.
+//! The two issuers of an endpoint follow from the list of routers: among the preferred hubs of all groups, those that rendezvous
+//! hashing gives. They do not depend on which routers are reachable, or two sides of a partition would have issuers each; the half
+//! of an issuer that has stopped is lost until the list says so. An issuer that hears from at most half of the fleet issues
+//! nothing, as the others may have dropped it from their lists.
 
 use {
     super::{Routing, Target},
     crate::{
         pool::Pool,
         prompt::mix,
-        warm_up::{PERMIT_LIFETIME, REQUEST_INTERVAL},
+        warm_up::{PERMIT_LIFETIME, Part, REQUEST_INTERVAL},
     },
     indexmap::{IndexMap, IndexSet},
     siskin_types::{
@@ -173,10 +173,11 @@
         wanted: Permits,
         pools: &mut IndexMap<String, Pool>,
     ) -> Option<Permits> {
-        if !routing.hears_most(now) || !self.may_issue(now, routing.own, wanted.endpoint) {
+        if !routing.hears_most(now) {
             return None;
         }
-        let issue = |pool: &mut Pool| pool.issue_permits(now, wanted.endpoint, wanted.count);
+        let part = self.part(now, routing.own, wanted.endpoint)?;
+        let issue = |pool: &mut Pool| pool.issue_permits(now, part, wanted);
         let count = pools.values_mut().map(issue).find(|count| *count > 0)?;
         Some(Permits { count, ..wanted })
     }
@@ -215,16 +216,28 @@
         targets.iter().map(|target| (target.node, Message::Notice(news.clone()))).collect()
     }
 
-    /// The router that issues permits for an endpoint, by the list in force.
+    /// One of the routers that issue permits for an endpoint, by the list in force; another one in other rounds.
     fn issuer(&self, endpoint: Endpoint) -> Option<Node> {
-        self.issuers.back().and_then(|(_, issuers)| choose(endpoint, issuers))
+        let (_, issuers) = self.issuers.back()?;
+        match choose(endpoint, issuers) {
+            [first, Some(_)] if mix(self.round, u64::from(endpoint.0)).is_multiple_of(2) => first,
+            [first, second] => second.or(first),
+        }
     }
 
-    /// Whether a router has been the issuer of an endpoint, by all lists, for [`TAKEOVER_TIME`].
-    fn may_issue(&self, now: Instant, node: Node, endpoint: Endpoint) -> bool {
-        let is_settled = |(since, _): &(Instant, Vec<Node>)| now - *since >= TAKEOVER_TIME;
-        self.issuers.front().is_some_and(is_settled)
-            && self.issuers.iter().all(|(_, issuers)| choose(endpoint, issuers) == Some(node))
+    /// The part of an endpoint's permits that a router has had by all lists for [`TAKEOVER_TIME`].
+    fn part(&self, now: Instant, node: Node, endpoint: Endpoint) -> Option<Part> {
+        let (since, _) = self.issuers.front()?;
+        if now - *since < TAKEOVER_TIME {
+            return None;
+        }
+        let part = |(_, issuers): &(Instant, Vec<Node>)| match choose(endpoint, issuers) {
+            [Some(first), None] if first == node => Some(Part::Whole),
+            [Some(first), _] if first == node => Some(Part::LargerHalf),
+            [_, Some(second)] if second == node => Some(Part::SmallerHalf),
+            _ => None,
+        };
+        self.issuers.iter().map(part).min().flatten()
     }
 
     fn update_issuers(&mut self, now: Instant, routing: &Routing) {
@@ -239,10 +252,12 @@
     }
 }
 
-/// The first of the routers in the endpoint's order of preference, the same on all routers.
-fn choose(endpoint: Endpoint, routers: &[Node]) -> Option<Node> {
-    let rank = |node: &&Node| mix(u64::from(endpoint.0), u64::from(node.0));
-    routers.iter().max_by_key(rank).copied()
+/// The first two of the routers in the endpoint's order of preference, the same on all routers.
+fn choose(endpoint: Endpoint, routers: &[Node]) -> [Option<Node>; 2] {
+    let rank = |node: &Node| mix(u64::from(endpoint.0), u64::from(node.0));
+    let first = routers.iter().copied().max_by_key(rank);
+    let others = routers.iter().copied().filter(|node| Some(*node) != first);
+    [first, others.max_by_key(rank)]
 }
 
 fn interval_max(routing: &Routing) -> Duration {
--- a/siskin-dispatch/src/warm_up.rs
+++ b/siskin-dispatch/src/warm_up.rs
@@ -3,8 +3,8 @@
 //! An endpoint that has just started, or has lost its caches, is slow for some seconds and crashes under the load that it serves
 //! later. Its service states how long that lasts and how many requests a second it sustains meanwhile.
 //!
-//! One router issues the permits for a cold endpoint (see [`spread`](crate::spread)), and a request is sent only with a permit.
-//! The bound holds because all permits that can be used within one second are counted in one place: a permit expires
+//! Two routers issue the permits for a cold endpoint, half each (see [`spread`](crate::spread)), and a request is sent only with a
+//! permit. The bound holds because each issuer counts all its permits that can be used within one second: a permit expires
 //! [`PERMIT_LIFETIME`] after it was requested, by the clock of the router that requested it. Shares that each router computes
 //! from what it hears, as for limits that endpoints name, add up to more than the bound while routers hear different things.
 
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+pub use issue::Part;
+
 pub(crate) use state::State;
 
 /// Time after its request for which a permit can be used.
--- a/siskin-dispatch/src/warm_up/state.rs
+++ b/siskin-dispatch/src/warm_up/state.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        COLD_MAX, LINGER, Options, PERMIT_LIFETIME, QUIET_TIME, REQUEST_INTERVAL, issue::Issued,
+        COLD_MAX, LINGER, Options, PERMIT_LIFETIME, Part, QUIET_TIME, REQUEST_INTERVAL,
+        issue::Issued,
     },
     siskin_types::time::Instant,
     std::{collections::VecDeque, time::Duration},
@@ -108,12 +109,18 @@
         self.permits.pop_front();
     }
 
-    /// Issues up to `wanted` permits.
-    pub(crate) fn issue(&mut self, now: Instant, options: &Options, wanted: u32) -> u32 {
+    /// Issues up to `wanted` permits of this router's part.
+    pub(crate) fn issue(
+        &mut self,
+        now: Instant,
+        options: &Options,
+        part: Part,
+        wanted: u32,
+    ) -> u32 {
         if now < self.quiet_until || !self.is_kept(now) {
             return 0;
         }
-        self.issued.issue(now, options, wanted)
+        self.issued.issue(now, options, part, wanted)
     }
 
     /// Whether the state is still needed.
