--- a/siskin-dispatch/tests/main/cold_endpoints.rs
+++ b/siskin-dispatch/tests/main/cold_endpoints.rs
@@ -3,13 +3,21 @@
 
 use {
     crate::{
-        fixture::infos,
+        fixture::{NOW, engines, infos},
         fleet::STEP,
         limits::{BASE, Case, GROWN, LARGE, Simulation, most_in_window, seeds},
     },
     googletest::prelude::*,
-    siskin_dispatch::{pool::Info, warm_up::Options},
+    siskin_dispatch::{
+        condition::{Availability, Change, Reason, Source},
+        limit::{Notice, Rate},
+        pool::Info,
+        prompt::Prompt,
+        spread::Router,
+        warm_up::Options,
+    },
     siskin_types::{id::Endpoint, time::Instant},
+    siskin_wire::permit::Permits,
     std::time::Duration,
 };
 
@@ -41,6 +49,8 @@
     Restart,
     /// A quarter of the routers is cut off before.
     Cut,
+    /// The same, and the others no longer have them in their lists.
+    Dropped,
     /// No router hears from another.
     Silence,
 }
@@ -75,9 +85,9 @@
     use_min: 0.5,
 };
 
-const CASES: [ColdCase; 15] = [
+const CASES: [ColdCase; 16] = [
     NEW,
-    ColdCase { new: false, use_min: 0.3, ..NEW },
+    ColdCase { new: false, use_min: 0.4, ..NEW },
     ColdCase { options: STRICT, ..NEW },
     ColdCase { trouble: Trouble::Silence, use_min: 0.0, ..NEW },
     ColdCase { fleet: MEDIUM, ..NEW },
@@ -85,12 +95,13 @@
     ColdCase { fleet: UNEVEN, options: STRICT, ..NEW },
     ColdCase { fleet: SPARSE, ..NEW },
     ColdCase { fleet: MANY, endpoints: 60, ..NEW },
-    ColdCase { fleet: UNEVEN, new: false, use_min: 0.3, ..NEW },
-    ColdCase { fleet: UNEVEN, trouble: Trouble::Loss(0.3), use_min: 0.3, ..NEW },
-    ColdCase { fleet: UNEVEN, trouble: Trouble::Restart, use_min: 0.1, ..NEW },
-    ColdCase { fleet: UNEVEN, trouble: Trouble::Cut, use_min: 0.1, ..NEW },
+    ColdCase { fleet: UNEVEN, new: false, use_min: 0.4, ..NEW },
+    ColdCase { fleet: UNEVEN, trouble: Trouble::Loss(0.3), use_min: 0.4, ..NEW },
+    ColdCase { fleet: UNEVEN, options: STRICT, trouble: Trouble::Restart, use_min: 0.1, ..NEW },
+    ColdCase { fleet: UNEVEN, trouble: Trouble::Cut, use_min: 0.4, ..NEW },
+    ColdCase { fleet: MANY, endpoints: 16, options: STRICT, trouble: Trouble::Dropped, ..NEW },
     ColdCase { fleet: LARGE_UNEVEN, ..NEW },
-    ColdCase { fleet: LARGE_UNEVEN, new: false, trouble: Trouble::Cut, use_min: 0.1, ..NEW },
+    ColdCase { fleet: LARGE_UNEVEN, new: false, trouble: Trouble::Cut, use_min: 0.2, ..NEW },
 ];
 
 impl ColdCase {
@@ -110,6 +121,11 @@
         match self.trouble {
             Trouble::Loss(share) => simulation.fleet.loss = share,
             Trouble::Cut => self.cut(&mut simulation, 4),
+            Trouble::Dropped => {
+                self.cut(&mut simulation, 4);
+                drop_cut_routers(&mut simulation);
+                simulation.run(&self.fleet, SETTLED);
+            }
             Trouble::Silence => self.cut(&mut simulation, 1),
             Trouble::None | Trouble::Restart => {}
         }
@@ -151,6 +167,16 @@
     }
 }
 
+/// Takes routers that are cut off out of the lists of the others.
+fn drop_cut_routers(simulation: &mut Simulation) {
+    let nodes = simulation.fleet.nodes.iter();
+    let left: Vec<Router> =
+        nodes.filter(|node| node.connected).map(|node| node.router.clone()).collect();
+    for node in simulation.fleet.nodes.iter_mut().filter(|node| node.connected) {
+        node.exchange.list(&left);
+    }
+}
+
 /// Guards against more requests to a cold endpoint in any second than it can stand, whatever happens to routers and their messages,
 /// and against capacity that is lost because routers hold back.
 #[googletest::test]
@@ -158,7 +184,9 @@
     for case in &CASES {
         for seed in seeds(&case.fleet) {
             let (start, known, simulation) = case.play(seed);
-            let name = format!("{}, new {}, {:?}", case.fleet.name, case.new, case.trouble);
+            let max = case.options.requests_per_second_max();
+            let name =
+                format!("{}, max {max}, new {}, {:?}", case.fleet.name, case.new, case.trouble);
             let since = if case.new { start } else { known };
             let mut arrived = 0;
             let mut most = 0;
@@ -184,8 +212,52 @@
             );
             #[expect(clippy::cast_precision_loss)]
             let most = most as f64;
-            expect_that!(most, le(case.options.requests_per_second_max()), "{name}, seed {seed}");
+            expect_that!(most, le(max), "{name}, seed {seed}");
             expect_that!(used, ge(case.use_min), "{name}, seed {seed}");
         }
     }
 }
+
+/// Guards against a cold time that outlasts its end where nothing is sent, and against cold endpoints where the part is off.
+#[googletest::test]
+fn cold_time_ends_without_traffic() {
+    let endpoint = Endpoint(1);
+    let mut pool = engines(1);
+    pool.record_cold(NOW, endpoint, 3 * SECOND);
+    expect_that!(pool.availability(NOW, endpoint), eq(Availability::Open));
+    pool.set_warm_up(Some(OPTIONS));
+    pool.record_cold(NOW, endpoint, 3 * SECOND);
+    let before_end = NOW + 2 * SECOND;
+    let reason = pool.availability(before_end, endpoint);
+    expect_that!(reason, matches_pattern!(Availability::Blocked(pat!(Reason::Limited(_)))));
+    let end = NOW + 3 * SECOND;
+    expect_that!(pool.availability(end, endpoint), eq(Availability::Open));
+    pool.expire(end, |_| true);
+    let changes = [Change::Cold { time: 3 * SECOND, source: Source::Answer }, Change::Warm];
+    expect_that!(
+        pool.take_condition_changes(),
+        eq(&changes.map(|change| (endpoint, change)).to_vec())
+    );
+}
+
+/// Guards against an endpoint that names a limit and gets more as it is cold, or the reverse.
+#[googletest::test]
+fn cold_endpoint_with_a_limit_follows_the_stricter() {
+    let endpoint = Endpoint(1);
+    let mut pool = engines(1);
+    pool.set_warm_up(Some(OPTIONS));
+    pool.record_limit(NOW, endpoint, Notice::Limited(Rate(5_000)));
+    pool.record_cold(NOW, endpoint, 3 * SECOND);
+    let mut now = NOW + SECOND;
+    expect_that!(pool.availability(now, endpoint), not(eq(Availability::Open)));
+    pool.add_permits(now, now, Permits { endpoint, count: 40 });
+    let mut sent = 0;
+    while now < NOW + SECOND + SECOND / 2 {
+        if pool.availability(now, endpoint) == Availability::Open {
+            pool.sent(now, endpoint, &Prompt::default());
+            sent += 1;
+        }
+        now = now + STEP;
+    }
+    expect_that!(sent, all![ge(1), le(30)]);
+}
