--- a/siskin-dispatch/tests/main/cold_endpoints.rs
+++ b/siskin-dispatch/tests/main/cold_endpoints.rs
@@ -36,6 +36,9 @@
 /// Time until the issuers of permits are settled.
 const SETTLED: Duration = Duration::from_secs(2);
 
+/// Routers with more processor time, which are preferred as hubs.
+const LARGE_ROUTERS: usize = 8;
+
 /// Steps by which routers learn of cold endpoints, so that they learn at different times.
 const LIST_DELAY: Duration = Duration::from_millis(50);
 const LIST_STEPS: usize = 5;
@@ -47,6 +50,8 @@
     Loss(f64),
     /// All routers lose their state after a second.
     Restart,
+    /// The routers that may be hubs do.
+    RestartHubs,
     /// A quarter of the routers is cut off before.
     Cut,
     /// The same, and the others no longer have them in their lists.
@@ -72,7 +77,7 @@
 const SPARSE: Case =
     Case { name: "73 routers, few callers", requests_per_second: 100.0, retry: true, ..MEDIUM };
 const MANY: Case =
-    Case { name: "73 routers, 60 endpoints", requests_per_second: 1_500.0, ..UNEVEN };
+    Case { name: "73 routers, many callers", requests_per_second: 1_500.0, ..UNEVEN };
 const LARGE_UNEVEN: Case =
     Case { name: "1,200 routers, uneven callers", uneven: true, limits: &[], ..LARGE };
 
@@ -85,7 +90,7 @@
     use_min: 0.5,
 };
 
-const CASES: [ColdCase; 16] = [
+const CASES: [ColdCase; 17] = [
     NEW,
     ColdCase { new: false, use_min: 0.4, ..NEW },
     ColdCase { options: STRICT, ..NEW },
@@ -98,6 +103,7 @@
     ColdCase { fleet: UNEVEN, new: false, use_min: 0.4, ..NEW },
     ColdCase { fleet: UNEVEN, trouble: Trouble::Loss(0.3), use_min: 0.4, ..NEW },
     ColdCase { fleet: UNEVEN, options: STRICT, trouble: Trouble::Restart, use_min: 0.1, ..NEW },
+    ColdCase { fleet: MANY, options: STRICT, trouble: Trouble::RestartHubs, use_min: 0.1, ..NEW },
     ColdCase { fleet: UNEVEN, trouble: Trouble::Cut, use_min: 0.4, ..NEW },
     ColdCase { fleet: MANY, endpoints: 16, options: STRICT, trouble: Trouble::Dropped, ..NEW },
     ColdCase { fleet: LARGE_UNEVEN, ..NEW },
@@ -127,7 +133,7 @@
                 simulation.run(&self.fleet, SETTLED);
             }
             Trouble::Silence => self.cut(&mut simulation, 1),
-            Trouble::None | Trouble::Restart => {}
+            Trouble::None | Trouble::Restart | Trouble::RestartHubs => {}
         }
         let start = simulation.fleet.now;
         for step in 0..LIST_STEPS {
@@ -135,11 +141,16 @@
             simulation.run(&self.fleet, LIST_DELAY);
         }
         let known = simulation.fleet.now;
-        if self.trouble == Trouble::Restart {
+        let restarted = match self.trouble {
+            Trouble::Restart => simulation.fleet.nodes.len(),
+            Trouble::RestartHubs => LARGE_ROUTERS,
+            _ => 0,
+        };
+        if restarted > 0 {
             simulation.run(&self.fleet, SECOND);
-            (0..simulation.fleet.nodes.len()).for_each(|node| simulation.fleet.restart(node));
-            simulation.active_requests.clear();
-            self.list(&mut simulation, start, |_| true);
+            (0..restarted).for_each(|node| simulation.fleet.restart(node));
+            simulation.active_requests.retain(|request| request.node >= restarted);
+            self.list(&mut simulation, start, |node| node < restarted);
         }
         let passed = simulation.fleet.now - start;
         simulation.run(&self.fleet, OPTIONS.duration.saturating_sub(passed + STEP));
--- a/siskin-dispatch/tests/main/limits.rs
+++ b/siskin-dispatch/tests/main/limits.rs
@@ -103,7 +103,7 @@
 ];
 
 pub(crate) struct ActiveRequest {
-    node: usize,
+    pub(crate) node: usize,
     attempt: Attempt,
     ends: Instant,
 }
