--- a/siskin-dispatch/tests/main/cold_endpoints.rs
+++ b/siskin-dispatch/tests/main/cold_endpoints.rs
@@ -5,7 +5,7 @@
     crate::{
         fixture::{NOW, engines, infos},
         fleet::STEP,
-        limits::{BASE, Case, GROWN, LARGE, Simulation, most_in_window, seeds},
+        limits::{BASE, CONTROL_BYTES_MAX, Case, GROWN, LARGE, Simulation, most_in_window, seeds},
     },
     googletest::prelude::*,
     siskin_dispatch::{
@@ -21,6 +21,9 @@
     std::time::Duration,
 };
 
+/// Bytes of a frame around a message.
+const FRAME_BYTES: usize = 34;
+
 const SECOND: Duration = Duration::from_secs(1);
 
 const OPTIONS: Options = Options {
@@ -213,14 +216,12 @@
                     * case.options.requests_per_second
                     * time.as_secs_f64());
             let nodes = simulation.fleet.nodes.iter();
-            let (messages, bytes) = nodes.fold((0, 0), |(messages, bytes), node| {
-                (messages + node.permits_sent, bytes + node.permit_bytes_sent)
-            });
-            let routers = simulation.fleet.nodes.len();
-            println!(
-                "{name}, seed {seed}: most {most}, used {used:.2}, {messages} messages, {} B of a router",
-                bytes / routers
-            );
+            let bytes: usize =
+                nodes.map(|node| node.permit_bytes_sent + FRAME_BYTES * node.permits_sent).sum();
+            let seconds = usize::try_from(OPTIONS.duration.as_secs()).unwrap();
+            let bytes = bytes / simulation.fleet.nodes.len() / seconds;
+            println!("{name}, seed {seed}: most {most}, used {used:.2}, {bytes} B/s of a router");
+            expect_that!(bytes, le(CONTROL_BYTES_MAX), "{name}, seed {seed}");
             #[expect(clippy::cast_precision_loss)]
             let most = most as f64;
             expect_that!(most, le(max), "{name}, seed {seed}");
--- a/siskin-dispatch/tests/main/limits.rs
+++ b/siskin-dispatch/tests/main/limits.rs
@@ -299,7 +299,7 @@
 }
 
 /// Control traffic of a router that the design allows, in bytes a second.
-const CONTROL_BYTES_MAX: usize = 5_000;
+pub(crate) const CONTROL_BYTES_MAX: usize = 5_000;
 
 /// Guards against a fleet whose routers together send an endpoint more than the limit that it has named, and against too much
 /// traffic between routers.
