Test that routers with few callers get permits

Cause: nothing showed that a router whose share is below a request a second gets a turn. Change: a test with 73 routers for 20 s; the choice of the permits to request is split in two functions.

--- a/siskin-dispatch/src/condition/cold.rs
+++ b/siskin-dispatch/src/condition/cold.rs
@@ -68,38 +68,36 @@
         open: usize,
         scarce: bool,
     ) -> Vec<permit::Permits> {
-        let salt = mix(self.demand.salt(), round);
-        let mut cold: Vec<(f64, Endpoint, u32)> = Vec::new();
-        for (endpoint, condition) in &self.by_endpoint {
-            let state = condition.cold.as_ref().filter(|_| condition.needs_permits(now));
-            if let Some(state) = state {
-                let held = u32::try_from(state.permits(now)).unwrap_or(u32::MAX);
-                cold.push((random_share(salt, *endpoint), *endpoint, held));
-            }
-        }
-        let Some(first) = cold.first().map(|(share, _, _)| *share) else { return Vec::new() };
-        cold.sort_by(|one, other| one.0.total_cmp(&other.0));
-        let held: u32 = cold.iter().map(|(_, _, held)| held).sum();
+        let cold = self.permits_held(now, round);
+        let held: u32 = cold.iter().map(|(_, held)| held).sum();
         let expected = self.demand.requests_per_second(now) * PERMIT_LIFETIME.as_secs_f64();
         #[expect(clippy::cast_precision_loss, reason = "numbers of endpoints")]
-        let per_endpoint = expected / open.max(cold.len()) as f64;
-        #[expect(clippy::cast_precision_loss, reason = "numbers of endpoints")]
-        let missing = per_endpoint * cold.len() as f64 - f64::from(held);
+        let (count, open) = (cold.len() as f64, open.max(cold.len()) as f64);
+        let each_max = round_up(expected / open);
+        let missing = expected * count / open - f64::from(held);
         let recent = if scarce { REQUEST_INTERVAL } else { 2 * REQUEST_INTERVAL };
         let just_asked = self.demand.last_request().is_some_and(|at| now - at < recent);
         let missing = if scarce && missing < 1.0 { 0.0 } else { missing };
-        let missing = round_randomly(missing, first).max(u32::from(just_asked && held == 0));
-        let each_max = round_up(per_endpoint);
-        let mut left = missing;
-        let mut wanted = Vec::new();
-        for (_, endpoint, held) in cold {
+        let random = random_share(mix(self.demand.salt(), round), Endpoint(0));
+        let mut left = round_randomly(missing, random).max(u32::from(just_asked && held == 0));
+        let wanted = cold.into_iter().map(|(endpoint, held)| {
             let count = each_max.saturating_sub(held).min(left);
-            if count > 0 {
-                left -= count;
-                wanted.push(permit::Permits { endpoint, count });
-            }
-        }
-        wanted
+            left -= count;
+            permit::Permits { endpoint, count }
+        });
+        wanted.filter(|permits| permits.count > 0).collect()
+    }
+
+    /// Cold endpoints that accept requests, and this router's permits for them, in an order that differs between rounds.
+    fn permits_held(&self, now: Instant, round: u64) -> Vec<(Endpoint, u32)> {
+        let salt = mix(self.demand.salt(), round);
+        let held = |(endpoint, condition): (&Endpoint, &Condition)| {
+            let cold = condition.cold.as_ref().filter(|_| condition.needs_permits(now))?;
+            Some((*endpoint, u32::try_from(cold.permits(now)).unwrap_or(u32::MAX)))
+        };
+        let mut cold: Vec<(Endpoint, u32)> = self.by_endpoint.iter().filter_map(held).collect();
+        cold.sort_by_key(|(endpoint, _)| mix(salt, u64::from(endpoint.0)));
+        cold
     }
 
     /// Issues permits for an endpoint, up to the number `wanted`, of the part that this router issues.
--- a/siskin-dispatch/tests/main/cold_endpoints.rs
+++ b/siskin-dispatch/tests/main/cold_endpoints.rs
@@ -156,7 +156,7 @@
             self.list(&mut simulation, start, |node| node < restarted);
         }
         let passed = simulation.fleet.now - start;
-        simulation.run(&self.fleet, OPTIONS.duration.saturating_sub(passed + STEP));
+        simulation.run(&self.fleet, self.options.duration.saturating_sub(passed + STEP));
         (start, known, simulation)
     }
 
@@ -169,7 +169,7 @@
     /// Gives the list with the cold endpoints to some routers.
     fn list(&self, simulation: &mut Simulation, start: Instant, to: impl Fn(usize) -> bool) {
         let now = simulation.fleet.now;
-        let infos = self.infos(OPTIONS.duration.saturating_sub(now - start));
+        let infos = self.infos(self.options.duration.saturating_sub(now - start));
         for (index, node) in simulation.fleet.nodes.iter_mut().enumerate() {
             if to(index) {
                 let pool = &mut node.pools["engines"];
@@ -230,6 +230,24 @@
     }
 }
 
+/// Guards against routers with few callers that get no permit as long as others have many: a sixteenth of the routers has half of the
+/// callers, and a share of the others is 0.5 of a request a second.
+#[googletest::test]
+fn routers_with_few_callers_get_permits() {
+    let options = Options { duration: 20 * SECOND, ..OPTIONS };
+    let case = ColdCase { fleet: UNEVEN, options, ..NEW };
+    let mut simulation = Simulation::new(&case.fleet, 1);
+    simulation.run(&case.fleet, SETTLED);
+    let before = simulation.sent.clone();
+    let start = simulation.fleet.now;
+    case.list(&mut simulation, start, |_| true);
+    simulation.run(&case.fleet, options.duration.saturating_sub(STEP));
+    let sent: Vec<u32> =
+        simulation.sent.iter().zip(&before).map(|(sent, before)| sent - before).collect();
+    println!("requests of each router in 20 s: {sent:?}");
+    expect_that!(sent, each(ge(&2)));
+}
+
 /// Guards against a cold time that outlasts its end where nothing is sent, and against cold endpoints where the part is off.
 #[googletest::test]
 fn cold_time_ends_without_traffic() {
--- a/siskin-dispatch/tests/main/limits.rs
+++ b/siskin-dispatch/tests/main/limits.rs
@@ -115,6 +115,8 @@
     limits: IndexMap<Endpoint, f64>,
     pub(crate) active_requests: Vec<ActiveRequest>,
     pub(crate) arrivals: IndexMap<Endpoint, Vec<Instant>>,
+    /// Requests that each router has sent.
+    pub(crate) sent: Vec<u32>,
     /// When requests were refused.
     refused: Vec<Instant>,
     /// When refused callers come back, and to which router.
@@ -139,6 +141,7 @@
             limits: case.limits.iter().map(|(engine, rate)| (Endpoint(*engine), *rate)).collect(),
             active_requests: Vec::new(),
             arrivals: IndexMap::new(),
+            sent: vec![0; usize::try_from(case.routers).unwrap()],
             refused: Vec::new(),
             retries: VecDeque::new(),
             due_requests: 0.0,
@@ -227,6 +230,7 @@
             return;
         };
         let attempt = pool.sent(now, placement.endpoint, &demand.prompt);
+        self.sent[node] += 1;
         if !self.is_excused(case, node) {
             self.arrivals.entry(placement.endpoint).or_default().push(now);
         }
