Divide scarce permits by the demand of callers

Cause: with half of the callers at five of 73 routers, these used 24% of the permits: an issuer served as many permits to a router with few callers as to one with many. Change: while permits are scarce, a router requests as many as callers have come, and an issuer serves about the same share of each request.

--- a/siskin-dispatch/src/condition/cold.rs
+++ b/siskin-dispatch/src/condition/cold.rs
@@ -59,14 +59,15 @@
 
     /// Permits to request now: as many as callers are expected to need until they expire, and one if there is none for a request
     /// that has just come. `open` is the number of endpoints that accept requests; `round` differs between calls. While permits
-    /// are `scarce`, a router with few callers requests one only after a request, so that fewer expire unused.
+    /// are scarce, only as many are requested as callers have come in the time `scarce` since the last call, so that they are divided
+    /// by demand and few expire unused.
     #[must_use]
     pub fn permits_to_request(
         &self,
         now: Instant,
         round: u64,
         open: usize,
-        scarce: bool,
+        scarce: Option<Duration>,
     ) -> Vec<permit::Permits> {
         let cold = self.permits_held(now, round);
         let held: u32 = cold.iter().map(|(_, held)| held).sum();
@@ -75,9 +76,12 @@
         let (count, open) = (cold.len() as f64, open.max(cold.len()) as f64);
         let each_max = round_up(expected / open);
         let missing = expected * count / open - f64::from(held);
-        let recent = if scarce { REQUEST_INTERVAL } else { 2 * REQUEST_INTERVAL };
+        let recent = scarce.unwrap_or(2 * REQUEST_INTERVAL);
         let just_asked = self.demand.last_request().is_some_and(|at| now - at < recent);
-        let missing = if scarce && missing < 1.0 { 0.0 } else { missing };
+        let missing = scarce.map_or(missing, |time| {
+            let arrived = self.demand.requests_per_second(now) * time.as_secs_f64();
+            if arrived < 1.0 { 0.0 } else { missing.min(arrived) }
+        });
         let random = random_share(mix(self.demand.salt(), round), Endpoint(0));
         let mut left = round_randomly(missing, random).max(u32::from(just_asked && held == 0));
         let wanted = cold.into_iter().map(|(endpoint, held)| {
--- a/siskin-dispatch/src/pool/cold.rs
+++ b/siskin-dispatch/src/pool/cold.rs
@@ -50,13 +50,14 @@
         self.conditions.cold_to_announce(now)
     }
 
-    /// Permits to request for cold endpoints. `round` differs between calls. `scarce` says that few are issued.
+    /// Permits to request for cold endpoints. `round` differs between calls. `scarce` is the time since the last call if
+    /// few are issued.
     #[must_use]
     pub fn permits_to_request(
         &self,
         now: Instant,
         round: u64,
-        scarce: bool,
+        scarce: Option<Duration>,
     ) -> Vec<permit::Permits> {
         self.conditions.permits_to_request(now, round, self.open(), scarce)
     }
--- a/siskin-dispatch/src/spread/permits.rs
+++ b/siskin-dispatch/src/spread/permits.rs
@@ -41,12 +41,14 @@
     /// Possible issuers by the lists in force within [`TAKEOVER_TIME`], and since when; the current ones come last.
     issuers: VecDeque<(Instant, Vec<Node>)>,
     interval: Duration,
-    /// Whether the last request for permits brought none.
+    /// Whether the last requests brought fewer than half of the permits.
     scarce: bool,
+    last_round: Instant,
     next_round: Instant,
     round: u64,
-    /// Whether permits have arrived since the last round.
-    received: bool,
+    /// Permits requested in the last round, and those that have arrived since.
+    wanted: u32,
+    received: u32,
     /// Requests that have no answer yet, by the clock at which they were sent.
     requested: IndexSet<(Node, u32)>,
     next_notice: Instant,
@@ -58,9 +60,11 @@
             issuers: VecDeque::new(),
             interval: REQUEST_INTERVAL,
             scarce: false,
+            last_round: Instant::ZERO,
             next_round: Instant::ZERO,
             round: 0,
-            received: false,
+            wanted: 0,
+            received: 0,
             requested: IndexSet::new(),
             next_notice: Instant::ZERO,
         }
@@ -84,19 +88,19 @@
         }
         self.round += 1;
         let round = self.round;
-        let wanted: Vec<Permits> = pools
-            .values()
-            .flat_map(|pool| pool.permits_to_request(now, round, self.scarce))
-            .collect();
-        if self.received {
-            self.scarce = false;
-            self.interval = REQUEST_INTERVAL;
-        } else if !wanted.is_empty() {
-            self.scarce = true;
-            self.interval = (self.interval * 2).min(interval_max(routing));
+        let scarce = self.scarce.then(|| now - self.last_round);
+        self.last_round = now;
+        let wanted: Vec<Permits> =
+            pools.values().flat_map(|pool| pool.permits_to_request(now, round, scarce)).collect();
+        if self.wanted > 0 {
+            self.scarce = 2 * self.received < self.wanted;
+            let is_unmet = self.received == 0;
+            self.interval = if is_unmet { self.interval * 2 } else { REQUEST_INTERVAL };
+            self.interval = self.interval.min(interval_max(routing));
         }
         self.next_round = now + self.interval.mul_f64(interval_factor(routing.own, round));
-        self.received = false;
+        self.wanted = wanted.iter().map(|permits| permits.count).sum();
+        self.received = 0;
         messages.extend(self.request(now, routing, wanted, pools));
         messages
     }
@@ -189,7 +193,7 @@
         permits: &[Permits],
         pools: &mut IndexMap<String, Pool>,
     ) {
-        self.received |= !permits.is_empty();
+        self.received += permits.iter().map(|permits| permits.count).sum::<u32>();
         for pool in pools.values_mut() {
             for permits in permits {
                 pool.add_permits(now, requested, *permits);
--- a/siskin-dispatch/src/warm_up/issue.rs
+++ b/siskin-dispatch/src/warm_up/issue.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{ISSUED_WINDOW, Options},
+    crate::prompt::mix,
     siskin_types::time::Instant,
     std::collections::VecDeque,
 };
@@ -44,6 +45,13 @@
     }
 }
 
+/// Time constant with which requests for permits are forgotten, in seconds.
+const WANTED_MEMORY_SECONDS: f64 = 0.5;
+
+/// Factor on the part of a request that is served while more permits are wanted than there are. Above 1, as requests differ from one
+/// moment to the next and permits should not stay unused.
+const SERVED_FACTOR: f64 = 3.0;
+
 /// Permits issued lately.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Issued {
@@ -52,16 +60,13 @@
     /// Permits that may be issued at the time `credited`, by the rate.
     credit: f64,
     credited: Instant,
+    /// Permits wanted at the time `credited`, each of which is forgotten exponentially.
+    wanted: f64,
 }
 
 impl Issued {
     /// Issues up to `wanted` permits: no more than the part of the rate gives, and no more in a window than the part of what may
-    /// arrive within a second.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "both are small and positive"
-    )]
+    /// arrive within a second. All routers get about the same share of what they want.
     pub(super) fn issue(
         &mut self,
         now: Instant,
@@ -71,17 +76,32 @@
     ) -> u32 {
         self.recent.retain(|(at, _)| now - *at < ISSUED_WINDOW);
         let issued: u32 = self.recent.iter().map(|(_, count)| count).sum();
-        let max = part.of(options.requests_per_second_max().max(0.0) as u32);
+        let max = part.of(round_down(options.requests_per_second_max()));
         let rate = options.requests_per_second * part.share();
-        let saved_max = (rate * SAVED_SECONDS).max(1.0);
-        let earned = (now - self.credited).as_secs_f64() * rate;
-        self.credit = (self.credit + earned).min(saved_max);
+        let passed = (now - self.credited).as_secs_f64();
         self.credited = now;
-        let count = wanted.min(self.credit as u32).min(max.saturating_sub(issued));
+        self.credit = (self.credit + passed * rate).min((rate * SAVED_SECONDS).max(1.0));
+        self.wanted = self.wanted * (-passed / WANTED_MEMORY_SECONDS).exp() + f64::from(wanted);
+        let served = self.share_served(now, rate, wanted);
+        let count = served.min(round_down(self.credit)).min(max.saturating_sub(issued));
         if count > 0 {
             self.credit -= f64::from(count);
             self.recent.push_back((now, count));
         }
         count
     }
+
+    /// The share of the permits wanted in a request that may be issued, in whole permits by chance.
+    fn share_served(&self, now: Instant, rate: f64, wanted: u32) -> u32 {
+        let share = rate * WANTED_MEMORY_SECONDS * SERVED_FACTOR / self.wanted;
+        #[expect(clippy::cast_precision_loss, reason = "below 1,024")]
+        let random = (mix(now.as_micros(), self.wanted.to_bits()) % 1_024) as f64 / 1_024.0;
+        round_down(f64::from(wanted) * share.min(1.0) + random)
+    }
+}
+
+/// The whole part of a number; 0 for a negative one.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "it saturates")]
+fn round_down(number: f64) -> u32 {
+    number as u32
 }
