Relay new connections from loaded small routers to larger ones

Cause: the platform sends all connections of a caller to one router, whatever its size, and needs 2 to 3 s to move it. Change: a router samples the share of time in which its runtime is busy. Above 0.5 it relays a rising share of its new connections, byte for byte, to routers of its data centre with at least twice its capacity that are not strained (dispatch::offload, net::relay). They close a relayed connection after its response and do not relay it again. Router entries carry the address for callers. Off where no router of the data centre is twice as large. Tests offload and relay.

--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`share`]: max-min fair shares of the capacity by customer
 //! * [`admit`]: how long a request may wait at an endpoint
 //! * [`spread`]: which routers send load digests to which others
+//! * [`offload`]: which new connections a loaded router relays to larger ones
 //! * [`readiness`]: how many routers of a data centre may fail their readiness checks at once
 //! * [`reading`]: which routers read changes from the platform's store
 //! * [`sizes`]: admission of large prompts
@@ -26,6 +27,7 @@
 pub mod cache;
 pub mod condition;
 pub mod limit;
+pub mod offload;
 pub mod pool;
 pub mod prompt;
 pub mod readiness;
--- a/siskin-dispatch/src/readiness.rs
+++ b/siskin-dispatch/src/readiness.rs
@@ -105,6 +105,13 @@
         Report { strained: strained.collect() }
     }
 
+    /// The other routers that are strained.
+    pub fn others(&self, now: Instant) -> impl Iterator<Item = Node> {
+        let is_strained = move |entry: &Entry| now - entry.heard < STRAIN_LIFETIME;
+        let others = self.entries.iter().filter(|(node, _)| **node != self.own);
+        others.filter(move |(_, entry)| is_strained(entry)).map(|(node, _)| *node)
+    }
+
     /// Whether this router has to say that it is ready, if it has recovered, as too many others became strained after it.
     #[must_use]
     pub fn must_return(&self, now: Instant) -> bool {
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -9,6 +9,7 @@
 mod isolation;
 mod large_prompt;
 mod limits;
+mod offload;
 mod prefix_spread;
 mod refused_callers;
 mod several_hot_customers;
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod known;
 mod load;
+mod offload;
 mod serve;
 
 use {
@@ -168,6 +169,8 @@
     /// Time at which a peer first reported newer versions in the time in which this router last received none from the store.
     peer_ahead_since: Mutex<Option<time::Instant>>,
     overload: Mutex<overload::Meter>,
+    /// Which new connections are relayed to larger routers.
+    offload: Mutex<offload::State>,
     reading: Mutex<Freshness>,
     /// Crashes of endpoints, and the requests that cause them.
     crashes: Mutex<Register>,
@@ -213,6 +216,7 @@
             watching_store: AtomicBool::new(false),
             peer_ahead_since: Mutex::default(),
             overload: Mutex::default(),
+            offload: Mutex::default(),
             body_memory: Limiter::new(options.parameters.memory_bytes / BODY_MEMORY_DIVISOR),
             reading: Mutex::new(Freshness::new(options.parameters.apply_within)),
             crashes: Mutex::new(Register::new(quarantine::Options::default())),
--- a/siskin-gateway/src/gateway/load.rs
+++ b/siskin-gateway/src/gateway/load.rs
@@ -44,7 +44,10 @@
     /// connections to this router again, closing them only costs more.
     pub(super) fn should_close_connections(&self) -> bool {
         let unready_noticed = || lock(&self.overload).unready_noticed(self.clock.now());
-        self.stopping() || self.descriptor_state() != descriptors::State::Free || unready_noticed()
+        self.stopping()
+            || self.descriptor_state() != descriptors::State::Free
+            || unready_noticed()
+            || self.should_offload_connections()
     }
 
     /// Since when the process has been short of processor time, if it is.
@@ -89,6 +92,7 @@
                 self.reading(Freshness::reset);
                 self.resumed.notify_waiters();
             }
+            self.sample_utilisation();
             let (state, mean) = self.record_timer_lateness(due.elapsed());
             if state != before {
                 log::warn!(
--- a/siskin-gateway/src/gateway/serve.rs
+++ b/siskin-gateway/src/gateway/serve.rs
@@ -54,13 +54,15 @@
         let callers_stop = stopped.clone();
         let callers = tokio::spawn(async move {
             let handle = move |request| respond_to_caller(Arc::clone(&served), request);
-            server::run(
+            let placing = Arc::clone(&limits);
+            server::run_with_placement(
                 listener,
                 move || limits.limits(),
                 handle,
                 callers_stop,
                 drain_timeout,
                 &open,
+                move |from| placing.place_connection(from),
             )
             .await
         });
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a gateway. Label values come from fixed sets and from the configured services and kinds of routes.
 
 use {
-    prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
+    prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
     siskin_net::{
         control,
         metrics::{Creator, page},
@@ -34,6 +34,10 @@
     pub in_flight: IntGauge,
     /// Open connections from callers.
     pub connections: IntGauge,
+    /// Share of the time in which the process is busy.
+    pub utilisation: Gauge,
+    /// Connections that were relayed: sent to a larger router, or received from a smaller one.
+    pub relayed_connections: IntCounterVec,
     /// Configuration version in force.
     pub config_version: IntGauge,
     /// Listed endpoints by state.
@@ -107,6 +111,15 @@
             in_flight: create.gauge("siskin_in_flight_requests", "Requests in flight.")?,
             connections: create
                 .gauge("siskin_caller_connections", "Open connections of callers.")?,
+            utilisation: create.fraction(
+                "siskin_utilisation",
+                "Share of the time in which the process is busy.",
+            )?,
+            relayed_connections: create.counters(
+                "siskin_relayed_connections_total",
+                "Connections of callers relayed between routers.",
+                &["direction"],
+            )?,
             config_version: create
                 .gauge("siskin_config_version", "Configuration version in force.")?,
             endpoints: create.gauges("siskin_endpoints", "Listed endpoints.", &["state"])?,
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -74,6 +74,8 @@
     pub router: Router,
     /// Address at which it exchanges frames with other routers.
     pub address: SocketAddr,
+    /// Address at which it serves callers; `None` for a router of an earlier version.
+    pub callers: Option<SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -125,6 +127,7 @@
         let fleet: Vec<Router> = routers.iter().map(|listed| listed.router.clone()).collect();
         lock(&self.exchange).list(&fleet);
         lock(&self.readiness).set_routers(&fleet, &self.gateway.options.data_centre);
+        self.gateway.set_offload_targets(self.node, routers);
         let mut peers = lock(&self.by_node);
         for peer in peers.values_mut() {
             peer.listed = false;
@@ -328,6 +331,7 @@
         if readiness.must_return(now, self.gateway.strained_since()) {
             self.gateway.end_strain();
         }
+        self.gateway.set_strained_targets(readiness.strained(now));
         let Some((receivers, report)) = readiness.due_report(now, targets) else { return };
         drop(readiness);
         for node in receivers {
--- a/siskin-gateway/src/peers/readiness.rs
+++ b/siskin-gateway/src/peers/readiness.rs
@@ -40,6 +40,11 @@
         self.strained.must_return(now)
     }
 
+    /// The other routers of this data centre that are strained.
+    pub(super) fn strained(&self, now: Instant) -> impl Iterator<Item = Node> {
+        self.strained.others(now)
+    }
+
     /// The report that is due now, if any, and those of the `targets` that get it.
     pub(super) fn due_report(
         &mut self,
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -341,6 +341,5 @@
         Message::Strain(_) => "strain",
         Message::Limit(_) => "limit",
         Message::Work(_) => "work",
-        Message::Capacity(_) => "capacity",
     }
 }
--- a/siskin-net/src/lib.rs
+++ b/siskin-net/src/lib.rs
@@ -1,4 +1,4 @@
-//! Network code shared by the programs of the fleet: HTTP server with graceful shutdown, connections to endpoints, memory of bodies, frames
+//! Network code shared by the programs of the fleet: HTTP server with graceful shutdown, connections to endpoints, relayed connections, memory of bodies, frames
 //! between routers, the process's clock, and the registration of metrics.
 
 pub mod body_memory;
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod failures;
 pub mod metrics;
+pub mod relay;
 pub mod server;
 pub mod upstream;
 
--- a/siskin-net/src/metrics.rs
+++ b/siskin-net/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Creates Prometheus metrics and registers them in one step.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Creates metrics and registers them. Names follow the Prometheus conventions; each may be registered once.
@@ -64,6 +64,17 @@
         Ok(gauge)
     }
 
+    /// Creates a gauge without labels for a fraction.
+    ///
+    /// # Errors
+    ///
+    /// The name is malformed or already registered.
+    pub fn fraction(&self, name: &str, help: &str) -> prometheus::Result<Gauge> {
+        let gauge = Gauge::new(name, help)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
     /// Creates a family of histograms by labels; `buckets` are upper bounds in seconds.
     ///
     /// # Errors
--- a/siskin-net/src/server.rs
+++ b/siskin-net/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP server with graceful shutdown.
 
 use {
+    crate::relay,
     hyper::{
         Request, Response, Version,
         body::{Body, Incoming},
@@ -14,7 +15,8 @@
     socket2::SockRef,
     std::{
         convert::Infallible,
-        error,
+        error, io,
+        net::SocketAddr,
         pin::{Pin, pin},
         sync::{
             Arc,
@@ -58,20 +60,52 @@
     pub user_timeout: Option<Duration>,
 }
 
+/// What happens with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// It is served here.
+    Here,
+    /// Its first request is served here, and it is closed after the response: another router relays it, and a connection that
+    /// stays open takes file descriptors there.
+    Once,
+    /// It is relayed to the router at this address, and served here if that cannot be reached.
+    Relay(SocketAddr),
+}
+
 /// Serves connections with `handle` until `stop` becomes true, then waits at most `finish` for requests in flight.
 /// `limits` is called for each new connection, and `open` counts the open connections.
 ///
+/// Returns whether all connections ended in time.
+pub async fn run<H, F, B>(
+    listener: TcpListener,
+    limits: impl Fn() -> Limits,
+    handle: H,
+    stop: watch::Receiver<bool>,
+    finish: Duration,
+    open: &Open,
+) -> bool
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
+{
+    run_with_placement(listener, limits, handle, stop, finish, open, |_| Placement::Here).await
+}
+
+/// Serves connections like [`run`], or relays them: `place` decides on each new connection by the address that it comes from.
+///
 /// The shutdown drops no request: connections in the listen queue are accepted, and every connection may deliver the
 /// request that is on its way. Responses ask for the connection to be closed meanwhile.
 ///
 /// Returns whether all connections ended in time.
-pub async fn run<H, F, B>(
+pub async fn run_with_placement<H, F, B>(
     listener: TcpListener,
     limits: impl Fn() -> Limits,
     handle: H,
     mut stop: watch::Receiver<bool>,
     finish: Duration,
     open: &Open,
+    place: impl Fn(SocketAddr) -> Placement,
 ) -> bool
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -81,12 +115,24 @@
     // Each connection holds a sender, so the channel closes when the last one has ended.
     let (connection_guard, mut all_ended) = mpsc::channel::<Infallible>(1);
     let stopping = stop.clone();
-    let serve = |stream| {
-        let connection = serve_connection(stream, limits(), handle.clone(), stopping.clone());
-        let (counted, connection_guard) = (Counted::new(open), connection_guard.clone());
+    let serve = |(stream, from): (TcpStream, SocketAddr)| {
+        let placement = place(from);
+        let (limits, handle, stopping) = (limits(), handle.clone(), stopping.clone());
+        let (open, connection_guard) = (open.clone(), connection_guard.clone());
         tokio::spawn(async move {
-            let _held = (counted, connection_guard);
-            connection.await;
+            let _held = (Counted::new(&open), connection_guard);
+            if let Placement::Relay(target) = placement {
+                // The connection to the other router takes a file descriptor too.
+                let _second = Counted::new(&open);
+                match relay::connect(target).await {
+                    Ok(router) => return log_relayed(target, relay::run(stream, router).await),
+                    Err(error) => {
+                        log::info!(router:% = target; "connection cannot be relayed and is served here: {error}");
+                    }
+                }
+            }
+            let keep_alive = placement != Placement::Once;
+            serve_connection(stream, limits, handle, stopping, keep_alive).await;
         });
     };
     let mut stopped = pin!(wait_for_stop(&mut stop));
@@ -105,18 +151,25 @@
     finished
 }
 
+fn log_relayed(target: SocketAddr, result: io::Result<relay::Outcome>) {
+    match result {
+        Ok(outcome) => log::debug!(router:% = target; "relayed connection ended: {outcome:?}"),
+        Err(error) => log::debug!(router:% = target; "relayed connection broke: {error}"),
+    }
+}
+
 /// Accepts the next connection; `None` if `end` completes first.
 async fn accept_connection(
     listener: &TcpListener,
     mut end: Pin<&mut impl Future<Output = ()>>,
-) -> Option<TcpStream> {
+) -> Option<(TcpStream, SocketAddr)> {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = end.as_mut() => return None,
         };
         match accepted {
-            Ok((stream, _)) => return Some(stream),
+            Ok(accepted) => return Some(accepted),
             Err(error) => {
                 log::warn!("connection cannot be accepted: {error}");
                 time::sleep(ACCEPT_PAUSE).await;
@@ -131,6 +184,7 @@
     limits: Limits,
     handle: H,
     mut stop: watch::Receiver<bool>,
+    keep_alive: bool,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -150,7 +204,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let builder = connection_builder(&limits);
+    let builder = connection_builder(&limits, keep_alive);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     let mut served = pin!(served);
     let running = tokio::select! {
@@ -173,10 +227,10 @@
     }
 }
 
-fn connection_builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
+fn connection_builder(limits: &Limits, keep_alive: bool) -> auto::Builder<TokioExecutor> {
     let buffer = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX).max(BUFFER_BYTES_MIN);
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).max_headers(HEADERS_MAX);
+    builder.http1().timer(TokioTimer::new()).max_headers(HEADERS_MAX).keep_alive(keep_alive);
     builder.http1().max_buf_size(buffer).header_read_timeout(limits.head_timeout);
     builder.http2().timer(TokioTimer::new()).max_concurrent_streams(STREAMS_MAX);
     builder.http2().max_header_list_size(u32::try_from(buffer).unwrap_or(u32::MAX));
--- a/siskin-net/tests/main/main.rs
+++ b/siskin-net/tests/main/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the network code shared by the programs.
 
+mod relay;
 mod stop;
--- a/siskin-net/tests/main/stop.rs
+++ b/siskin-net/tests/main/stop.rs
@@ -17,7 +17,7 @@
     },
 };
 
-const LIMITS: Limits =
+pub(crate) const LIMITS: Limits =
     Limits { head_timeout: Duration::from_secs(5), head_bytes: 16 * 1024, user_timeout: None };
 
 /// Time for the server's tasks to process what was sent or changed.
@@ -30,7 +30,7 @@
 }
 
 /// Answers each request with its body, after a delay.
-async fn echo(request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub(crate) async fn echo(request: Request<Incoming>) -> Response<Full<Bytes>> {
     let body = request.into_body().collect().await.map(Collected::to_bytes);
     sleep(Duration::from_millis(100)).await;
     Response::new(Full::new(body.unwrap_or_default()))
@@ -47,7 +47,7 @@
     Running { address, stop, task }
 }
 
-const REQUEST: &[u8] = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+pub(crate) const REQUEST: &[u8] = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
 
 struct Case {
     name: &'static str,
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -239,8 +239,7 @@
             | Message::Crash(_)
             | Message::Strain(_)
             | Message::Limit(_)
-            | Message::Work(_)
-            | Message::Capacity(_) => {
+            | Message::Work(_) => {
                 shared.metrics.control.rejected.with_label_values(&["unexpected"]).inc();
             }
         }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-pub mod capacity;
 pub mod claim;
 pub mod config;
 pub mod crash;
@@ -48,6 +47,4 @@
     Limit(limit::Report),
     /// Remaining work of endpoints.
     Work(work::Report),
-    /// Processor time that the routers of a data centre use.
-    Capacity(capacity::Report),
 }
