Send nothing to the endpoints of a drained data centre

The list is relayed to members and seeds in an encoding that routers of the previous version read, and theirs is read as well.

--- a/siskin-dispatch/src/condition.rs
+++ b/siskin-dispatch/src/condition.rs
@@ -1,7 +1,7 @@
 //! What endpoints report of themselves, and whether requests may be sent to them.
 //!
 //! An endpoint that is leaving (draining before it stops) is marked in the platform's list or reports it in its
-//! answers. An overloaded endpoint may ask a router to back off for a while, or name a limit that holds for all routers
+//! answers. The operator may drain a data centre, whose endpoints then accept no new requests until the drain ends. An overloaded endpoint may ask a router to back off for a while, or name a limit that holds for all routers
 //! together (see [`limit`]). All of this applies to one instance of the endpoint: after a restart it is another
 //! [`Endpoint`].
 //!
@@ -48,7 +48,7 @@
 /// Time after which another trial request is sent if the previous one has no answer yet.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Where the information that an endpoint is leaving came from.
+/// Where the information that an endpoint accepts no new requests came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The endpoint, in an answer to this router.
@@ -57,11 +57,13 @@
     Peer,
     /// The platform's list.
     Store,
+    /// The drain of its data centre.
+    Drain,
 }
 
 impl Source {
     /// All sources.
-    pub const ALL: [Self; 3] = [Self::Answer, Self::Peer, Self::Store];
+    pub const ALL: [Self; 4] = [Self::Answer, Self::Peer, Self::Store, Self::Drain];
 
     /// Name in logs and metrics.
     #[must_use]
@@ -70,6 +72,7 @@
             Self::Answer => "answer",
             Self::Peer => "peer",
             Self::Store => "store",
+            Self::Drain => "drain",
         }
     }
 }
@@ -90,6 +93,8 @@
 pub enum Reason {
     /// It is leaving.
     Leaving(Source),
+    /// Its data centre is drained.
+    Drained,
     /// It asked this router to back off until this time.
     Backoff(Instant),
     /// The back-off has ended, and the trial request has no answer yet.
@@ -104,6 +109,7 @@
     pub const fn label(self) -> &'static str {
         match self {
             Self::Leaving(_) => "leaving",
+            Self::Drained => "drained",
             Self::Backoff(_) => "backoff",
             Self::Trial => "trial",
             Self::Limited(_) => "limited",
@@ -155,7 +161,18 @@
     trial_sent: Option<Instant>,
 }
 
-/// State of one endpoint; kept only while the endpoint is leaving, backing off or limited.
+/// What the platform's list says of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether its data centre is drained.
+    pub drained: bool,
+}
+
+/// State of one endpoint; kept only while the endpoint is leaving, drained, backing off or limited.
 #[derive(Clone, Debug, Default)]
 struct Condition {
     /// When the endpoint was found missing from the platform's list; `None` while it is listed.
@@ -164,6 +181,8 @@
     leaving: Option<Leaving>,
     /// Reported by the platform's list, which may withdraw it.
     listed_leaving: Option<Leaving>,
+    /// Whether its data centre is drained, as the platform's list says.
+    drained: bool,
     backoff: Option<Backoff>,
     limit: Option<limit::Usage>,
 }
@@ -173,14 +192,23 @@
         self.leaving.or(self.listed_leaving)
     }
 
+    /// By what the endpoint accepts no new requests until that is withdrawn; `None` if it does.
+    fn closed_by(&self) -> Option<Source> {
+        let leaving = self.leaving().map(|leaving| leaving.source);
+        leaving.or(self.drained.then_some(Source::Drain))
+    }
+
     fn is_empty(&self) -> bool {
-        self.leaving().is_none() && self.backoff.is_none() && self.limit.is_none()
+        self.closed_by().is_none() && self.backoff.is_none() && self.limit.is_none()
     }
 
     fn availability(&self, now: Instant, demand: &limit::Demand) -> Availability {
         if let Some(leaving) = self.leaving() {
             return Availability::Blocked(Reason::Leaving(leaving.source));
         }
+        if self.drained {
+            return Availability::Blocked(Reason::Drained);
+        }
         let unlimited = match self.backoff {
             None => Availability::Open,
             Some(Backoff { until, .. }) if now < until => {
@@ -201,7 +229,7 @@
     }
 }
 
-/// Which endpoints of a service are leaving, backing off or limited.
+/// Which endpoints of a service are leaving, drained, backing off or limited.
 ///
 /// ```
 /// use {
@@ -240,10 +268,10 @@
             .map_or(Availability::Open, |condition| condition.availability(now, &self.demand))
     }
 
-    /// Whether an endpoint is leaving.
+    /// Whether an endpoint is leaving or its data centre is drained.
     #[must_use]
-    pub fn is_leaving(&self, endpoint: Endpoint) -> bool {
-        self.by_endpoint.get(&endpoint).is_some_and(|condition| condition.leaving().is_some())
+    pub fn is_closed(&self, endpoint: Endpoint) -> bool {
+        self.by_endpoint.get(&endpoint).is_some_and(|condition| condition.closed_by().is_some())
     }
 
     /// Whether a back-off that an endpoint asked this router for has not ended yet.
@@ -301,17 +329,18 @@
         }
     }
 
-    /// Applies the platform's list: the endpoints, and whether they are leaving.
-    pub fn update_listed(&mut self, now: Instant, listed: impl Iterator<Item = (Endpoint, bool)>) {
+    /// Applies the platform's list: the endpoints, and whether they are leaving or drained.
+    pub fn update_listed(&mut self, now: Instant, listed: impl Iterator<Item = Listed>) {
         for condition in self.by_endpoint.values_mut() {
             condition.unlisted.get_or_insert(now);
         }
-        for (endpoint, leaving) in listed {
-            if leaving {
+        for Listed { endpoint, leaving, drained } in listed {
+            if leaving || drained {
                 self.by_endpoint.entry(endpoint).or_default();
             }
             let Some(condition) = self.by_endpoint.get_mut(&endpoint) else { continue };
             condition.unlisted = None;
+            condition.drained = drained;
             if !leaving {
                 condition.listed_leaving = None;
             } else if condition.listed_leaving.is_none() {
@@ -373,10 +402,10 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Sources by which listed endpoints are leaving, one for each endpoint.
+    /// Sources by which listed endpoints are leaving or drained, one for each endpoint.
     pub fn leaving(&self) -> impl Iterator<Item = Source> {
         let listed = self.by_endpoint.values().filter(|condition| condition.unlisted.is_none());
-        listed.filter_map(|condition| Some(condition.leaving()?.source))
+        listed.filter_map(Condition::closed_by)
     }
 
     /// Number of endpoints whose back-off for this router has not ended.
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        condition::{Availability, Change, Conditions, Source},
+        condition::{Availability, Change, Conditions, Listed, Source},
         prompt::Prompt,
         spread::Changes,
     },
@@ -124,7 +124,12 @@
     /// Replaces the list of endpoints. The state of those that remain listed is kept; an unlisted one is dropped once
     /// it has no requests in flight.
     pub fn set_endpoints(&mut self, now: Instant, infos: &[Info]) {
-        self.conditions.update_listed(now, infos.iter().map(|info| (info.id, info.leaving)));
+        let said = |info: &Info| Listed {
+            endpoint: info.id,
+            leaving: info.leaving,
+            drained: info.drained,
+        };
+        self.conditions.update_listed(now, infos.iter().map(said));
         let listed: HashSet<Endpoint> = infos.iter().map(|info| info.id).collect();
         self.endpoints.retain(|id, state| {
             state.listed = listed.contains(id);
@@ -145,10 +150,10 @@
         self.open_endpoints().count()
     }
 
-    /// Endpoints that are listed and not leaving. They may be backing off or unreachable.
+    /// Endpoints that are listed and neither leaving nor drained. They may be backing off or unreachable.
     fn open_endpoints(&self) -> impl Iterator<Item = (Endpoint, &State)> {
         let endpoints = self.endpoints.iter().map(|(id, state)| (*id, state));
-        endpoints.filter(|(id, state)| state.listed && !self.conditions.is_leaving(*id))
+        endpoints.filter(|(id, state)| state.listed && !self.conditions.is_closed(*id))
     }
 
     /// Whether a request may be sent to an endpoint now.
@@ -182,7 +187,7 @@
         self.conditions.take_condition_changes()
     }
 
-    /// Sources by which listed endpoints are leaving, one for each endpoint.
+    /// Sources by which listed endpoints are leaving or drained, one for each endpoint.
     pub fn leaving(&self) -> impl Iterator<Item = Source> {
         self.conditions.leaving()
     }
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -67,7 +67,7 @@
     pub backlog: u64,
     /// Requests in flight at the endpoint, of all routers.
     pub in_flight: u32,
-    /// Number of endpoints that were skipped because they are leaving or backing off.
+    /// Number of endpoints that were skipped because they are leaving, drained or backing off.
     pub blocked: usize,
 }
 
@@ -302,7 +302,9 @@
         }
         Availability::Blocked(Reason::Backoff(until)) => (until - now, Cause::Backoff),
         Availability::Blocked(Reason::Limited(until)) => (until - now, Cause::Limited),
-        Availability::Blocked(Reason::Leaving(_)) => (Duration::MAX, Cause::Backoff),
+        Availability::Blocked(Reason::Leaving(_) | Reason::Drained) => {
+            (Duration::MAX, Cause::Backoff)
+        }
     };
     availabilities.map(opening).min_by_key(|(left, _)| *left)
 }
--- a/siskin-gateway/src/directory.rs
+++ b/siskin-gateway/src/directory.rs
@@ -1,5 +1,7 @@
 //! The list of endpoints that the platform publishes.
 
+mod encoding;
+
 use {
     serde::{Deserialize, Serialize},
     siskin_types::{id, position::Position},
@@ -49,7 +51,7 @@
     u32::from_le_bytes([a, b, c, d])
 }
 
-/// All listed endpoints, ordered by identifier.
+/// All listed endpoints, ordered by identifier, and the drained data centres, ordered by name.
 ///
 /// ```
 /// use siskin_gateway::directory::{Directory, Endpoint};
@@ -63,36 +65,34 @@
 ///     leaving: false,
 ///     expired: false,
 /// };
-/// let directory = Directory::new(7, vec![endpoint("b"), endpoint("a")]);
+/// let directory = Directory::new(7, vec![endpoint("b"), endpoint("a")]).with_drained(["east"]);
 /// assert_eq!(directory.get(Endpoint::number("a")).unwrap().instance, "a");
 /// assert!(directory.get(Endpoint::number("c")).is_none());
+/// assert!(directory.is_drained("east") && !directory.is_drained("west"));
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Unordered")]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Directory {
     position: Position,
     endpoints: Vec<Endpoint>,
-}
-
-/// A list as received from a peer, whose order is not trusted.
-#[derive(Deserialize)]
-struct Unordered {
-    position: Position,
-    endpoints: Vec<Endpoint>,
-}
-
-impl From<Unordered> for Directory {
-    fn from(list: Unordered) -> Self {
-        Self::new(list.position, list.endpoints)
-    }
+    /// `None` in a list from a router of the previous version, which does not know drains.
+    drained: Option<Vec<String>>,
 }
 
 impl Directory {
-    /// Creates the list at a position of the platform's store.
+    /// Creates the list at a position of the platform's store, without drained data centres.
     #[must_use]
     pub fn new(position: impl Into<Position>, mut endpoints: Vec<Endpoint>) -> Self {
         endpoints.sort_by_key(|endpoint| endpoint.id);
-        Self { position: position.into(), endpoints }
+        Self { position: position.into(), endpoints, drained: Some(Vec::new()) }
+    }
+
+    /// Sets the drained data centres.
+    #[must_use]
+    pub fn with_drained(self, names: impl IntoIterator<Item = impl Into<String>>) -> Self {
+        let mut names: Vec<String> = names.into_iter().map(Into::into).collect();
+        names.sort_unstable();
+        names.dedup();
+        Self { drained: Some(names), ..self }
     }
 
     /// Position of the platform's store that the list is from.
@@ -112,7 +112,33 @@
     pub fn without_expired(&self) -> Self {
         let endpoints =
             self.endpoints.iter().filter(|endpoint| !endpoint.expired).cloned().collect();
-        Self { position: self.position, endpoints }
+        Self { endpoints, position: self.position, drained: self.drained.clone() }
+    }
+
+    /// Names of the drained data centres.
+    #[must_use]
+    pub fn drained(&self) -> &[String] {
+        self.drained.as_deref().unwrap_or_default()
+    }
+
+    /// Whether a data centre is drained.
+    #[must_use]
+    pub fn is_drained(&self, data_centre: &str) -> bool {
+        self.drained().binary_search_by(|name| name.as_str().cmp(data_centre)).is_ok()
+    }
+
+    /// Whether the list says which data centres are drained.
+    #[must_use]
+    pub const fn names_drained(&self) -> bool {
+        self.drained.is_some()
+    }
+
+    /// Adds what a list from a router of the previous version does not say. At the position of the `known` list it is the same
+    /// list, so what is known applies; at a higher one no data centre is drained.
+    pub(crate) fn complete_from(&mut self, known: &Self) {
+        if self.drained.is_none() && self.position == known.position {
+            self.drained.clone_from(&known.drained);
+        }
     }
 
     /// Finds the endpoint with this identifier.
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -110,7 +110,7 @@
         self.with_dispatch(|state| state.pools.values().map(Pool::limited).sum())
     }
 
-    /// Sets the gauges of endpoints that are leaving, of those that have asked this router to back off, and of those that name
+    /// Sets the gauges of endpoints that are leaving or drained, of those that have asked this router to back off, and of those that name
     /// a limit.
     pub(crate) fn update_condition_metrics(&self) {
         let now = self.clock.now();
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -4,7 +4,7 @@
     super::{Gateway, INITIAL_LIMITS, Source, USER_TIMEOUT},
     crate::{
         catalog::Catalog,
-        directory::{Directory, hash_to_u32},
+        directory::{Directory, Endpoint, hash_to_u32},
     },
     siskin_dispatch::{pool::Info, reading::Freshness},
     siskin_net::{lock, server::Limits},
@@ -90,7 +90,7 @@
 
     /// Replaces the list of endpoints unless a newer one is known. Returns whether it did. A peer's list is accepted only
     /// while this router receives no changes from the store, or while it leaves reading the store to its hub.
-    pub fn set_directory(&self, directory: Directory, source: Source) -> bool {
+    pub fn set_directory(&self, mut directory: Directory, source: Source) -> bool {
         let before = self.directory();
         let peer_ignored = source == Source::Peer
             && self.watching_store()
@@ -98,9 +98,11 @@
         if peer_ignored || directory.position() < before.position() {
             return false;
         }
+        directory.complete_from(&before);
         if directory.endpoints() != before.endpoints() {
             log_changes(&before, &directory, source.label());
         }
+        log_drains(&before, &directory, source.label());
         let addresses: HashSet<SocketAddr> =
             directory.endpoints().iter().map(|endpoint| endpoint.address).collect();
         for gone in before.endpoints().iter().filter(|one| !addresses.contains(&one.address)) {
@@ -111,6 +113,7 @@
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         self.metrics.endpoints.with_label_values(&["ready"]).set(count(ready));
         self.metrics.endpoints.with_label_values(&["leaving"]).set(count(leaving));
+        self.metrics.data_centres_drained.set(count(directory.drained().len()));
         *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
         self.update_pools();
         true
@@ -144,7 +147,7 @@
                         memory_tokens: service.memory_tokens.unwrap_or(0),
                         same_data_centre: endpoint.data_centre == self.options.data_centre,
                         leaving: endpoint.leaving,
-                        drained: false,
+                        drained: directory.is_drained(&endpoint.data_centre),
                         cold_for: Duration::ZERO,
                     })
                     .collect();
@@ -166,6 +169,26 @@
     }
 }
 
+/// Logs which data centres are drained in one list and not in the other.
+fn log_drains(before: &Directory, after: &Directory, source: &str) {
+    for (list, other, message) in [
+        (after, before, "data centre drained; its endpoints get no more requests"),
+        (before, after, "data centre in use again"),
+    ] {
+        let changed = |name: &&String| !other.is_drained(name);
+        let names: Vec<&str> = list.drained().iter().filter(changed).map(String::as_str).collect();
+        if names.is_empty() {
+            continue;
+        }
+        let affected = |one: &&Endpoint| names.contains(&one.data_centre.as_str());
+        log::info!(
+            names:% = names.join(","), endpoints = after.endpoints().iter().filter(affected).count(),
+            era = after.position().era(), revision = after.position().revision(), source;
+            "{message}"
+        );
+    }
+}
+
 /// Logs the differences between two lists of endpoints.
 fn log_changes(before: &Directory, after: &Directory, source: &str) {
     for endpoint in after.endpoints() {
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub endpoints: IntGaugeVec,
     /// Listed endpoints that are leaving, by the source of the notice.
     pub endpoints_leaving: IntGaugeVec,
+    /// Drained data centres.
+    pub data_centres_drained: IntGauge,
     /// Endpoints that have asked this router to back off.
     pub endpoints_backing_off: IntGauge,
     /// Endpoints that name a limit.
@@ -115,6 +117,8 @@
                 "Listed endpoints that leave.",
                 &["source"],
             )?,
+            data_centres_drained: create
+                .gauge("siskin_data_centres_drained", "Data centres that are drained.")?,
             endpoints_backing_off: create.gauge(
                 "siskin_endpoints_backing_off",
                 "Endpoints that have asked this router to back off.",
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -18,7 +18,6 @@
     },
     indexmap::IndexMap,
     readiness::Readiness,
-    serde::{Serialize, de::DeserializeOwned},
     siskin_dispatch::spread::{Due, Exchange, Router},
     siskin_net::{
         control::{Control, Received},
@@ -232,36 +231,40 @@
         match message {
             relay::Message::Ask { config_version, directory_position } => {
                 if let Some(catalog) = self.gateway.catalog().filter(|_| version > config_version) {
-                    self.send_content(from, relay::Message::Catalog, &*catalog);
+                    self.send_content(
+                        from,
+                        relay::Message::Catalog,
+                        postcard::to_stdvec(&*catalog),
+                    );
                 }
                 if position > directory_position {
                     self.send_content(
                         from,
                         relay::Message::Directory,
-                        &self.gateway.directory().without_expired(),
+                        self.gateway.directory().without_expired().encode(),
                     );
                 }
             }
             relay::Message::Catalog(bytes) => {
-                if let Some(catalog) = decode::<Catalog>(from, &bytes) {
+                if let Some(catalog) = read_content::<Catalog>(from, postcard::from_bytes(&bytes)) {
                     self.gateway.set_catalog(catalog, Source::Peer);
                 }
             }
             relay::Message::Directory(bytes) => {
-                if let Some(directory) = decode::<Directory>(from, &bytes) {
+                if let Some(directory) = read_content(from, Directory::decode(&bytes)) {
                     self.gateway.set_directory(directory, Source::Peer);
                 }
             }
         }
     }
 
-    fn send_content<T: Serialize>(
+    fn send_content(
         &self,
         to: SocketAddr,
         message: impl Fn(Vec<u8>) -> relay::Message,
-        content: &T,
+        encoded: postcard::Result<Vec<u8>>,
     ) {
-        match postcard::to_stdvec(content) {
+        match encoded {
             Ok(bytes) => self.control.send(None, to, &Message::Relay(message(bytes))),
             Err(error) => log::error!("data for a peer cannot be encoded: {error}"),
         }
@@ -396,8 +399,8 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(from: SocketAddr, bytes: &[u8]) -> Option<T> {
-    match postcard::from_bytes(bytes) {
+fn read_content<T>(from: SocketAddr, decoded: postcard::Result<T>) -> Option<T> {
+    match decoded {
         Ok(content) => Some(content),
         Err(error) => {
             log::warn!(from:% = from; "data from a peer cannot be read: {error}");
--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -16,7 +16,6 @@
         Request, Response, StatusCode, Uri,
         header::{HOST, HeaderValue},
     },
-    serde::{Deserialize, Serialize},
     siskin_types::position::Position,
     std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -38,12 +37,25 @@
 const SNAPSHOT_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// The configuration and endpoints of a router, sent to one that has none.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
 struct Snapshot {
     catalog: Catalog,
     directory: Directory,
 }
 
+impl Snapshot {
+    fn encode(catalog: &Catalog, directory: &Directory) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_stdvec(catalog)?;
+        bytes.extend(directory.encode()?);
+        Ok(bytes)
+    }
+
+    fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let (catalog, rest) = postcard::take_from_bytes(bytes)?;
+        Ok(Self { catalog, directory: Directory::decode(rest)? })
+    }
+}
+
 /// Versions that a router has, as the query of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Versions {
@@ -91,7 +103,7 @@
 fn apply_newest(gateway: &Gateway, snapshots: impl Iterator<Item = Snapshot>) {
     let (catalogs, directories): (Vec<_>, Vec<_>) =
         snapshots.map(|one| (one.catalog, one.directory)).unzip();
-    let directory = directories.into_iter().max_by_key(Directory::position);
+    let directory = directories.into_iter().max_by_key(|one| (one.position(), one.names_drained()));
     let catalog = catalogs.into_iter().max_by_key(|catalog| catalog.version);
     if let Some(directory) = directory.filter(|one| *one != *gateway.directory()) {
         gateway.set_directory(directory, Source::Peer);
@@ -127,7 +139,7 @@
         *response.status_mut() = StatusCode::NOT_MODIFIED;
         return response;
     }
-    match postcard::to_stdvec(&Snapshot { catalog: (*catalog).clone(), directory }) {
+    match Snapshot::encode(&catalog, &directory) {
         Ok(bytes) => Response::new(respond::full_body(bytes)),
         Err(error) => {
             log::error!("snapshot cannot be encoded: {error}");
@@ -154,5 +166,5 @@
     anyhow::ensure!(status.is_success(), "the seed responded with status {status}");
     let read = Limited::new(response.into_body(), SNAPSHOT_BYTES_MAX).collect().await;
     let bytes = read.map_err(anyhow::Error::from_boxed)?.to_bytes();
-    postcard::from_bytes(&bytes).map(Some).context("the snapshot cannot be read")
+    Snapshot::decode(&bytes).map(Some).context("the snapshot cannot be read")
 }
--- a/siskin-gateway/tests/main/directory.rs
+++ b/siskin-gateway/tests/main/directory.rs
@@ -90,3 +90,40 @@
     expect_that!(list.endpoints(), elements_are![eq(&endpoint_named("sound"))]);
     expect_that!(list.position(), eq(3.into()));
 }
+
+/// The list as a router of the previous version encodes it: without the drained data centres.
+fn encode_as_previous_version(list: &Directory) -> Vec<u8> {
+    postcard::to_stdvec(&(list.position(), list.endpoints())).unwrap()
+}
+
+/// Guards against lists that cannot be read while the routers of a fleet are upgraded, and against a drain that is forgotten because
+/// of the list of a router that does not know drains.
+#[googletest::test]
+fn lists_of_the_previous_version_are_read() {
+    struct Case {
+        name: &'static str,
+        revision: u64,
+        want_drained: usize,
+    }
+    let whole =
+        |revision| Directory::new(revision, vec![endpoint_named("e")]).with_drained(["b", "a"]);
+    expect_that!(Directory::decode(&whole(10).encode().unwrap()).unwrap(), eq(&whole(10)));
+    let encoded = whole(10).encode().unwrap();
+    let readable = encoded.starts_with(&encode_as_previous_version(&whole(10)));
+    expect_that!(readable, eq(true), "by the previous version");
+    expect_that!(Directory::decode(&encoded[..encoded.len() - 1]).is_err(), eq(true), "cut off");
+    let cases = [
+        Case { name: "an older list", revision: 9, want_drained: 2 },
+        Case { name: "the same list", revision: 10, want_drained: 2 },
+        Case { name: "a newer list", revision: 11, want_drained: 0 },
+    ];
+    for case in cases {
+        let gateway = gateway();
+        gateway.set_directory(whole(10), Source::Store);
+        let list = Directory::decode(&encode_as_previous_version(&whole(case.revision))).unwrap();
+        gateway.set_directory(list, Source::Peer);
+        expect_that!(gateway.directory().drained().len(), eq(case.want_drained), "{}", case.name);
+        let gauge = usize::try_from(gateway.metrics.data_centres_drained.get()).unwrap();
+        expect_that!(gauge, eq(case.want_drained), "{}", case.name);
+    }
+}
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -4,6 +4,7 @@
 mod crash_fleet;
 mod crashing_requests;
 mod directory;
+mod drain;
 mod earlier_refusals;
 mod endpoint;
 mod fixture;
