Carry in the list of endpoints until when each is cold

Cause: nothing reads which endpoints are cold, so they get more requests than they sustain after a start or after the drain of their data centre. Change: cold_start_s and cold_per_s of services, bounds.cold_over and cold_slack, and cold_remaining_ms of entries are decoded. An endpoint that appears while the router serves, or whose data centre's drain ends, counts as cold until its entry is written again. The list relayed to other routers carries the remaining time, the configuration how services warm up, both after the encoding of the previous version.

--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -9,6 +9,7 @@
         condition::{Availability, Change, Conditions, Listed, Source},
         prompt::Prompt,
         spread::Changes,
+        warm_up,
     },
     endpoint::State,
     indexmap::IndexMap,
@@ -87,6 +88,7 @@
 pub struct Pool {
     endpoints: IndexMap<Endpoint, State>,
     conditions: Conditions,
+    warm_up: Option<warm_up::Options>,
     health: Tracker,
     /// Moving average of the time that a request takes at an endpoint.
     mean_time: Duration,
@@ -98,6 +100,7 @@
         Self {
             endpoints: IndexMap::new(),
             conditions: Conditions::default(),
+            warm_up: None,
             health: Tracker::new(health::Options {
                 backoff_min: endpoint::UNREACHABLE_BACKOFF_MIN,
                 backoff_max: endpoint::UNREACHABLE_BACKOFF_MAX,
@@ -121,6 +124,17 @@
         self.conditions.set_salt(salt);
     }
 
+    /// Sets how endpoints warm up; `None` if they need no time for it.
+    pub fn set_warm_up(&mut self, options: Option<warm_up::Options>) {
+        self.warm_up = options;
+    }
+
+    /// How endpoints warm up.
+    #[must_use]
+    pub const fn warm_up(&self) -> Option<warm_up::Options> {
+        self.warm_up
+    }
+
     /// Replaces the list of endpoints. The state of those that remain listed is kept; an unlisted one is dropped once
     /// it has no requests in flight.
     pub fn set_endpoints(&mut self, now: Instant, infos: &[Info]) {
--- a/siskin-gateway/src/catalog.rs
+++ b/siskin-gateway/src/catalog.rs
@@ -1,5 +1,7 @@
 //! Routes, services and customers of one configuration version.
 
+mod encoding;
+
 use {
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
@@ -76,13 +78,26 @@
     pub public: bool,
 }
 
+/// How endpoints of a service warm up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time for which an endpoint is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold endpoint sustains from all routers together.
+    pub requests_per_second: f64,
+}
+
 /// Configuration of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Most connections that one endpoint accepts from all routers together.
     pub max_connections: u32,
     /// Tokens that fit into an engine's memory; `None` for services that read no prompts.
     pub memory_tokens: Option<u64>,
+    /// How its endpoints warm up; `None` if they need no time for it.
+    // Not part of the encoding of the previous version; see `encoding`.
+    #[serde(skip)]
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Limits on requests of callers, and the capacity that is shared among customers.
--- a/siskin-gateway/src/directory.rs
+++ b/siskin-gateway/src/directory.rs
@@ -3,9 +3,10 @@
 mod encoding;
 
 use {
+    indexmap::IndexMap,
     serde::{Deserialize, Serialize},
-    siskin_types::{id, position::Position},
-    std::net::SocketAddr,
+    siskin_types::{id, position::Position, time::Instant},
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// A listed endpoint.
@@ -76,14 +77,21 @@
     endpoints: Vec<Endpoint>,
     /// `None` in a list from a router of the previous version, which does not know drains.
     drained: Option<Vec<String>>,
+    /// Until when endpoints are cold, by this process's clock.
+    cold: IndexMap<id::Endpoint, Instant>,
 }
 
 impl Directory {
-    /// Creates the list at a position of the platform's store, without drained data centres.
+    /// Creates the list at a position of the platform's store, without drained data centres and cold endpoints.
     #[must_use]
     pub fn new(position: impl Into<Position>, mut endpoints: Vec<Endpoint>) -> Self {
         endpoints.sort_by_key(|endpoint| endpoint.id);
-        Self { position: position.into(), endpoints, drained: Some(Vec::new()) }
+        Self {
+            position: position.into(),
+            endpoints,
+            drained: Some(Vec::new()),
+            cold: IndexMap::new(),
+        }
     }
 
     /// Sets the drained data centres.
@@ -95,6 +103,12 @@
         Self { drained: Some(names), ..self }
     }
 
+    /// Sets until when endpoints are cold.
+    #[must_use]
+    pub fn with_cold(self, ends: impl IntoIterator<Item = (id::Endpoint, Instant)>) -> Self {
+        Self { cold: ends.into_iter().collect(), ..self }
+    }
+
     /// Position of the platform's store that the list is from.
     #[must_use]
     pub const fn position(&self) -> Position {
@@ -112,7 +126,19 @@
     pub fn without_expired(&self) -> Self {
         let endpoints =
             self.endpoints.iter().filter(|endpoint| !endpoint.expired).cloned().collect();
-        Self { endpoints, position: self.position, drained: self.drained.clone() }
+        Self { endpoints, ..self.clone() }
+    }
+
+    /// Until when an endpoint is cold. That may be in the past.
+    #[must_use]
+    pub fn cold_until(&self, endpoint: id::Endpoint) -> Option<Instant> {
+        self.cold.get(&endpoint).copied()
+    }
+
+    /// Time for which an endpoint remains cold; zero if it is warm.
+    #[must_use]
+    pub fn cold_for(&self, now: Instant, endpoint: id::Endpoint) -> Duration {
+        self.cold_until(endpoint).map_or(Duration::ZERO, |until| until - now)
     }
 
     /// Names of the drained data centres.
@@ -127,16 +153,20 @@
         self.drained().binary_search_by(|name| name.as_str().cmp(data_centre)).is_ok()
     }
 
-    /// Whether the list says which data centres are drained.
+    /// Whether the list says which data centres are drained and which endpoints are cold.
     #[must_use]
-    pub const fn names_drained(&self) -> bool {
+    pub const fn is_complete(&self) -> bool {
         self.drained.is_some()
     }
 
     /// Adds what a list from a router of the previous version does not say. At the position of the `known` list it is the same
-    /// list, so what is known applies; at a higher one no data centre is drained.
+    /// list, so what is known applies; at a higher one no data centre is drained. Endpoints stay cold for as long as is known.
     pub(crate) fn complete_from(&mut self, known: &Self) {
-        if self.drained.is_none() && self.position == known.position {
+        if self.is_complete() {
+            return;
+        }
+        self.cold.clone_from(&known.cold);
+        if self.position == known.position {
             self.drained.clone_from(&known.drained);
         }
     }
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -130,6 +130,10 @@
     pub memory_bytes: usize,
     /// Longest time until a change in the platform's store has to be in force.
     pub apply_within: Duration,
+    /// Multiple of the rate that a cold endpoint sustains that may arrive there within one second.
+    pub cold_burst_factor: f64,
+    /// Requests that may arrive at a cold endpoint within one second in addition.
+    pub cold_burst_requests: f64,
 }
 
 /// State of dispatch decisions, locked only for the time of one function call.
@@ -241,6 +245,7 @@
                 budget.set_options(parameters.retries);
             }
         });
+        self.update_pools();
     }
 
     /// Waits until the process resumes after a suspension.
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -1,12 +1,12 @@
 //! The configuration and the list of endpoints in force, and their sources.
 
 use {
-    super::{Gateway, INITIAL_LIMITS, Source, USER_TIMEOUT},
+    super::{Gateway, INITIAL_LIMITS, Parameters, Source, USER_TIMEOUT},
     crate::{
-        catalog::Catalog,
+        catalog::{Catalog, WarmUp},
         directory::{Directory, Endpoint, hash_to_u32},
     },
-    siskin_dispatch::{pool::Info, reading::Freshness},
+    siskin_dispatch::{pool::Info, reading::Freshness, warm_up},
     siskin_net::{lock, server::Limits},
     std::{
         collections::HashSet,
@@ -129,14 +129,16 @@
     }
 
     /// Updates the endpoint pools from the configuration and the list in force.
-    fn update_pools(&self) {
+    pub(super) fn update_pools(&self) {
         let Some(catalog) = self.catalog() else { return };
         let directory = self.directory();
         lock(&self.last_heard).retain(|id, _| directory.get(*id).is_some());
         let now = self.clock.now();
+        let parameters = self.parameters();
         let salt = u64::from(hash_to_u32(&self.options.listen.to_string()));
         self.with_dispatch(|state| {
             for (name, service) in &catalog.services {
+                let warm_up = service.warm_up.map(|warm_up| warm_up_options(warm_up, &parameters));
                 let infos: Vec<Info> = directory
                     .endpoints()
                     .iter()
@@ -148,12 +150,16 @@
                         same_data_centre: endpoint.data_centre == self.options.data_centre,
                         leaving: endpoint.leaving,
                         drained: directory.is_drained(&endpoint.data_centre),
-                        cold_for: Duration::ZERO,
+                        cold_for: match warm_up {
+                            Some(_) => directory.cold_for(now, endpoint.id),
+                            None => Duration::ZERO,
+                        },
                     })
                     .collect();
                 let pool = state.pools.entry(name.clone()).or_default();
                 pool.set_salt(salt);
                 pool.set_routers(self.routers.load(Ordering::Relaxed));
+                pool.set_warm_up(warm_up);
                 pool.set_endpoints(now, &infos);
             }
         });
@@ -169,6 +175,16 @@
     }
 }
 
+/// How the endpoints of a service warm up, with the bursts that the platform allows.
+fn warm_up_options(warm_up: WarmUp, parameters: &Parameters) -> warm_up::Options {
+    warm_up::Options {
+        duration: warm_up.duration,
+        requests_per_second: warm_up.requests_per_second,
+        burst_factor: parameters.cold_burst_factor,
+        burst_requests: parameters.cold_burst_requests,
+    }
+}
+
 /// Logs which data centres are drained in one list and not in the other.
 fn log_drains(before: &Directory, after: &Directory, source: &str) {
     for (list, other, message) in [
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`peers`]: exchanges load and newer configurations with the other routers
 
 pub mod catalog;
+pub mod cold;
 pub mod descriptors;
 pub mod directory;
 mod embedded;
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -228,30 +228,29 @@
 
     fn handle_relay(&self, from: SocketAddr, message: relay::Message) {
         let (version, position) = self.known_versions();
+        let now = self.gateway.clock.now();
         match message {
             relay::Message::Ask { config_version, directory_position } => {
                 if let Some(catalog) = self.gateway.catalog().filter(|_| version > config_version) {
-                    self.send_content(
-                        from,
-                        relay::Message::Catalog,
-                        postcard::to_stdvec(&*catalog),
-                    );
+                    self.send_content(from, relay::Message::Catalog, catalog.encode());
                 }
                 if position > directory_position {
                     self.send_content(
                         from,
                         relay::Message::Directory,
-                        self.gateway.directory().without_expired().encode(),
+                        self.gateway.directory().without_expired().encode(now),
                     );
                 }
             }
             relay::Message::Catalog(bytes) => {
-                if let Some(catalog) = read_content::<Catalog>(from, postcard::from_bytes(&bytes)) {
+                let known = self.gateway.catalog();
+                let decoded = Catalog::decode(&bytes, known.as_deref());
+                if let Some(catalog) = read_content(from, decoded) {
                     self.gateway.set_catalog(catalog, Source::Peer);
                 }
             }
             relay::Message::Directory(bytes) => {
-                if let Some(directory) = read_content(from, Directory::decode(&bytes)) {
+                if let Some(directory) = read_content(from, Directory::decode(&bytes, now)) {
                     self.gateway.set_directory(directory, Source::Peer);
                 }
             }
--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -16,7 +16,7 @@
         Request, Response, StatusCode, Uri,
         header::{HOST, HeaderValue},
     },
-    siskin_types::position::Position,
+    siskin_types::{position::Position, time::Instant},
     std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -44,15 +44,20 @@
 }
 
 impl Snapshot {
-    fn encode(catalog: &Catalog, directory: &Directory) -> postcard::Result<Vec<u8>> {
-        let mut bytes = postcard::to_stdvec(catalog)?;
-        bytes.extend(directory.encode()?);
+    /// Encodes a snapshot for a router of this or the previous version, which ignores how services warm up.
+    fn encode(catalog: &Catalog, directory: &Directory, now: Instant) -> postcard::Result<Vec<u8>> {
+        let mut bytes = catalog.encode_base()?;
+        bytes.extend(directory.encode(now)?);
+        bytes.extend(catalog.encode_warm_ups()?);
         Ok(bytes)
     }
 
-    fn decode(bytes: &[u8]) -> postcard::Result<Self> {
-        let (catalog, rest) = postcard::take_from_bytes(bytes)?;
-        Ok(Self { catalog, directory: Directory::decode(rest)? })
+    /// Decodes a snapshot of this or the previous version.
+    fn decode(bytes: &[u8], known: Option<&Catalog>, now: Instant) -> postcard::Result<Self> {
+        let (mut catalog, rest) = postcard::take_from_bytes::<Catalog>(bytes)?;
+        let (directory, rest) = Directory::decode_first(rest, now)?;
+        catalog.decode_warm_ups(rest, known)?;
+        Ok(Self { catalog, directory })
     }
 }
 
@@ -103,7 +108,7 @@
 fn apply_newest(gateway: &Gateway, snapshots: impl Iterator<Item = Snapshot>) {
     let (catalogs, directories): (Vec<_>, Vec<_>) =
         snapshots.map(|one| (one.catalog, one.directory)).unzip();
-    let directory = directories.into_iter().max_by_key(|one| (one.position(), one.names_drained()));
+    let directory = directories.into_iter().max_by_key(|one| (one.position(), one.is_complete()));
     let catalog = catalogs.into_iter().max_by_key(|catalog| catalog.version);
     if let Some(directory) = directory.filter(|one| *one != *gateway.directory()) {
         gateway.set_directory(directory, Source::Peer);
@@ -139,7 +144,7 @@
         *response.status_mut() = StatusCode::NOT_MODIFIED;
         return response;
     }
-    match Snapshot::encode(&catalog, &directory) {
+    match Snapshot::encode(&catalog, &directory, gateway.clock.now()) {
         Ok(bytes) => Response::new(respond::full_body(bytes)),
         Err(error) => {
             log::error!("snapshot cannot be encoded: {error}");
@@ -166,5 +171,8 @@
     anyhow::ensure!(status.is_success(), "the seed responded with status {status}");
     let read = Limited::new(response.into_body(), SNAPSHOT_BYTES_MAX).collect().await;
     let bytes = read.map_err(anyhow::Error::from_boxed)?.to_bytes();
-    Snapshot::decode(&bytes).map(Some).context("the snapshot cannot be read")
+    let catalog = gateway.catalog();
+    Snapshot::decode(&bytes, catalog.as_deref(), gateway.clock.now())
+        .map(Some)
+        .context("the snapshot cannot be read")
 }
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -120,6 +120,8 @@
             descriptors: 1_024,
             memory_bytes: 256 << 20,
             apply_within: Duration::from_secs(2),
+            cold_burst_factor: 1.0,
+            cold_burst_requests: 0.0,
         },
         stop_timeout: Duration::from_secs(2),
         stop_notice: Duration::from_millis(50),
@@ -157,8 +159,11 @@
             max_attempts: 2,
             public: true,
         }],
-        services: [("app".to_owned(), Service { max_connections: 100, memory_tokens: None })]
-            .into(),
+        services: [(
+            "app".to_owned(),
+            Service { max_connections: 100, memory_tokens: None, warm_up: None },
+        )]
+        .into(),
         limits: Limits {
             head_bytes: 16_384,
             body_bytes: 65_536,
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway against scripted endpoints.
 
 mod backoff;
+mod cold;
 mod crash_fleet;
 mod crashing_requests;
 mod directory;
