--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -6,9 +6,10 @@
 
 use {
     crate::{
-        condition::{Availability, Change, Conditions, Source},
+        condition::{Availability, Change, Conditions, Listed, Source},
         prompt::Prompt,
         spread::Changes,
+        warm_up,
     },
     endpoint::State,
     indexmap::IndexMap,
@@ -87,6 +88,7 @@
 pub struct Pool {
     endpoints: IndexMap<Endpoint, State>,
     conditions: Conditions,
+    warm_up: Option<warm_up::Options>,
     health: Tracker,
     /// Moving average of the time that a request takes at an endpoint.
     mean_time: Duration,
@@ -98,6 +100,7 @@
         Self {
             endpoints: IndexMap::new(),
             conditions: Conditions::default(),
+            warm_up: None,
             health: Tracker::new(health::Options {
                 backoff_min: endpoint::UNREACHABLE_BACKOFF_MIN,
                 backoff_max: endpoint::UNREACHABLE_BACKOFF_MAX,
@@ -121,10 +124,26 @@
         self.conditions.set_salt(salt);
     }
 
+    /// Sets how endpoints warm up; `None` if they need no time for it.
+    pub fn set_warm_up(&mut self, options: Option<warm_up::Options>) {
+        self.warm_up = options;
+    }
+
+    /// How endpoints warm up.
+    #[must_use]
+    pub const fn warm_up(&self) -> Option<warm_up::Options> {
+        self.warm_up
+    }
+
     /// Replaces the list of endpoints. The state of those that remain listed is kept; an unlisted one is dropped once
     /// it has no requests in flight.
     pub fn set_endpoints(&mut self, now: Instant, infos: &[Info]) {
-        self.conditions.update_listed(now, infos.iter().map(|info| (info.id, info.leaving)));
+        let said = |info: &Info| Listed {
+            endpoint: info.id,
+            leaving: info.leaving,
+            drained: info.drained,
+        };
+        self.conditions.update_listed(now, infos.iter().map(said));
         let listed: HashSet<Endpoint> = infos.iter().map(|info| info.id).collect();
         self.endpoints.retain(|id, state| {
             state.listed = listed.contains(id);
@@ -145,10 +164,10 @@
         self.open_endpoints().count()
     }
 
-    /// Endpoints that are listed and not leaving. They may be backing off or unreachable.
+    /// Endpoints that are listed and neither leaving nor drained. They may be backing off or unreachable.
     fn open_endpoints(&self) -> impl Iterator<Item = (Endpoint, &State)> {
         let endpoints = self.endpoints.iter().map(|(id, state)| (*id, state));
-        endpoints.filter(|(id, state)| state.listed && !self.conditions.is_leaving(*id))
+        endpoints.filter(|(id, state)| state.listed && !self.conditions.is_closed(*id))
     }
 
     /// Whether a request may be sent to an endpoint now.
@@ -182,7 +201,7 @@
         self.conditions.take_condition_changes()
     }
 
-    /// Sources by which listed endpoints are leaving, one for each endpoint.
+    /// Sources by which listed endpoints are leaving or drained, one for each endpoint.
     pub fn leaving(&self) -> impl Iterator<Item = Source> {
         self.conditions.leaving()
     }
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -1,12 +1,12 @@
 //! The configuration and the list of endpoints in force, and their sources.
 
 use {
-    super::{Gateway, INITIAL_LIMITS, Source, USER_TIMEOUT},
+    super::{Gateway, INITIAL_LIMITS, Parameters, Source, USER_TIMEOUT},
     crate::{
-        catalog::Catalog,
-        directory::{Directory, hash_to_u32},
+        catalog::{Catalog, WarmUp},
+        directory::{Directory, Endpoint, hash_to_u32},
     },
-    siskin_dispatch::{pool::Info, reading::Freshness},
+    siskin_dispatch::{pool::Info, reading::Freshness, warm_up},
     siskin_net::{lock, server::Limits},
     std::{
         collections::HashSet,
@@ -90,7 +90,7 @@
 
     /// Replaces the list of endpoints unless a newer one is known. Returns whether it did. A peer's list is accepted only
     /// while this router receives no changes from the store, or while it leaves reading the store to its hub.
-    pub fn set_directory(&self, directory: Directory, source: Source) -> bool {
+    pub fn set_directory(&self, mut directory: Directory, source: Source) -> bool {
         let before = self.directory();
         let peer_ignored = source == Source::Peer
             && self.watching_store()
@@ -98,9 +98,11 @@
         if peer_ignored || directory.position() < before.position() {
             return false;
         }
+        directory.complete_from(&before);
         if directory.endpoints() != before.endpoints() {
             log_changes(&before, &directory, source.label());
         }
+        log_drains(&before, &directory, source.label());
         let addresses: HashSet<SocketAddr> =
             directory.endpoints().iter().map(|endpoint| endpoint.address).collect();
         for gone in before.endpoints().iter().filter(|one| !addresses.contains(&one.address)) {
@@ -111,6 +113,7 @@
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         self.metrics.endpoints.with_label_values(&["ready"]).set(count(ready));
         self.metrics.endpoints.with_label_values(&["leaving"]).set(count(leaving));
+        self.metrics.data_centres_drained.set(count(directory.drained().len()));
         *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
         self.update_pools();
         true
@@ -126,14 +129,16 @@
     }
 
     /// Updates the endpoint pools from the configuration and the list in force.
-    fn update_pools(&self) {
+    pub(super) fn update_pools(&self) {
         let Some(catalog) = self.catalog() else { return };
         let directory = self.directory();
         lock(&self.last_heard).retain(|id, _| directory.get(*id).is_some());
         let now = self.clock.now();
+        let parameters = self.parameters();
         let salt = u64::from(hash_to_u32(&self.options.listen.to_string()));
         self.with_dispatch(|state| {
             for (name, service) in &catalog.services {
+                let warm_up = service.warm_up.map(|warm_up| warm_up_options(warm_up, &parameters));
                 let infos: Vec<Info> = directory
                     .endpoints()
                     .iter()
@@ -144,13 +149,17 @@
                         memory_tokens: service.memory_tokens.unwrap_or(0),
                         same_data_centre: endpoint.data_centre == self.options.data_centre,
                         leaving: endpoint.leaving,
-                        drained: false,
-                        cold_for: Duration::ZERO,
+                        drained: directory.is_drained(&endpoint.data_centre),
+                        cold_for: match warm_up {
+                            Some(_) => directory.cold_for(now, endpoint.id),
+                            None => Duration::ZERO,
+                        },
                     })
                     .collect();
                 let pool = state.pools.entry(name.clone()).or_default();
                 pool.set_salt(salt);
                 pool.set_routers(self.routers.load(Ordering::Relaxed));
+                pool.set_warm_up(warm_up);
                 pool.set_endpoints(now, &infos);
             }
         });
@@ -166,6 +175,36 @@
     }
 }
 
+/// How the endpoints of a service warm up, with the bursts that the platform allows.
+fn warm_up_options(warm_up: WarmUp, parameters: &Parameters) -> warm_up::Options {
+    warm_up::Options {
+        duration: warm_up.duration,
+        requests_per_second: warm_up.requests_per_second,
+        burst_factor: parameters.cold_burst_factor,
+        burst_requests: parameters.cold_burst_requests,
+    }
+}
+
+/// Logs which data centres are drained in one list and not in the other.
+fn log_drains(before: &Directory, after: &Directory, source: &str) {
+    for (list, other, message) in [
+        (after, before, "data centre drained; its endpoints get no more requests"),
+        (before, after, "data centre in use again"),
+    ] {
+        let changed = |name: &&String| !other.is_drained(name);
+        let names: Vec<&str> = list.drained().iter().filter(changed).map(String::as_str).collect();
+        if names.is_empty() {
+            continue;
+        }
+        let affected = |one: &&Endpoint| names.contains(&one.data_centre.as_str());
+        log::info!(
+            names:% = names.join(","), endpoints = after.endpoints().iter().filter(affected).count(),
+            era = after.position().era(), revision = after.position().revision(), source;
+            "{message}"
+        );
+    }
+}
+
 /// Logs the differences between two lists of endpoints.
 fn log_changes(before: &Directory, after: &Directory, source: &str) {
     for endpoint in after.endpoints() {
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the gateway against scripted endpoints.
 
 mod backoff;
+mod cold;
 mod crash_fleet;
 mod crashing_requests;
 mod directory;
+mod drain;
 mod earlier_refusals;
 mod endpoint;
 mod fixture;
