--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -1,6 +1,7 @@
 //! The endpoints of one service, their load as this router sees it, and the choice of an endpoint for a request.
 
 mod choose;
+mod cold;
 mod endpoint;
 mod limits;
 
@@ -9,7 +10,6 @@
         condition::{Availability, Change, Conditions, Listed, Source},
         prompt::Prompt,
         spread::Changes,
-        warm_up,
     },
     endpoint::State,
     indexmap::IndexMap,
@@ -88,7 +88,6 @@
 pub struct Pool {
     endpoints: IndexMap<Endpoint, State>,
     conditions: Conditions,
-    warm_up: Option<warm_up::Options>,
     health: Tracker,
     /// Moving average of the time that a request takes at an endpoint.
     mean_time: Duration,
@@ -100,7 +99,6 @@
         Self {
             endpoints: IndexMap::new(),
             conditions: Conditions::default(),
-            warm_up: None,
             health: Tracker::new(health::Options {
                 backoff_min: endpoint::UNREACHABLE_BACKOFF_MIN,
                 backoff_max: endpoint::UNREACHABLE_BACKOFF_MAX,
@@ -124,17 +122,6 @@
         self.conditions.set_salt(salt);
     }
 
-    /// Sets how endpoints warm up; `None` if they need no time for it.
-    pub fn set_warm_up(&mut self, options: Option<warm_up::Options>) {
-        self.warm_up = options;
-    }
-
-    /// How endpoints warm up.
-    #[must_use]
-    pub const fn warm_up(&self) -> Option<warm_up::Options> {
-        self.warm_up
-    }
-
     /// Replaces the list of endpoints. The state of those that remain listed is kept; an unlisted one is dropped once
     /// it has no requests in flight.
     pub fn set_endpoints(&mut self, now: Instant, infos: &[Info]) {
@@ -144,6 +131,10 @@
             drained: info.drained,
         };
         self.conditions.update_listed(now, infos.iter().map(said));
+        for info in infos {
+            let in_use = self.endpoints.contains_key(&info.id);
+            self.conditions.update_cold(now, info.id, info.cold_for, in_use);
+        }
         let listed: HashSet<Endpoint> = infos.iter().map(|info| info.id).collect();
         self.endpoints.retain(|id, state| {
             state.listed = listed.contains(id);
--- a/siskin-net/src/control.rs
+++ b/siskin-net/src/control.rs
@@ -341,5 +341,6 @@
         Message::Strain(_) => "strain",
         Message::Limit(_) => "limit",
         Message::Work(_) => "work",
+        Message::Permit(_) => "permit",
     }
 }
--- a/siskin-router/src/router.rs
+++ b/siskin-router/src/router.rs
@@ -239,7 +239,8 @@
             | Message::Crash(_)
             | Message::Strain(_)
             | Message::Limit(_)
-            | Message::Work(_) => {
+            | Message::Work(_)
+            | Message::Permit(_) => {
                 shared.metrics.control.rejected.with_label_values(&["unexpected"]).inc();
             }
         }
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod permit;
 pub mod poison;
 pub mod relay;
 pub mod sched;
@@ -47,4 +48,6 @@
     Limit(limit::Report),
     /// Remaining work of endpoints.
     Work(work::Report),
+    /// Permits to send requests to cold endpoints.
+    Permit(permit::Message),
 }
