--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -3,6 +3,7 @@
 mod cold_endpoints;
 mod cold_start;
 mod conditions;
+mod drained;
 mod failing_endpoints;
 mod fixture;
 mod fleet;
@@ -10,6 +11,7 @@
 mod isolation;
 mod large_prompt;
 mod limits;
+mod offload;
 mod prefix_spread;
 mod refused_callers;
 mod several_hot_customers;
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod known;
 mod load;
+mod offload;
 mod serve;
 
 use {
@@ -130,6 +131,10 @@
     pub memory_bytes: usize,
     /// Longest time until a change in the platform's store has to be in force.
     pub apply_within: Duration,
+    /// Multiple of the rate that a cold endpoint sustains that may arrive there within one second.
+    pub cold_burst_factor: f64,
+    /// Requests that may arrive at a cold endpoint within one second in addition.
+    pub cold_burst_requests: f64,
 }
 
 /// State of dispatch decisions, locked only for the time of one function call.
@@ -168,6 +173,8 @@
     /// Time at which a peer first reported newer versions in the time in which this router last received none from the store.
     peer_ahead_since: Mutex<Option<time::Instant>>,
     overload: Mutex<overload::Meter>,
+    /// Which new connections are relayed to larger routers.
+    offload: Mutex<offload::State>,
     reading: Mutex<Freshness>,
     /// Crashes of endpoints, and the requests that cause them.
     crashes: Mutex<Register>,
@@ -213,6 +220,7 @@
             watching_store: AtomicBool::new(false),
             peer_ahead_since: Mutex::default(),
             overload: Mutex::default(),
+            offload: Mutex::default(),
             body_memory: Limiter::new(options.parameters.memory_bytes / BODY_MEMORY_DIVISOR),
             reading: Mutex::new(Freshness::new(options.parameters.apply_within)),
             crashes: Mutex::new(Register::new(quarantine::Options::default())),
@@ -241,6 +249,7 @@
                 budget.set_options(parameters.retries);
             }
         });
+        self.update_pools();
     }
 
     /// Waits until the process resumes after a suspension.
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -132,8 +132,8 @@
         self.with_dispatch(|state| state.pools.values().map(Pool::limited).sum())
     }
 
-    /// Sets the gauges of endpoints that are leaving, of those that have asked this router to back off, of those that name a limit,
-    /// and of those that are cold.
+    /// Sets the gauges of endpoints that are leaving or drained, of those that have asked this router to back off, of those that
+    /// name a limit, and of those that are cold.
     pub(crate) fn update_condition_metrics(&self) {
         let now = self.clock.now();
         let (leaving, backing_off, cold) = self.with_dispatch(|state| {
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a gateway. Label values come from fixed sets and from the configured services and kinds of routes.
 
 use {
-    prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
+    prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
     siskin_net::{
         control,
         metrics::{Creator, page},
@@ -34,12 +34,18 @@
     pub in_flight: IntGauge,
     /// Open connections from callers.
     pub connections: IntGauge,
+    /// Share of the time in which the process is busy.
+    pub utilisation: Gauge,
+    /// Connections that were relayed: sent to a larger router, or received from a smaller one.
+    pub relayed_connections: IntCounterVec,
     /// Configuration version in force.
     pub config_version: IntGauge,
     /// Listed endpoints by state.
     pub endpoints: IntGaugeVec,
     /// Listed endpoints that are leaving, by the source of the notice.
     pub endpoints_leaving: IntGaugeVec,
+    /// Drained data centres.
+    pub data_centres_drained: IntGauge,
     /// Endpoints that have asked this router to back off.
     pub endpoints_backing_off: IntGauge,
     /// Endpoints that name a limit.
@@ -109,6 +115,15 @@
             in_flight: create.gauge("siskin_in_flight_requests", "Requests in flight.")?,
             connections: create
                 .gauge("siskin_caller_connections", "Open connections of callers.")?,
+            utilisation: create.fraction(
+                "siskin_utilisation",
+                "Share of the time in which the process is busy.",
+            )?,
+            relayed_connections: create.counters(
+                "siskin_relayed_connections_total",
+                "Connections of callers relayed between routers.",
+                &["direction"],
+            )?,
             config_version: create
                 .gauge("siskin_config_version", "Configuration version in force.")?,
             endpoints: create.gauges("siskin_endpoints", "Listed endpoints.", &["state"])?,
@@ -117,6 +132,8 @@
                 "Listed endpoints that leave.",
                 &["source"],
             )?,
+            data_centres_drained: create
+                .gauge("siskin_data_centres_drained", "Data centres that are drained.")?,
             endpoints_backing_off: create.gauge(
                 "siskin_endpoints_backing_off",
                 "Endpoints that have asked this router to back off.",
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -18,7 +18,6 @@
     },
     indexmap::IndexMap,
     readiness::Readiness,
-    serde::{Serialize, de::DeserializeOwned},
     siskin_dispatch::spread::{Due, Exchange, Router},
     siskin_net::{
         control::{Control, Received},
@@ -74,6 +73,8 @@
     pub router: Router,
     /// Address at which it exchanges frames with other routers.
     pub address: SocketAddr,
+    /// Address at which it serves callers; `None` for a router of an earlier version.
+    pub callers: Option<SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -125,6 +126,7 @@
         let fleet: Vec<Router> = routers.iter().map(|listed| listed.router.clone()).collect();
         lock(&self.exchange).list(&fleet);
         lock(&self.readiness).set_routers(&fleet, &self.gateway.options.data_centre);
+        self.gateway.set_offload_targets(self.node, routers);
         let mut peers = lock(&self.by_node);
         for peer in peers.values_mut() {
             peer.listed = false;
@@ -242,39 +244,42 @@
 
     fn handle_relay(&self, from: SocketAddr, message: relay::Message) {
         let (version, position) = self.known_versions();
+        let now = self.gateway.clock.now();
         match message {
             relay::Message::Ask { config_version, directory_position } => {
                 if let Some(catalog) = self.gateway.catalog().filter(|_| version > config_version) {
-                    self.send_content(from, relay::Message::Catalog, &*catalog);
+                    self.send_content(from, relay::Message::Catalog, catalog.encode());
                 }
                 if position > directory_position {
                     self.send_content(
                         from,
                         relay::Message::Directory,
-                        &self.gateway.directory().without_expired(),
+                        self.gateway.directory().without_expired().encode(now),
                     );
                 }
             }
             relay::Message::Catalog(bytes) => {
-                if let Some(catalog) = decode::<Catalog>(from, &bytes) {
+                let known = self.gateway.catalog();
+                let decoded = Catalog::decode(&bytes, known.as_deref());
+                if let Some(catalog) = read_content(from, decoded) {
                     self.gateway.set_catalog(catalog, Source::Peer);
                 }
             }
             relay::Message::Directory(bytes) => {
-                if let Some(directory) = decode::<Directory>(from, &bytes) {
+                if let Some(directory) = read_content(from, Directory::decode(&bytes, now)) {
                     self.gateway.set_directory(directory, Source::Peer);
                 }
             }
         }
     }
 
-    fn send_content<T: Serialize>(
+    fn send_content(
         &self,
         to: SocketAddr,
         message: impl Fn(Vec<u8>) -> relay::Message,
-        content: &T,
+        encoded: postcard::Result<Vec<u8>>,
     ) {
-        match postcard::to_stdvec(content) {
+        match encoded {
             Ok(bytes) => self.control.send(None, to, &Message::Relay(message(bytes))),
             Err(error) => log::error!("data for a peer cannot be encoded: {error}"),
         }
@@ -345,6 +350,7 @@
         if readiness.must_return(now, self.gateway.strained_since()) {
             self.gateway.end_strain();
         }
+        self.gateway.set_strained_targets(readiness.strained(now));
         let Some((receivers, report)) = readiness.due_report(now, targets) else { return };
         drop(readiness);
         for node in receivers {
@@ -413,8 +419,8 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(from: SocketAddr, bytes: &[u8]) -> Option<T> {
-    match postcard::from_bytes(bytes) {
+fn read_content<T>(from: SocketAddr, decoded: postcard::Result<T>) -> Option<T> {
+    match decoded {
         Ok(content) => Some(content),
         Err(error) => {
             log::warn!(from:% = from; "data from a peer cannot be read: {error}");
--- a/siskin-wire/src/lib.rs
+++ b/siskin-wire/src/lib.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-pub mod capacity;
 pub mod claim;
 pub mod config;
 pub mod crash;
@@ -49,8 +48,6 @@
     Limit(limit::Report),
     /// Remaining work of endpoints.
     Work(work::Report),
-    /// Processor time that the routers of a data centre use.
-    Capacity(capacity::Report),
     /// Permits to send requests to cold endpoints.
     Permit(permit::Message),
 }
