Test cold endpoints over sockets; request no permits for drained endpoints

Cause: permits over the network, and refusals until an endpoint is warm, were only tested in virtual time; a router requested permits for cold endpoints of a drained data centre. Change: tests of the gateway: refusals, other endpoints meanwhile, permits of another router. Permits are requested only for endpoints that accept requests.

--- a/siskin-dispatch/src/condition/cold.rs
+++ b/siskin-dispatch/src/condition/cold.rs
@@ -168,7 +168,7 @@
 
     fn needs_permits(&self, now: Instant) -> bool {
         let backs_off = self.backoff.is_some_and(|backoff| now < backoff.until);
-        self.is_cold(now) && self.unlisted.is_none() && self.leaving().is_none() && !backs_off
+        self.is_cold(now) && self.unlisted.is_none() && self.closed_by().is_none() && !backs_off
     }
 }
 
--- a/siskin-gateway/tests/main/crashing_requests.rs
+++ b/siskin-gateway/tests/main/crashing_requests.rs
@@ -8,7 +8,7 @@
     googletest::prelude::*,
     siskin_dispatch::spread::Router,
     siskin_gateway::{
-        catalog::Kind,
+        catalog::{Catalog, Kind},
         directory::Directory,
         gateway::{Gateway, Source},
         peers::{Listing, Peers},
@@ -96,18 +96,17 @@
 }
 
 /// A gateway that exchanges load with the others of its fleet.
-struct Member {
-    gateway: Arc<Gateway>,
-    router: TestRouter,
-    peers: Arc<Peers>,
-    listing: Listing,
+pub(crate) struct Member {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) router: TestRouter,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) listing: Listing,
 }
 
 impl Member {
-    async fn start(index: u32, directory: &Directory) -> Self {
+    pub(crate) async fn start(index: u32, catalog: Catalog, directory: &Directory) -> Self {
         let gateway = gateway();
-        let streams = Kind::Stream { resumable: true };
-        gateway.set_catalog(catalog(streams), Source::Store);
+        gateway.set_catalog(catalog, Source::Store);
         gateway.set_directory(directory.clone(), Source::Store);
         gateway.set_routers(ROUTERS);
         let node = Node(index + 1);
@@ -140,7 +139,8 @@
     let directory = Directory::new(1, listed);
     let mut members = Vec::new();
     for index in 0..ROUTERS {
-        members.push(Member::start(index, &directory).await);
+        let streams = catalog(Kind::Stream { resumable: true });
+        members.push(Member::start(index, streams, &directory).await);
     }
     let listings: Vec<Listing> = members.iter().map(|member| member.listing.clone()).collect();
     for member in &members {
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod cold;
+mod cold_endpoints;
 mod crash_fleet;
 mod crashing_requests;
 mod directory;
