Learn what requests cost, by route and customer

Cause: the expected wait counts prompt tokens only, so long generations are placed as if they took no longer than short ones. Change: cost::Model keeps means and mean absolute errors of time and generated tokens by route and customer (at most 1,024 pairs), by route and by service, and weighs hints by how right they have been. work::Report gets its content. Nothing uses them yet.

--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`cache`]: estimate of an engine's prefix cache
 //! * [`pool`]: the endpoints of one service, their load, and the choice of an endpoint
 //! * [`condition`]: which endpoints are leaving (draining) or have asked for a back-off
+//! * [`cost`]: expected cost of requests
 //! * [`limit`]: limits that endpoints name, which hold for all routers together
 //! * [`warm_up`]: limits of endpoints that are cold after their start
 //! * [`share`]: max-min fair shares of the capacity by customer
@@ -25,6 +26,7 @@
 pub mod budget;
 pub mod cache;
 pub mod condition;
+pub mod cost;
 pub mod limit;
 pub mod pool;
 pub mod prompt;
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_start;
 mod conditions;
+mod expected_cost;
 mod failing_endpoints;
 mod fixture;
 mod fleet;
--- a/siskin-wire/tests/main/main.rs
+++ b/siskin-wire/tests/main/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the protocol between routers.
 
 mod frame;
+mod work;
