Place requests by remaining work where endpoints say how busy they are

Cause: the expected wait knows neither for how long running requests will occupy their slots nor how fast an endpoint is now. Change: work::Endpoint keeps the remaining slot time and memory of an endpoint's requests and its own figures with their age. A pool whose endpoints send figures uses them for the wait for a slot, the speed and the memory, and chooses by the request's number among endpoints that are about equally good. Other pools choose as before.

--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`reading`]: which routers read changes from the platform's store
 //! * [`sizes`]: admission of large prompts
 //! * [`budget`]: the fleet's retry budget, divided among the routers
+//! * [`work`]: remaining work of endpoints
 //!
 //! This crate does no I/O and reads no clock: the current time is an argument.
 
@@ -36,3 +37,4 @@
 pub mod sizes;
 pub mod spread;
 pub mod warm_up;
+pub mod work;
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -3,10 +3,13 @@
 mod choose;
 mod endpoint;
 mod limits;
+mod place;
+mod work;
 
 use {
     crate::{
         condition::{Availability, Change, Conditions, Source},
+        cost,
         prompt::Prompt,
         spread::Changes,
     },
@@ -50,6 +53,10 @@
     /// Set for a request that may crash its endpoint. All routers send requests with the same number to the same endpoint, if
     /// they may run there, so that they crash few of them, and requests with other numbers are mostly elsewhere.
     pub isolation: Option<u64>,
+    /// What is known of the request's cost.
+    pub cost: cost::Request,
+    /// Number that differs between requests, by which one of several endpoints that are about equally good is chosen.
+    pub number: u64,
 }
 
 /// A request that was sent to an endpoint.
@@ -65,6 +72,8 @@
     backlog_ahead: u64,
     /// Whether the response has begun.
     response_begun: bool,
+    /// What this router notes of the request's work.
+    work: work::Note,
 }
 
 /// How a request at an endpoint ended.
@@ -91,6 +100,8 @@
     /// Moving average of the time that a request takes at an endpoint.
     mean_time: Duration,
     kept: Vec<load::Kept>,
+    /// Costs and numbers of requests, once endpoints say how busy they are.
+    works: work::Works,
 }
 
 impl Default for Pool {
@@ -105,6 +116,7 @@
             }),
             mean_time: endpoint::MEAN_TIME_INITIAL,
             kept: Vec::new(),
+            works: work::Works::default(),
         }
     }
 }
@@ -198,10 +210,27 @@
         self.conditions.leaving_to_announce(now)
     }
 
-    /// Records that a request is about to be sent.
+    /// Records that a request of unknown cost is about to be sent.
     pub fn sent(&mut self, now: Instant, endpoint: Endpoint, prompt: &Prompt) -> Attempt {
-        let mut attempt =
-            Attempt { endpoint, since: now, tokens: 0, backlog_ahead: 0, response_begun: false };
+        self.sent_request(now, endpoint, prompt, cost::Request::default())
+    }
+
+    /// Records that a request is about to be sent.
+    pub fn sent_request(
+        &mut self,
+        now: Instant,
+        endpoint: Endpoint,
+        prompt: &Prompt,
+        cost: cost::Request,
+    ) -> Attempt {
+        let mut attempt = Attempt {
+            endpoint,
+            since: now,
+            tokens: 0,
+            backlog_ahead: 0,
+            response_begun: false,
+            work: work::Note::default(),
+        };
         self.conditions.sent(now, endpoint);
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return attempt };
         attempt.backlog_ahead = state.backlog();
@@ -212,6 +241,7 @@
             }
         }
         state.sent(now, prompt, attempt.tokens);
+        self.record_work(now, &mut attempt, prompt, cost);
         attempt
     }
 
@@ -222,13 +252,17 @@
         }
         let Some(state) = self.endpoints.get_mut(&attempt.endpoint) else { return };
         state.remove_backlog(attempt.tokens);
-        state.record_rate_sample(attempt.backlog_ahead + attempt.tokens, now - attempt.since);
+        let slowness = state.work.slowness(now);
+        let tokens = attempt.backlog_ahead + attempt.tokens;
+        state.record_rate_sample(tokens, now - attempt.since, slowness);
+        self.record_work_start(now, attempt);
     }
 
     /// Records that the request is no longer at the endpoint.
     pub fn record_end(&mut self, now: Instant, attempt: &Attempt, end: End) {
         let Some(state) = self.endpoints.get_mut(&attempt.endpoint) else { return };
         state.record_end(if attempt.response_begun { 0 } else { attempt.tokens });
+        let slowness = state.work.slowness(now);
         match end {
             End::Completed | End::Failed => {
                 state.record_answer(now, end == End::Failed);
@@ -239,6 +273,7 @@
             End::NotRun => state.mark_full(now),
             End::Abandoned => {}
         }
+        self.record_work_end(now, attempt, end, slowness);
     }
 
     /// Records that the endpoint could not be reached.
@@ -273,6 +308,7 @@
             state.retain_peers(&kept);
             state.expire(now);
         }
+        self.refresh_works(now);
         self.conditions.expire(now, kept);
     }
 
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -5,6 +5,7 @@
     crate::{
         cache::scaled,
         condition::{Availability, Reason},
+        cost::Estimate,
         prompt::mix,
     },
     siskin_types::{id::Endpoint, time::Instant},
@@ -19,7 +20,7 @@
 const RUNNING_TOKENS: u64 = 120;
 
 /// Cost of an endpoint without a free slot, in tokens.
-const FULL_TOKENS: u64 = 60_000;
+pub(super) const FULL_TOKENS: u64 = 60_000;
 
 /// Cost for each other router that an endpoint has asked to back off, in tokens; at most [`FULL_TOKENS`] together.
 const BACKING_OFF_TOKENS: u64 = 6_000;
@@ -69,6 +70,10 @@
     pub in_flight: u32,
     /// Number of endpoints that were skipped because they are leaving or backing off.
     pub blocked: usize,
+    /// Expected cost of the request; zero if unknown.
+    pub cost: Estimate,
+    /// Time that work takes at the endpoint now, relative to the usual one; 1 if unknown.
+    pub slowness: f64,
 }
 
 /// Why a request was refused.
@@ -166,6 +171,8 @@
             open.iter().copied().filter(|(id, _)| usable(*id)).partition(|(id, _)| {
                 !matches!(self.availability(now, *id), Availability::Blocked(_))
             });
+        let estimate = self.estimate(&demand.cost);
+        let reachable = self.retain_fitting(demand, &estimate, reachable)?;
         let least_failing =
             reachable.iter().map(|(_, state)| state.failure_share(now)).fold(1.0, f64::min);
         let homes = home_endpoints(demand, open.iter().map(|(id, _)| *id));
@@ -173,17 +180,12 @@
             state.failure_share(now) < FAILURE_SHARE_AVOIDED.max(2.0 * least_failing)
         });
         let best = demand.isolation.and_then(|number| {
-            let in_time = sound.clone().filter(|(_, state)| self.begins_in_time(demand, state));
+            let in_time =
+                sound.clone().filter(|(_, state)| self.begins_in_time(now, demand, state));
             in_time.max_by_key(|(id, _)| mix(number, u64::from(id.0)))
         });
-        let best = best.or_else(|| {
-            sound.min_by_key(|(id, state)| placement_cost(now, demand, *id, state, homes))
-        });
-        let best = best.or_else(|| {
-            reachable
-                .iter()
-                .min_by_key(|(id, state)| placement_cost(now, demand, *id, state, homes))
-        });
+        let best = best.or_else(|| self.cheapest(now, demand, homes, sound));
+        let best = best.or_else(|| self.cheapest(now, demand, homes, reachable.iter()));
         let Some((id, state)) = best else {
             let availabilities = blocked.iter().map(|(id, _)| self.availability(now, *id));
             return Err(match first_opening(now, availabilities) {
@@ -191,52 +193,92 @@
                 None => build_refusal(Cause::Unreachable, demand, Duration::ZERO),
             });
         };
-        if !self.begins_in_time(demand, state) {
-            return Err(build_refusal(Cause::Busy, demand, self.weighted_wait(demand, state)));
+        if !self.begins_in_time(now, demand, state) {
+            return Err(build_refusal(Cause::Busy, demand, self.weighted_wait(now, demand, state)));
         }
         let tokens = tokens_to_prefill(demand, state);
         Ok(Placement {
             endpoint: *id,
-            wait: self.expected_queue_time(state) + state.prefill_time(tokens),
+            wait: self.expected_queue_time(now, state) + state.prefill_time(now, tokens),
             tokens,
             backlog: state.backlog(),
             in_flight: state.total_in_flight(),
             blocked: blocked.len() + self.leaving().count(),
+            cost: estimate,
+            slowness: state.work.slowness(now),
         })
     }
 
+    /// The endpoint at which placing the request costs least.
+    fn cheapest<'a, 'b>(
+        &self,
+        now: Instant,
+        demand: &Demand,
+        homes: [Option<Endpoint>; 2],
+        endpoints: impl Iterator<Item = &'b (Endpoint, &'a State)>,
+    ) -> Option<&'b (Endpoint, &'a State)>
+    where
+        'a: 'b,
+    {
+        if self.places_by_work() {
+            return self.cheapest_by_work(now, demand, homes, endpoints);
+        }
+        endpoints.min_by_key(|(id, state)| placement_cost(now, demand, *id, state, homes))
+    }
+
+    /// Removes the endpoints whose memory the request would exceed. Refuses the request if none is left.
+    fn retain_fitting<'a>(
+        &self,
+        demand: &Demand,
+        estimate: &Estimate,
+        mut endpoints: Vec<(Endpoint, &'a State)>,
+    ) -> Result<Vec<(Endpoint, &'a State)>, Refusal> {
+        if !self.places_by_work() || endpoints.is_empty() {
+            return Ok(endpoints);
+        }
+        let tokens = demand.prompt.tokens();
+        endpoints.retain(|(_, state)| Self::fits(state, tokens, estimate));
+        if endpoints.is_empty() {
+            return Err(build_refusal(Cause::Busy, demand, Duration::ZERO));
+        }
+        Ok(endpoints)
+    }
+
     /// Whether an endpoint is expected to begin the request within the time that it may wait.
-    fn begins_in_time(&self, demand: &Demand, state: &State) -> bool {
+    fn begins_in_time(&self, now: Instant, demand: &Demand, state: &State) -> bool {
         let wait_limit = wait_limit(demand).min(demand.allowed);
-        demand.patience > 0.0 && self.weighted_wait(demand, state) <= wait_limit
+        demand.patience > 0.0 && self.weighted_wait(now, demand, state) <= wait_limit
     }
 
     /// Expected wait for the response to a request, in which its own prefill counts by its weight.
-    fn weighted_wait(&self, demand: &Demand, state: &State) -> Duration {
-        let own_prefill = state.prefill_time(tokens_to_prefill(demand, state));
+    fn weighted_wait(&self, now: Instant, demand: &Demand, state: &State) -> Duration {
+        let own_prefill = state.prefill_time(now, tokens_to_prefill(demand, state));
         // A long prompt takes as long as several short ones and delays them.
         let weighted = own_prefill.mul_f64(demand.own_weight);
-        let is_idle = self.is_idle(state);
+        let is_idle = self.is_idle(now, state);
         let weighted = if is_idle { weighted.min(wait_limit(demand) / 2) } else { weighted };
-        self.expected_queue_time(state) + weighted
+        self.expected_queue_time(now, state) + weighted
     }
 
     /// Whether an endpoint has so little load that a long prompt delays no other request.
-    fn is_idle(&self, state: &State) -> bool {
-        self.expected_queue_time(state) < IDLE_QUEUE_TIME
+    fn is_idle(&self, now: Instant, state: &State) -> bool {
+        self.expected_queue_time(now, state) < IDLE_QUEUE_TIME
             && state.total_in_flight() < state.slots / IDLE_SLOTS
     }
 
     /// Expected time until an endpoint begins to process a request that is sent now.
-    fn expected_queue_time(&self, state: &State) -> Duration {
-        let reading = state.prefill_time(state.backlog());
+    fn expected_queue_time(&self, now: Instant, state: &State) -> Duration {
+        let reading = state.prefill_time(now, state.backlog());
+        if self.places_by_work() {
+            return reading + self.view(now, state).wait(state.slots);
+        }
         let excess = (state.total_in_flight() + 1).saturating_sub(state.slots);
         reading + self.mean_time * excess / state.slots
     }
 }
 
 /// Longest time that a request may wait for its response.
-fn wait_limit(demand: &Demand) -> Duration {
+pub(super) fn wait_limit(demand: &Demand) -> Duration {
     demand.aim.mul_f64(demand.patience)
 }
 
@@ -273,22 +315,38 @@
 ) -> u64 {
     let cached = state.cache.cached_tokens(&demand.prompt);
     let tokens = demand.prompt.tokens() - cached;
+    let full =
+        if state.total_in_flight() >= state.slots || state.is_full(now) { FULL_TOKENS } else { 0 };
+    let preference = preference_cost(now, demand, id, state, homes, cached);
+    state.backlog() + tokens + running_cost(state) + full + preference
+}
+
+/// Cost of the requests in flight at an endpoint, in tokens.
+pub(super) fn running_cost(state: &State) -> u64 {
+    u64::from(state.total_in_flight()) * RUNNING_TOKENS * 64 / u64::from(state.slots)
+}
+
+/// Cost of placing the request at an endpoint that has cached some of its tokens, apart from the time until it begins.
+pub(super) fn preference_cost(
+    now: Instant,
+    demand: &Demand,
+    id: Endpoint,
+    state: &State,
+    homes: [Option<Endpoint>; 2],
+    cached: u64,
+) -> u64 {
     let shared = demand.prompt.shared_tokens().saturating_sub(cached);
     let replica = match homes {
         [Some(home), _] if home == id => 0,
         [_, Some(second)] if second == id => scaled(shared, REPLICA_WEIGHT / 2.0),
         _ => scaled(shared, REPLICA_WEIGHT),
     };
-    let in_flight = state.total_in_flight();
-    let running = u64::from(in_flight) * RUNNING_TOKENS * 64 / u64::from(state.slots);
-    let full = if in_flight >= state.slots || state.is_full(now) { FULL_TOKENS } else { 0 };
     let failing = scaled(FAILING_TOKENS, state.failure_share(now));
     let remote = if state.same_data_centre { 0 } else { REMOTE_TOKENS };
     let backing_off = u64::from(state.peers_backing_off()) * BACKING_OFF_TOKENS;
     let backing_off = backing_off.min(FULL_TOKENS);
     let unconnected = if state.is_connected(now) { 0 } else { UNCONNECTED_TOKENS };
-    let load = state.backlog() + tokens + replica + running;
-    load + full + backing_off + failing + remote + unconnected
+    replica + failing + remote + backing_off + unconnected
 }
 
 /// Time until a request may be sent to the first of these endpoints, and why not now; `None` if there are none.
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -2,7 +2,11 @@
 
 use {
     super::PEER_LOAD_LIFETIME,
-    crate::{cache::Cache, prompt::Prompt},
+    crate::{
+        cache::Cache,
+        prompt::Prompt,
+        work::{self, Typical},
+    },
     indexmap::IndexMap,
     siskin_types::{
         id::{Endpoint, Node},
@@ -85,6 +89,9 @@
     pub(super) same_data_centre: bool,
     pub(super) listed: bool,
     pub(super) cache: Cache,
+    /// Tokens that the prefix cache and running requests can hold; 0 if unknown.
+    pub(super) memory_tokens: u64,
+    pub(super) work: work::Endpoint,
     in_flight: u32,
     backlog: u64,
     /// Prompt tokens sent by this router and not yet reported to its peers.
@@ -117,6 +124,8 @@
             same_data_centre: info.same_data_centre,
             listed: true,
             cache: Cache::new(info.memory_tokens),
+            memory_tokens: info.memory_tokens,
+            work: work::Endpoint::default(),
             in_flight: 0,
             backlog: 0,
             unreported_tokens: 0,
@@ -158,10 +167,15 @@
         self.peers_backing_off
     }
 
-    /// Time to prefill this many tokens.
-    pub(super) fn prefill_time(&self, tokens: u64) -> Duration {
-        #[expect(clippy::cast_precision_loss)]
-        Duration::from_secs_f64(tokens as f64 / self.shared_rate / 1_000.0)
+    /// Time to prefill this many tokens at the usual speed, in milliseconds.
+    #[expect(clippy::cast_precision_loss)]
+    pub(super) fn prefill_millis(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.shared_rate
+    }
+
+    /// Time to prefill this many tokens at the speed that the endpoint has now.
+    pub(super) fn prefill_time(&self, now: Instant, tokens: u64) -> Duration {
+        Duration::from_secs_f64(self.prefill_millis(tokens) / 1_000.0 * self.work.slowness(now))
     }
 
     /// Share of recent responses that were failures. It decreases while there are no responses.
@@ -191,6 +205,12 @@
         self.cache.record_prompt(prompt);
     }
 
+    /// Sums up the remaining work of this router's and of peers' requests.
+    pub(super) fn refresh_work(&mut self, now: Instant, typical: Typical) {
+        let counts = self.peers.iter().map(|(node, peer)| (*node, peer.in_flight));
+        self.work.refresh(now, counts, typical);
+    }
+
     pub(super) const fn remove_backlog(&mut self, tokens: u64) {
         self.backlog = self.backlog.saturating_sub(tokens);
     }
@@ -200,12 +220,13 @@
         self.remove_backlog(tokens);
     }
 
-    pub(super) fn record_rate_sample(&mut self, tokens: u64, time: Duration) {
+    /// Records the time in which an endpoint that is this much slower than usual prefilled some tokens.
+    pub(super) fn record_rate_sample(&mut self, tokens: u64, time: Duration, slowness: f64) {
         if tokens < RATE_TOKENS_MIN || time.is_zero() {
             return;
         }
         #[expect(clippy::cast_precision_loss)]
-        let sample = tokens as f64 / time.as_secs_f64() / 1_000.0;
+        let sample = tokens as f64 / time.as_secs_f64() / 1_000.0 * slowness;
         self.samples = self.samples.saturating_add(1);
         self.rate += (sample.clamp(RATE_MIN, RATE_MAX) - self.rate) * SAMPLE_WEIGHT;
     }
@@ -281,6 +302,7 @@
     /// Drops the load of peers that are not `kept`.
     pub(super) fn retain_peers(&mut self, kept: impl Fn(Node) -> bool) {
         self.peers.retain(|node, _| kept(*node));
+        self.work.retain_peers(kept);
     }
 
     /// The prefill rate measured by this router, once there are enough samples.
--- a/siskin-dispatch/tests/main/fixture.rs
+++ b/siskin-dispatch/tests/main/fixture.rs
@@ -2,6 +2,7 @@
 
 use {
     siskin_dispatch::{
+        cost::Request,
         pool::{Demand, Info, Pool},
         prompt::Prompt,
         share::{Ledger, Usage},
@@ -55,5 +56,7 @@
         patience: 0.7,
         own_weight: 1.0,
         isolation: None,
+        cost: Request::default(),
+        number: 0,
     }
 }
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -10,6 +10,7 @@
 mod isolation;
 mod large_prompt;
 mod limits;
+mod placement;
 mod prefix_spread;
 mod refused_callers;
 mod several_hot_customers;
--- a/siskin-wire/src/work.rs
+++ b/siskin-wire/src/work.rs
@@ -36,7 +36,7 @@
     pub rest: u16,
     /// Memory that the requests in flight take, in units of [`Work::MEMORY_UNIT`].
     pub memory: u16,
-    /// What the endpoint said last, unless the receiver has got it already.
+    /// What the endpoint said last, if that is known and recent.
     pub load: Option<Load>,
 }
 
