Skip the memory check of choices where every endpoint has room

Change: a lower bound of the free memory of all endpoints is kept; the time to prefill a token is computed once.

--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -149,6 +149,7 @@
             }
         }
         self.health.retain(|id| self.endpoints.contains_key(&id));
+        self.refresh_works(now);
     }
 
     /// Number of endpoints that accept requests, reachable or not.
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -233,10 +233,11 @@
         estimate: &Estimate,
         mut endpoints: Vec<(Endpoint, &'a State)>,
     ) -> Result<Vec<(Endpoint, &'a State)>, Refusal> {
-        if !self.places_by_work() || endpoints.is_empty() {
+        let tokens = demand.prompt.tokens();
+        let fits = !self.places_by_work() || self.fits_everywhere(tokens, estimate);
+        if fits || endpoints.is_empty() {
             return Ok(endpoints);
         }
-        let tokens = demand.prompt.tokens();
         endpoints.retain(|(_, state)| Self::fits(state, tokens, estimate));
         if endpoints.is_empty() {
             return Err(build_refusal(Cause::Busy, demand, Duration::ZERO));
--- a/siskin-dispatch/src/pool/endpoint.rs
+++ b/siskin-dispatch/src/pool/endpoint.rs
@@ -205,6 +205,14 @@
         self.cache.record_prompt(prompt);
     }
 
+    /// Tokens of memory that requests in flight leave free; the maximum if the size of the memory is unknown.
+    pub(super) fn free_memory(&self) -> u64 {
+        match self.memory_tokens {
+            0 => u64::MAX,
+            size => size.saturating_sub(self.work.memory()),
+        }
+    }
+
     /// Sums up the remaining work of this router's and of peers' requests.
     pub(super) fn refresh_work(&mut self, now: Instant, typical: Typical) {
         let counts = self.peers.iter().map(|(node, peer)| (*node, peer.in_flight));
--- a/siskin-dispatch/src/pool/place.rs
+++ b/siskin-dispatch/src/pool/place.rs
@@ -43,7 +43,8 @@
         'a: 'b,
     {
         let candidate = |endpoint| self.candidate(now, demand, homes, endpoint);
-        let candidates: Vec<Candidate<'b, 'a>> = endpoints.map(candidate).collect();
+        let mut candidates: Vec<Candidate<'b, 'a>> = Vec::with_capacity(self.endpoints.len());
+        candidates.extend(endpoints.map(candidate));
         let best = candidates.iter().min_by(|a, b| a.total.total_cmp(&b.total))?;
         let time_max = best.time + millis(demand.aim) * EQUAL_AIM_PART;
         let time_max = time_max.min(millis(wait_limit(demand)).max(best.time));
@@ -71,14 +72,20 @@
         // The wait is computed only where there is one: most endpoints have a free slot.
         let wait =
             if has_free_slot { 0.0 } else { millis(self.view(now, state).wait(state.slots)) };
-        let time = state.prefill_millis(state.backlog() + tokens) * pace.slowness + wait;
+        let token_millis = state.prefill_millis(1);
+        let time = tokens_as_f64(state.backlog() + tokens) * token_millis * pace.slowness + wait;
         let full = if !has_free_slot || state.is_full(now) { FULL_TOKENS } else { 0 };
         let preference = full + preference_cost(now, demand, id, state, homes, cached);
-        let total = time + state.prefill_millis(preference + running_cost(state));
+        let total = time + tokens_as_f64(preference + running_cost(state)) * token_millis;
         Candidate { endpoint, time, preference, total }
     }
 }
 
+#[expect(clippy::cast_precision_loss)]
+const fn tokens_as_f64(tokens: u64) -> f64 {
+    tokens as f64
+}
+
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/siskin-dispatch/src/pool/work.rs
+++ b/siskin-dispatch/src/pool/work.rs
@@ -31,6 +31,8 @@
     last_number: u64,
     /// Moving average of the memory of a request, in tokens.
     mean_memory: f64,
+    /// Memory that is free at every endpoint, in tokens, so that most choices need not look at each.
+    free_memory_min: u64,
 }
 
 impl Works {
@@ -161,7 +163,12 @@
     pub(super) fn fits(state: &State, prompt_tokens: u64, estimate: &Estimate) -> bool {
         let memory = prompt_tokens + u64::from(estimate.tokens);
         let alone = state.total_in_flight() == 0 && prompt_tokens <= state.memory_tokens;
-        state.memory_tokens == 0 || alone || state.work.memory() + memory <= state.memory_tokens
+        alone || memory <= state.free_memory()
+    }
+
+    /// Whether a request fits the memory of every endpoint.
+    pub(super) fn fits_everywhere(&self, prompt_tokens: u64, estimate: &Estimate) -> bool {
+        prompt_tokens + u64::from(estimate.tokens) <= self.works.free_memory_min
     }
 
     fn typical(&self) -> Typical {
@@ -195,6 +202,7 @@
         }
         state.work.mark_changed(now);
         state.refresh_work(now, typical);
+        self.works.free_memory_min = self.works.free_memory_min.min(state.free_memory());
     }
 
     pub(super) fn record_work_start(&mut self, now: Instant, attempt: &mut Attempt) {
@@ -241,5 +249,7 @@
         for state in self.endpoints.values_mut() {
             state.refresh_work(now, typical);
         }
+        let free = self.endpoints.values().map(State::free_memory);
+        self.works.free_memory_min = free.min().unwrap_or(0);
     }
 }
