Exchange remaining work, learn costs, and measure the capacity

Cause: a router knows only what it sent itself and what endpoints told it. Change: routers send each other reports of remaining work, of what endpoints said and of the mean costs of routes along the digests (100 ms or more apart, at most 40 endpoints each). The gateway reads the load header, records costs at the end of requests, and counts expected and actual times. The ledger uses the measured capacity where it is less than the configured one.

--- a/siskin-dispatch/src/cost.rs
+++ b/siskin-dispatch/src/cost.rs
@@ -145,9 +145,9 @@
         self.pairs.entries.len()
     }
 
-    /// Means of the routes, to report to other routers.
-    pub fn means(&self) -> impl Iterator<Item = work::Mean> {
-        self.routes.entries.iter().map(|(route, entry)| entry.report(*route))
+    /// Means of the routes, to report to other routers, for the service with this number.
+    pub fn means(&self, service: u32) -> impl Iterator<Item = work::Mean> {
+        self.routes.entries.iter().map(move |(route, entry)| entry.report(service, *route))
     }
 
     /// Takes over the mean of a route from a peer, unless this router knows the route from own requests.
@@ -240,8 +240,9 @@
         of_mean / (of_mean + of_hint)
     }
 
-    fn report(&self, route: u32) -> work::Mean {
+    fn report(&self, service: u32, route: u32) -> work::Mean {
         work::Mean {
+            service,
             route,
             time_ms: whole(self.time.value),
             time_error_ms: whole(self.time.error),
--- a/siskin-dispatch/src/pool/work.rs
+++ b/siskin-dispatch/src/pool/work.rs
@@ -94,12 +94,10 @@
         }
     }
 
-    /// Applies a peer's report of remaining work. Its sums apply only if `counted`.
-    pub fn apply_work(&mut self, now: Instant, node: Node, works: &[work::Work], counted: bool) {
+    /// Applies a peer's report of remaining work, that of other services excepted.
+    pub fn apply_work(&mut self, now: Instant, node: Node, works: &[work::Work]) {
         for work in works {
-            let Some(state) = self.endpoints.get_mut(&work.endpoint).filter(|_| counted) else {
-                continue;
-            };
+            let Some(state) = self.endpoints.get_mut(&work.endpoint) else { continue };
             self.works.active |= work.load.is_some();
             state.work.merge(now, node, work, state.slots);
         }
@@ -122,12 +120,12 @@
         endpoints.filter_map(move |(id, state)| state.work.report(now, *id, &included))
     }
 
-    /// Mean costs of routes to report to other routers.
-    pub fn costs_to_report(&self) -> impl Iterator<Item = work::Mean> {
-        self.works.costs.means()
+    /// Mean costs of routes to report to other routers, for the service with this number.
+    pub fn costs_to_report(&self, service: u32) -> impl Iterator<Item = work::Mean> {
+        self.works.costs.means(service)
     }
 
-    /// Number of endpoints that are slower than usual by this factor.
+    /// Number of endpoints on which work takes at least this many times as long as usual, as far as that is known.
     #[must_use]
     pub fn slower_than(&self, now: Instant, factor: f64) -> usize {
         let slowness = self.endpoints.values().map(|state| state.work.slowness(now));
--- a/siskin-dispatch/src/share.rs
+++ b/siskin-dispatch/src/share.rs
@@ -4,6 +4,7 @@
 //! others. Costs are counted over a sliding window and summed over all routers.
 
 use {
+    crate::work::Capacity,
     indexmap::IndexMap,
     siskin_types::{id::Customer, time::Instant},
     std::{collections::VecDeque, time::Duration},
@@ -73,8 +74,12 @@
 #[derive(Clone, Debug)]
 pub struct Ledger {
     window: Duration,
-    /// Tokens per second that all endpoints together process.
+    /// Tokens per second that all endpoints together process, as configured.
     capacity: f64,
+    /// The capacity as measured.
+    measured: Capacity,
+    /// Cost of all requests that were sent to an endpoint.
+    begun: u64,
     /// When costs were first counted.
     start: Option<Instant>,
     buckets: VecDeque<(Instant, IndexMap<Customer, Usage>)>,
@@ -85,7 +90,15 @@
     /// Creates an empty ledger for a capacity in tokens per second.
     #[must_use]
     pub fn new(window: Duration, capacity: f64) -> Self {
-        Self { window, capacity, start: None, buckets: VecDeque::new(), totals: IndexMap::new() }
+        Self {
+            window,
+            capacity,
+            measured: Capacity::default(),
+            begun: 0,
+            start: None,
+            buckets: VecDeque::new(),
+            totals: IndexMap::new(),
+        }
     }
 
     /// Changes the capacity in tokens per second.
@@ -93,6 +106,40 @@
         self.capacity = capacity;
     }
 
+    /// Measures the capacity, given whether requests wait at the endpoints.
+    ///
+    /// ```
+    /// use {
+    ///     siskin_dispatch::share::{Ledger, Usage},
+    ///     siskin_types::{id::Customer, time::Instant},
+    ///     std::time::Duration,
+    /// };
+    /// let mut ledger = Ledger::new(Duration::from_secs(4), 100.0);
+    /// for step in 0..30 {
+    ///     let now = Instant::from_micros(1) + Duration::from_millis(100) * step;
+    ///     ledger.add(now, Customer(1), Usage { asked: 10, begun: 7 });
+    ///     ledger.measure_capacity(now, step < 20);
+    ///     assert_eq!(ledger.capacity(), 100.0, "requests have waited for less than two seconds");
+    /// }
+    /// for step in 30..40 {
+    ///     let now = Instant::from_micros(1) + Duration::from_millis(100) * step;
+    ///     ledger.add(now, Customer(1), Usage { asked: 10, begun: 7 });
+    ///     ledger.measure_capacity(now, true);
+    /// }
+    /// assert!((69.0..71.0).contains(&ledger.capacity()));
+    /// ledger.measure_capacity(Instant::from_micros(1) + Duration::from_secs(40), false);
+    /// assert_eq!(ledger.capacity(), 100.0, "the measurement is old");
+    /// ```
+    pub fn measure_capacity(&mut self, now: Instant, waiting: bool) {
+        self.measured.record(now, self.begun, waiting);
+    }
+
+    /// Tokens per second that all endpoints together process: the configured ones, or less if less was measured.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        self.measured.limit(self.capacity)
+    }
+
     /// Changes the window over which costs are counted.
     pub const fn set_window(&mut self, window: Duration) {
         self.window = window;
@@ -102,6 +149,7 @@
     pub fn add(&mut self, now: Instant, customer: Customer, usage: Usage) {
         self.expire(now);
         self.start.get_or_insert(now);
+        self.begun = self.begun.saturating_add(usage.begun);
         let needs_new_bucket =
             self.buckets.back().is_none_or(|(start, _)| now - *start >= self.window / BUCKETS);
         if needs_new_bucket {
@@ -168,7 +216,7 @@
     fn available_tokens(&self, now: Instant) -> f64 {
         let known = self.start.map_or(Duration::ZERO, |start| now - start);
         let span = known.clamp(self.window * BUCKETS_MIN / BUCKETS, self.window);
-        self.capacity * span.as_secs_f64()
+        self.capacity() * span.as_secs_f64()
     }
 
     fn expire(&mut self, now: Instant) {
--- a/siskin-dispatch/src/spread.rs
+++ b/siskin-dispatch/src/spread.rs
@@ -12,6 +12,7 @@
 mod changes;
 mod exchange;
 mod limits;
+mod works;
 
 use {
     crate::prompt::mix,
--- a/siskin-dispatch/src/spread/exchange.rs
+++ b/siskin-dispatch/src/spread/exchange.rs
@@ -4,6 +4,7 @@
     super::{
         Changes, Plan, Role, Router, Routing, Target,
         limits::{self, Reports},
+        works,
     },
     crate::{
         pool::Pool,
@@ -17,6 +18,7 @@
     siskin_wire::{
         limit,
         load::{Digest, Leaving, Load},
+        work,
     },
     std::time::Duration,
 };
@@ -34,6 +36,7 @@
     routing: Routing,
     sent_states: IndexMap<Node, Snapshot>,
     limits: Reports,
+    works: works::Reports,
 }
 
 /// What was last sent to a receiver, and when.
@@ -52,6 +55,8 @@
     pub digests: Vec<(Node, Digest)>,
     /// Reports of limits by receiver.
     pub limits: Vec<(Node, limit::Report)>,
+    /// Reports of remaining work by receiver.
+    pub works: Vec<(Node, work::Report)>,
     /// All routers that get digests from this one now and then.
     pub targets: Vec<Node>,
     /// This router's role in the fleet.
@@ -83,6 +88,7 @@
             routing: Routing::new(own),
             sent_states: IndexMap::new(),
             limits: Reports::default(),
+            works: works::Reports::default(),
         }
     }
 
@@ -132,6 +138,18 @@
         limits::apply(now, from, report, pools, counted);
     }
 
+    /// Applies a report of remaining work.
+    pub fn take_works(
+        &mut self,
+        now: Instant,
+        from: Node,
+        report: &work::Report,
+        pools: &mut IndexMap<String, Pool>,
+    ) {
+        let counted = self.routing.applies(from, report.scope);
+        works::apply(now, from, report, pools, counted);
+    }
+
     /// Builds the digests and reports that are due. `usages` are the costs of customers that this router has added since the last
     /// call.
     pub fn due(
@@ -149,12 +167,13 @@
         self.routing.queue_changes(None, &changes);
         self.sent_states.retain(|node, _| targets.iter().any(|target| target.node == *node));
         let limits = self.limits.due(now, &self.routing, &targets, pools);
+        let works = self.works.due(now, &self.routing, &targets, pools);
         let receivers = targets.iter().map(|target| target.node).collect();
         let digests = targets
             .into_iter()
             .filter_map(|target| Some((target.node, self.digest(now, target, pools)?)))
             .collect();
-        Due { digests, limits, targets: receivers, role: self.routing.role(), hub, silent }
+        Due { digests, limits, works, targets: receivers, role: self.routing.role(), hub, silent }
     }
 
     /// Builds the digest for a receiver, unless there is nothing new for it and no keepalive is due.
--- a/siskin-dispatch/src/spread/limits.rs
+++ b/siskin-dispatch/src/spread/limits.rs
@@ -99,6 +99,6 @@
 }
 
 /// The number of a service in reports.
-fn service_number(name: &str) -> u32 {
+pub(super) fn service_number(name: &str) -> u32 {
     prompt::upper_half(name.bytes().fold(0, |hash, byte| prompt::mix(hash, u64::from(byte))))
 }
--- a/siskin-dispatch/tests/main/expected_cost.rs
+++ b/siskin-dispatch/tests/main/expected_cost.rs
@@ -65,7 +65,7 @@
     for _ in 0..50 {
         known.record(&request(1, 1, 0), None, sample(380));
     }
-    let mean = known.means().next().unwrap();
+    let mean = known.means(1).next().unwrap();
     restarted.merge(&mean);
     expect_that!(restarted.estimate(&request(1, 5, 0)).tokens, eq(380));
     for _ in 0..50 {
--- a/siskin-dispatch/tests/main/fleet.rs
+++ b/siskin-dispatch/tests/main/fleet.rs
@@ -13,7 +13,7 @@
         id::{Customer, Endpoint, Node},
         time::Instant,
     },
-    siskin_wire::{limit, load::Digest},
+    siskin_wire::{limit, load::Digest, work},
     std::time::Duration,
 };
 
@@ -36,6 +36,8 @@
     pub(crate) digests_received: usize,
     /// Bytes of the reports of limits.
     pub(crate) limit_bytes_sent: usize,
+    /// Bytes of the reports of remaining work.
+    pub(crate) work_bytes_sent: usize,
 }
 
 impl RouterNode {
@@ -57,6 +59,7 @@
             digests_sent: 0,
             digests_received: 0,
             limit_bytes_sent: 0,
+            work_bytes_sent: 0,
         }
     }
 }
@@ -77,6 +80,7 @@
 enum Content {
     Load(Digest),
     Limits(limit::Report),
+    Works(work::Report),
 }
 
 impl Fleet {
@@ -117,6 +121,10 @@
                     node.limit_bytes_sent += postcard::to_stdvec(&report).unwrap().len();
                     self.in_transit.push((from, to, Content::Limits(report)));
                 }
+                for (to, report) in due.works {
+                    node.work_bytes_sent += postcard::to_stdvec(&report).unwrap().len();
+                    self.in_transit.push((from, to, Content::Works(report)));
+                }
             }
         }
     }
@@ -141,6 +149,9 @@
                 Content::Limits(report) => {
                     node.exchange.take_limits(self.now, from, &report, &mut node.pools);
                 }
+                Content::Works(report) => {
+                    node.exchange.take_works(self.now, from, &report, &mut node.pools);
+                }
             }
         }
     }
--- a/siskin-dispatch/tests/main/main.rs
+++ b/siskin-dispatch/tests/main/main.rs
@@ -18,3 +18,4 @@
 mod sparse_requests;
 mod stale_view;
 mod store_calls_at_size;
+mod work_reports;
--- a/siskin-dispatch/tests/main/placement.rs
+++ b/siskin-dispatch/tests/main/placement.rs
@@ -90,7 +90,7 @@
         let works: Vec<Work> = (1..=8)
             .map(|id| work(id, 0, Some(figures(if id == 3 { 0 } else { 20 }, 25))))
             .collect();
-        pool.apply_work(NOW, Node(99), &works, true);
+        pool.apply_work(NOW, Node(99), &works);
         let placement = pool.choose_endpoint(NOW, &request(1_000 + router), &[]).unwrap();
         counts[placement.endpoint.0 as usize] += 1;
     }
@@ -113,7 +113,7 @@
     };
     let digest = load::Digest { loads: vec![load(1), load(2)], ..load::Digest::default() };
     pool.apply_digest(NOW, Node(9), &digest);
-    pool.apply_work(NOW, Node(9), &works, true);
+    pool.apply_work(NOW, Node(9), &works);
     pool.expire(NOW, |_| true);
     let mut attempts = Vec::new();
     for number in 0..10 {
@@ -190,7 +190,7 @@
     let mut pool = engines(4);
     let hinted = Request { hint: 5_000_000, ..Request::default() };
     pool.sent_request(NOW, Endpoint(2), &request(1).prompt, hinted);
-    pool.apply_work(NOW, Node(2), &[work(1, 9_000, None)], true);
+    pool.apply_work(NOW, Node(2), &[work(1, 9_000, None)]);
     expect_that!(pool.places_by_work(), eq(false));
     let choose = |demand: &Demand| pool.choose_endpoint(NOW, demand, &[]).unwrap().endpoint;
     for number in 0..20 {
@@ -203,7 +203,7 @@
 #[googletest::test]
 fn long_prompts_avoid_an_endpoint_while_it_is_slow() {
     let mut pool = engines(2);
-    pool.apply_work(NOW, Node(2), &[work(1, 0, Some(figures(0, 62)))], true);
+    pool.apply_work(NOW, Node(2), &[work(1, 0, Some(figures(0, 62)))]);
     let chosen = |now| {
         let sent_to_slow = |number: &u64| {
             let prompt = Prompt::new("m", [(*number, 12_000)]);
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -349,7 +349,8 @@
         request:% = call.id, endpoint:% = placement.endpoint, sends,
         patience:% = Decimal(patience), got:% = Decimal(share_received),
         wait_ms = saturating_millis(placement.wait), tokens = placement.tokens, backlog = placement.backlog,
-        in_flight = placement.in_flight, shut = placement.blocked, waited_ms = saturating_millis(call.arrived.elapsed());
+        in_flight = placement.in_flight, cost_ms = saturating_millis(placement.cost.time),
+        slowness:% = Decimal(placement.slowness), shut = placement.blocked, waited_ms = saturating_millis(call.arrived.elapsed());
         "request sent"
     );
 }
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -4,6 +4,7 @@
     super::{Call, UNAVAILABLE_RETRY_AFTER},
     crate::{
         catalog::{Account, Catalog, Kind, Limits, Route},
+        directory::hash_to_u32,
         gateway::Gateway,
         protocol::Head,
         respond::{self, Body},
@@ -18,7 +19,7 @@
         },
         http::{request::Parts, uri::PathAndQuery},
     },
-    siskin_dispatch::pool::Demand,
+    siskin_dispatch::{cost, pool::Demand},
     siskin_net::{
         body_memory::{self, Reservation},
         clock::{Deadline, boot_time},
@@ -89,6 +90,12 @@
     let uri = origin_form(&parts.uri);
     let features = request_features(account.as_ref(), &parts.method, &uri, &body, service, &head);
     remove_hop_by_hop_headers(&mut parts.headers);
+    let expected = cost::Request {
+        route: hash_to_u32(&route.name),
+        customer: account.as_ref().map_or_else(Customer::default, |account| account.id),
+        hint: head.output_tokens,
+    };
+    let number = u64::from(hash_to_u32(&head.id));
     Ok(Call {
         id: head.id,
         route: route.name.clone(),
@@ -110,6 +117,8 @@
             patience: 1.0,
             own_weight: 1.0,
             isolation: None,
+            cost: expected,
+            number,
         },
         features,
         cost,
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -85,7 +85,8 @@
             match pool.availability(now, endpoint) {
                 Availability::Blocked(reason) => Err(reason),
                 Availability::Open | Availability::Trial => {
-                    Ok(pool.sent(now, endpoint, &call.demand.prompt))
+                    let demand = &call.demand;
+                    Ok(pool.sent_request(now, endpoint, &demand.prompt, demand.cost))
                 }
             }
         })?;
@@ -113,6 +114,11 @@
         });
     }
 
+    /// Records that a stream is complete, and the number of its tokens if that is known.
+    pub(crate) fn record_stream(&mut self, tokens: Option<u32>) {
+        self.attempt.record_stream(tokens);
+    }
+
     /// Sets the result that is reported to the pool on drop; [`End::Abandoned`] unless set.
     pub(crate) fn set_end(&mut self, end: End) {
         self.end = end;
@@ -123,6 +129,9 @@
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
         self.gateway.metrics.in_flight.dec();
+        if self.end == End::Completed {
+            self.gateway.metrics.record_cost(self.attempt.expected_and_actual(now));
+        }
         self.gateway.with_dispatch(|state| {
             if let Some(pool) = state.pools.get_mut(&self.service) {
                 pool.record_end(now, &self.attempt, self.end);
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -15,6 +15,9 @@
     std::time::Duration,
 };
 
+/// Labels of speeds in metrics, and from which slowness on they apply.
+const SPEEDS: [(&str, f64); 3] = [("usual", 0.0), ("slow", 1.25), ("very_slow", 2.0)];
+
 impl Gateway {
     /// Why a request that was counted at an endpoint may no longer be sent there; `None` if it may. It is itself the trial request
     /// after a back-off, and has its part of a limit.
@@ -46,6 +49,9 @@
             if response.leaving {
                 pool.record_leaving(now, endpoint);
             }
+            if let Some(load) = response.load.filter(|_| is_own) {
+                pool.record_load(now, endpoint, load);
+            }
             match response.backoff {
                 Some(time) => pool.record_backoff(now, endpoint, time),
                 None if !response.not_run => pool.record_acceptance(now, endpoint),
@@ -110,6 +116,23 @@
         self.with_dispatch(|state| state.pools.values().map(Pool::limited).sum())
     }
 
+    /// Sets the gauges of endpoints by speed, of services whose endpoints say how busy they are.
+    fn update_speed_metrics(&self) {
+        let now = self.clock.now();
+        let counts = SPEEDS.map(|(_, slowness)| {
+            self.with_dispatch(|state| {
+                let pools = state.pools.values().filter(|pool| pool.places_by_work());
+                pools.map(|pool| pool.slower_than(now, slowness)).sum::<usize>()
+            })
+        });
+        for (index, (speed, _)) in SPEEDS.iter().enumerate() {
+            let slower = counts.get(index + 1).copied().unwrap_or_default();
+            let count = counts[index].saturating_sub(slower);
+            let gauge = self.metrics.endpoints_by_speed.with_label_values(&[speed]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Sets the gauges of endpoints that are leaving, of those that have asked this router to back off, and of those that name
     /// a limit.
     pub(crate) fn update_condition_metrics(&self) {
@@ -127,5 +150,6 @@
         self.metrics.endpoints_backing_off.set(i64::try_from(backing_off).unwrap_or(i64::MAX));
         let limited = self.limited_endpoints();
         self.metrics.endpoints_limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        self.update_speed_metrics();
     }
 }
--- a/siskin-gateway/src/gateway/load.rs
+++ b/siskin-gateway/src/gateway/load.rs
@@ -1,7 +1,7 @@
 //! Load limits of a gateway: processor time, file descriptors, and readiness for new connections.
 
 use {
-    super::Gateway,
+    super::{Dispatch, Gateway},
     crate::{descriptors, exchange, overload},
     siskin_dispatch::{pool::Pool, reading::Freshness},
     siskin_net::{clock::boot_time, lock},
@@ -22,6 +22,17 @@
 /// See [`STOP_TIME_FACTOR`].
 const STOP_TIME_MIN: Duration = Duration::from_millis(500);
 
+impl Dispatch {
+    /// Measures the capacity of the endpoints that say how busy they are, if there are any.
+    pub(crate) fn measure_capacity(&mut self, now: Instant) {
+        let mut pools = self.pools.values().filter(|pool| pool.places_by_work()).peekable();
+        if pools.peek().is_some() {
+            let waiting = pools.all(|pool| pool.is_saturated(now));
+            self.ledger.measure_capacity(now, waiting);
+        }
+    }
+}
+
 impl Gateway {
     /// Whether this router is ready for new connections and can serve requests.
     #[must_use]
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -6,6 +6,7 @@
         control,
         metrics::{Creator, page},
     },
+    std::time::Duration,
 };
 
 /// Upper bounds of the latency buckets in seconds.
@@ -50,6 +51,10 @@
     pub endpoints_unreachable: IntCounter,
     /// Crashes of endpoints that are remembered, with requests that waited there.
     pub crashes_known: IntGauge,
+    /// Endpoints by how slow they say that they are.
+    pub endpoints_by_speed: IntGaugeVec,
+    /// Time for which completed requests were expected to occupy slots, for which they did, and the differences, in milliseconds.
+    pub request_cost: IntCounterVec,
     /// Causes of crashes that were found: requests with their features are refused.
     pub crash_causes: IntGauge,
     /// Requests that were tried to find out whether their features still crash endpoints.
@@ -133,6 +138,16 @@
             )?,
             crashes_known: create
                 .gauge("siskin_crashes_known", "Crashes of endpoints that are remembered.")?,
+            endpoints_by_speed: create.gauges(
+                "siskin_endpoints_by_speed",
+                "Endpoints by how slow they say that they are.",
+                &["speed"],
+            )?,
+            request_cost: create.counters(
+                "siskin_request_cost_milliseconds_total",
+                "Time for which completed requests were expected to occupy slots and did, and the differences.",
+                &["kind"],
+            )?,
             crash_causes: create.gauge(
                 "siskin_crash_causes",
                 "Causes of crashes; requests with their features are refused.",
@@ -157,6 +172,17 @@
         })
     }
 
+    /// Counts the time for which a request was expected to occupy a slot, and for which it did.
+    pub fn record_cost(&self, expected_and_actual: Option<(Duration, Duration)>) {
+        let Some((expected, actual)) = expected_and_actual else { return };
+        let times =
+            [("expected", expected), ("actual", actual), ("error", expected.abs_diff(actual))];
+        for (kind, time) in times {
+            let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            self.request_cost.with_label_values(&[kind]).inc_by(millis);
+        }
+    }
+
     /// The metrics in the Prometheus text format.
     ///
     /// ```
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -5,8 +5,8 @@
 //! and of the list of endpoints. A router with an older version requests the newer one from the sender, so a router that
 //! cannot read the store stays up to date through its peers.
 //!
-//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints and of their limits, and which routers
-//! of the data centre are short of processor time.
+//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints, of their limits and of their remaining
+//! work, and which routers of the data centre are short of processor time.
 
 mod readiness;
 
@@ -28,7 +28,7 @@
     siskin_wire::{
         Message, crash, limit,
         load::{Digest, Scope},
-        relay,
+        relay, work,
     },
     std::{
         net::SocketAddr,
@@ -162,6 +162,7 @@
                     lock(&self.readiness).merge(self.gateway.clock.now(), &report);
                 }
                 Message::Limit(report) => self.handle_limits(opened.node, &report),
+                Message::Work(report) => self.handle_works(opened.node, &report),
                 Message::Crash(report) => self.gateway.merge_crashes(opened.node, &report),
                 other => {
                     log::debug!(from:% = from; "message that this program does not handle: {other:?}");
@@ -215,6 +216,14 @@
         self.gateway.log_condition_changes();
     }
 
+    fn handle_works(&self, node: Node, report: &work::Report) {
+        let now = self.gateway.clock.now();
+        let mut exchange = lock(&self.exchange);
+        self.gateway.with_dispatch(|state| {
+            exchange.take_works(now, node, report, &mut state.pools);
+        });
+    }
+
     /// Records how long ago a hub read the store, unless this router has older versions than the hub.
     fn record_hub_reading(&self, digest: &Digest) {
         let (config_version, directory_position) = self.known_versions();
@@ -274,7 +283,7 @@
             let interval = lock(&self.exchange).interval();
             time::sleep(interval).await;
             self.request_newer_versions();
-            let Due { digests, limits, targets, role, hub: chosen, silent } =
+            let Due { digests, limits, works, targets, role, hub: chosen, silent } =
                 self.take_due_digests();
             for node in silent {
                 log::info!(peer:% = node; "no digests of a router for a while; it is not used as a hub until it sends one");
@@ -291,6 +300,9 @@
             for (node, report) in limits {
                 self.send_to(node, &Message::Limit(report));
             }
+            for (node, report) in works {
+                self.send_to(node, &Message::Work(report));
+            }
             self.balance_readiness(&targets);
             for (node, report) in self.gateway.crash_reports(&targets) {
                 self.send_crash_report(node, report);
@@ -303,6 +315,7 @@
         let mut exchange = lock(&self.exchange);
         self.gateway.with_dispatch(|state| {
             let usages = std::mem::take(&mut state.usages);
+            state.measure_capacity(now);
             exchange.due(now, &mut state.pools, usages)
         })
     }
--- a/siskin-gateway/src/protocol.rs
+++ b/siskin-gateway/src/protocol.rs
@@ -2,7 +2,7 @@
 
 use {
     hyper::{HeaderMap, http::request::Parts},
-    siskin_dispatch::{limit, prompt::Prompt},
+    siskin_dispatch::{limit, prompt::Prompt, work},
     std::{fmt::Debug, time::Duration},
 };
 
@@ -59,6 +59,8 @@
     pub backoff: Option<Duration>,
     /// What the endpoint states of its limit.
     pub limit: limit::Notice,
+    /// What the endpoint states of its load.
+    pub load: Option<work::Load>,
 }
 
 /// Translates between the platform's headers and the gateway's types.
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -74,6 +74,8 @@
     body: Incoming,
     connection: Connection,
     in_flight: Guard,
+    /// Events of the stream that other endpoints sent before.
+    events_before: u64,
 }
 
 /// Makes the response to the caller from a stream whose head has arrived.
@@ -90,7 +92,7 @@
         call,
         framing: Framing::new(head.headers(), resumable),
         tried: vec![in_flight.endpoint()],
-        source: Some(Upstream { body, connection, in_flight }),
+        source: Some(Upstream { body, connection, in_flight, events_before: 0 }),
         splitter: Splitter::default(),
         sends,
         status: head.status().as_u16(),
@@ -184,7 +186,11 @@
 
     fn complete(&mut self) {
         self.ended = true;
-        if let Some(Upstream { connection, mut in_flight, .. }) = self.source.take() {
+        if let Some(Upstream { connection, mut in_flight, events_before, .. }) = self.source.take()
+        {
+            // An engine sends an event for each token. Streams of other kinds have no events that are counted.
+            let events = self.splitter.event_count() - events_before;
+            in_flight.record_stream(u32::try_from(events).ok().filter(|events| *events > 0));
             in_flight.set_end(End::Completed);
             drop(in_flight);
             self.gateway.recycle_connection(connection, None);
@@ -302,7 +308,8 @@
             after = last.as_deref().unwrap_or(""), sends = self.sends;
             "stream goes on at another endpoint"
         );
-        Some(Upstream { body, connection, in_flight })
+        let events_before = self.splitter.event_count();
+        Some(Upstream { body, connection, in_flight, events_before })
     }
 
     /// Whether the head of a response belongs to the rest of this stream.
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -69,6 +69,7 @@
                 .get("limit")
                 .and_then(|rate| Rate::from_per_second(rate.to_str().ok()?.parse().ok()?))
                 .map_or(Notice::Unlimited, Notice::Limited),
+            load: None,
         }
     }
 
--- a/siskin-wire/src/work.rs
+++ b/siskin-wire/src/work.rs
@@ -51,6 +51,8 @@
 /// Mean cost of the requests of one route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mean {
+    /// Hash of the service's name.
+    pub service: u32,
     /// Number of the route.
     pub route: u32,
     /// Time for which a request occupies a slot, in milliseconds.
@@ -81,6 +83,6 @@
     /// Most endpoints in one datagram of 1,400 bytes.
     pub const WORKS_MAX: usize = 40;
 
-    /// Most routes in one datagram. An encoded one takes up to 30 bytes.
+    /// Most routes in one datagram. An encoded one takes up to 35 bytes.
     pub const MEANS_MAX: usize = 16;
 }
--- a/siskin-wire/tests/main/work.rs
+++ b/siskin-wire/tests/main/work.rs
@@ -25,6 +25,7 @@
         Work { endpoint: Endpoint(u32::MAX), rest: u16::MAX, memory: u16::MAX, load: Some(load) };
     let max = u32::MAX;
     let mean = Mean {
+        service: max,
         route: max,
         time_ms: max,
         time_error_ms: max,
