--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -7,6 +7,7 @@
         budget,
         limit::{Notice, Rate},
         prompt::Prompt,
+        work::Load,
     },
     siskin_gateway::{
         catalog::{Catalog, Kind, Limits, Route, Service, Target},
@@ -23,10 +24,13 @@
 };
 
 /// Protocol of the tests, with the headers `id`, `key`, `tokens`, `parts`, `not-run`, `signed`, `leaving`, `backoff-ms`
-/// and `limit`.
+/// `limit` and `load`.
 #[derive(Debug)]
 pub(crate) struct TestProtocol;
 
+/// What an endpoint says of its load with the header `load`, whatever its value.
+const LOAD: Load = Load { running: 1, waiting: 0, slots: 4, percent: Some(250) };
+
 /// Length of each part of a prompt in the header `parts`.
 const PART_TOKENS: u32 = 10;
 
@@ -69,7 +73,7 @@
                 .get("limit")
                 .and_then(|rate| Rate::from_per_second(rate.to_str().ok()?.parse().ok()?))
                 .map_or(Notice::Unlimited, Notice::Limited),
-            load: None,
+            load: headers.contains_key("load").then_some(LOAD),
         }
     }
 
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -13,6 +13,7 @@
 mod late_in_stop;
 mod leaving;
 mod limits;
+mod loads;
 mod outcome;
 mod overload;
 mod readiness;
