Select the endpoints of work reports before summing up their work

Cause: a hub summed up the work of all endpoints for each receiver, and kept 64 bytes for each endpoint and peer. Change: endpoints are selected by when their work last changed, in turn; only those selected are summed up. Sums of peers take half of the memory and are dropped once they are empty.

--- a/siskin-dispatch/src/pool/work.rs
+++ b/siskin-dispatch/src/pool/work.rs
@@ -108,16 +108,26 @@
         self.works.costs.merge(mean);
     }
 
-    /// Remaining work to report to other routers, and when it last changed. It covers this router and the peers that are
-    /// `included`.
-    pub fn works_to_report(
+    /// Endpoints whose remaining work is of interest to other routers, and when it last changed; that of this router only if `own`.
+    pub fn changed_works(
         &self,
         now: Instant,
-        included: impl Fn(Node) -> bool,
-    ) -> impl Iterator<Item = (Instant, work::Work)> {
+        own: bool,
+    ) -> impl Iterator<Item = (Instant, Endpoint)> {
         let active = self.works.active;
         let endpoints = self.endpoints.iter().filter(move |_| active);
-        endpoints.filter_map(move |(id, state)| state.work.report(now, *id, &included))
+        endpoints.filter_map(move |(id, state)| Some((state.work.changed(now, own)?, *id)))
+    }
+
+    /// Remaining work of an endpoint to report to other routers. It covers this router and the peers that are `included`.
+    #[must_use]
+    pub fn work_to_report(
+        &self,
+        now: Instant,
+        endpoint: Endpoint,
+        included: impl Fn(Node) -> bool,
+    ) -> Option<work::Work> {
+        self.endpoints.get(&endpoint)?.work.report(now, endpoint, included)
     }
 
     /// Mean costs of routes to report to other routers, for the service with this number.
--- a/siskin-dispatch/src/spread/works.rs
+++ b/siskin-dispatch/src/spread/works.rs
@@ -4,8 +4,14 @@
     super::{Routing, Target, limits::service_number},
     crate::pool::Pool,
     indexmap::IndexMap,
-    siskin_types::{id::Node, time::Instant},
-    siskin_wire::work::{Mean, Report, Work},
+    siskin_types::{
+        id::{Endpoint, Node},
+        time::Instant,
+    },
+    siskin_wire::{
+        load::Scope,
+        work::{Mean, Report, Work},
+    },
     std::time::Duration,
 };
 
@@ -38,6 +44,14 @@
     first: usize,
 }
 
+/// An endpoint that a report may hold.
+struct Candidate<'a> {
+    /// When its work last changed.
+    changed: Instant,
+    pool: &'a Pool,
+    endpoint: Endpoint,
+}
+
 impl Reports {
     /// Builds the reports that are due; none while no endpoint says how busy it is.
     pub(super) fn due(
@@ -51,13 +65,22 @@
             return Vec::new();
         }
         self.sent.retain(|node, _| targets.iter().any(|target| target.node == *node));
+        // The receivers of a router are all of one kind: its hub, or other hubs and members.
+        let own = targets.iter().all(|target| target.scope == Scope::Own);
+        let candidates: Vec<Candidate<'_>> = pools
+            .values()
+            .flat_map(|pool| {
+                let changed = pool.changed_works(now, own);
+                changed.map(move |(changed, endpoint)| Candidate { changed, pool, endpoint })
+            })
+            .collect();
         let mut reports = Vec::new();
         for target in targets {
             let mut sent = self.sent.get(&target.node).copied().unwrap_or_default();
             if now < sent.due {
                 continue;
             }
-            let works = select(now, routing, *target, pools, &mut sent);
+            let works = select(now, routing, *target, &candidates, &mut sent);
             let means = if now >= sent.means_due { self.means(pools) } else { Vec::new() };
             if !means.is_empty() {
                 sent.means_due = now + MEANS_INTERVAL;
@@ -93,20 +116,28 @@
     now: Instant,
     routing: &Routing,
     target: Target,
-    pools: &IndexMap<String, Pool>,
+    candidates: &[Candidate<'_>],
     sent: &mut Sent,
 ) -> Vec<Work> {
     let included = |node| routing.covers(now, target, node);
-    let mut works: Vec<(Instant, Work)> =
-        pools.values().flat_map(|pool| pool.works_to_report(now, included)).collect();
-    if works.len() > Report::WORKS_MAX {
-        let first = sent.first % works.len();
-        works.rotate_left(first);
-        works.sort_by_key(|(changed, _)| *changed < sent.at);
-        works.truncate(Report::WORKS_MAX);
-        sent.first = sent.first.wrapping_add(Report::WORKS_MAX);
+    let first = sent.first.checked_rem(candidates.len()).unwrap_or_default();
+    let (before, after) = candidates.split_at(first);
+    let in_turn = || after.iter().chain(before);
+    let last_report = sent.at;
+    let is_news = |candidate: &Candidate<'_>| candidate.changed >= last_report;
+    let news = in_turn().filter(|candidate| is_news(candidate));
+    let others = in_turn().filter(|candidate| !is_news(candidate));
+    let mut works = Vec::new();
+    let mut considered = 0;
+    for candidate in news.chain(others) {
+        if works.len() == Report::WORKS_MAX {
+            break;
+        }
+        considered += 1;
+        works.extend(candidate.pool.work_to_report(now, candidate.endpoint, included));
     }
-    works.into_iter().map(|(_, work)| work).collect()
+    sent.first = first + considered;
+    works
 }
 
 /// Applies a report of a peer to the pools. The work of endpoints applies only if `counted`.
--- a/siskin-dispatch/src/work.rs
+++ b/siskin-dispatch/src/work.rs
@@ -153,8 +153,10 @@
     figures: Option<Figures>,
     /// Sums over `own` and `peers`, kept because every choice of an endpoint needs them for all endpoints.
     sums: Sums,
-    /// When something became known that is not due to the passing of time.
-    changed: Instant,
+    /// When the work of this router's requests or what the endpoint said to this router last changed.
+    own_changed: Instant,
+    /// When a peer last reported.
+    peers_changed: Instant,
 }
 
 /// A request of this router.
@@ -177,11 +179,24 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
-    /// What it reported, and when.
-    reported: Option<(Instant, Duration, u64)>,
+    /// When it reported; zero if it did not.
+    at: Instant,
+    reported: Amount,
     /// What counts of that, with typical requests for the rest.
-    rest: Duration,
-    memory: u64,
+    counted: Amount,
+}
+
+/// Remaining time in slots in milliseconds, and memory in tokens. A hub keeps two of them for each endpoint and peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Amount {
+    rest_ms: u32,
+    memory: u32,
+}
+
+impl Amount {
+    const fn rest(self) -> Duration {
+        Duration::from_millis(self.rest_ms as u64)
+    }
 }
 
 /// What the endpoint said.
@@ -249,11 +264,13 @@
 
     /// Applies a peer's report.
     pub fn merge(&mut self, now: Instant, node: Node, work: &work::Work, slots: u32) {
-        let rest =
-            Duration::from_millis(u64::from(work.rest) * u64::from(work::Work::REST_UNIT_MS));
-        let memory = u64::from(work.memory) * u64::from(work::Work::MEMORY_UNIT);
-        self.peers.entry(node).or_default().reported = Some((now, rest, memory));
-        self.changed = now;
+        let peer = self.peers.entry(node).or_default();
+        peer.at = now;
+        peer.reported = Amount {
+            rest_ms: u32::from(work.rest) * u32::from(work::Work::REST_UNIT_MS),
+            memory: u32::from(work.memory) * u32::from(work::Work::MEMORY_UNIT),
+        };
+        self.peers_changed = now;
         let Some(load) = work.load else { return };
         let age = Duration::from_millis(u64::from(load.age) * u64::from(work::Load::AGE_UNIT_MS));
         let percent = u16::from(load.slowness) * work::Load::PERCENT_UNIT;
@@ -273,7 +290,7 @@
 
     /// Marks that there is news for other routers.
     pub const fn mark_changed(&mut self, now: Instant) {
-        self.changed = now;
+        self.own_changed = now;
     }
 
     /// Sums up own and peers' work, given the number of requests that each peer has in flight.
@@ -294,9 +311,10 @@
             }
             let peer = self.peers.entry(node).or_default();
             peer.update(now, count, typical);
-            sums.rest += peer.rest;
-            sums.memory += peer.memory;
+            sums.rest += peer.counted.rest();
+            sums.memory += u64::from(peer.counted.memory);
         }
+        self.peers.retain(|_, peer| peer.counted.rest_ms > 0 || now - peer.at < LIFETIME);
         self.sums = sums;
     }
 
@@ -344,22 +362,31 @@
         }
     }
 
-    /// The work of this router and of the peers that are `included`, to report to other routers, and when it last changed; `None`
-    /// if there is none and none was known lately.
+    /// When the work of the endpoint last changed, if there is or was lately any to report; that of this router only if `own`.
+    #[must_use]
+    pub fn changed(&self, now: Instant, own: bool) -> Option<Instant> {
+        let changed = if own { self.own_changed } else { self.own_changed.max(self.peers_changed) };
+        let has_work = !self.own.is_empty() || (!own && !self.peers.is_empty());
+        (has_work || now - changed < LIFETIME).then_some(changed)
+    }
+
+    /// The work of this router and of the peers that are `included`, to report to other routers; `None` if there is none and none
+    /// was known lately.
     pub fn report(
         &self,
         now: Instant,
         endpoint: id::Endpoint,
         included: impl Fn(Node) -> bool,
-    ) -> Option<(Instant, work::Work)> {
+    ) -> Option<work::Work> {
         let mut rest: Duration = self.own.iter().map(|own| own.rest(now)).sum();
         let mut memory: u64 = self.own.iter().map(|own| own.memory).sum();
+        let mut is_news = !self.own.is_empty() || now - self.own_changed < LIFETIME;
         for (_, peer) in self.peers.iter().filter(|(node, _)| included(**node)) {
-            rest += peer.rest;
-            memory += peer.memory;
+            rest += peer.counted.rest();
+            memory += u64::from(peer.counted.memory);
+            is_news = true;
         }
         let load = self.load_to_report(now, included);
-        let is_news = memory > 0 || load.is_some() || now - self.changed < LIFETIME;
         let rest = rest.as_millis() / u128::from(work::Work::REST_UNIT_MS);
         let memory = memory.div_ceil(u64::from(work::Work::MEMORY_UNIT));
         let work = work::Work {
@@ -368,7 +395,7 @@
             memory: u16::try_from(memory).unwrap_or(u16::MAX),
             load,
         };
-        is_news.then_some((self.changed, work))
+        (is_news || load.is_some()).then_some(work)
     }
 
     fn load_to_report(&self, now: Instant, included: impl Fn(Node) -> bool) -> Option<work::Load> {
@@ -392,21 +419,22 @@
 
 impl Peer {
     fn update(&mut self, now: Instant, count: u32, typical: Typical) {
-        let counted = f64::from(count);
-        let (weight, rest, memory) = match self.reported {
-            Some((at, rest, memory)) => {
-                let age = now - at;
-                (weight(age), rest.saturating_sub(age * count), memory)
-            }
-            None => (0.0, Duration::ZERO, 0),
+        let age = now - self.at;
+        let weight = if self.at == Instant::ZERO { 0.0 } else { weight(age) };
+        let rest = self.reported.rest().saturating_sub(age * count).as_secs_f64() * 1_000.0;
+        let typical_rest = typical.rest.as_secs_f64() * 1_000.0 * f64::from(count);
+        #[expect(clippy::cast_precision_loss)]
+        let typical_memory = typical.memory as f64 * f64::from(count);
+        let memory = f64::from(self.reported.memory);
+        self.counted = Amount {
+            rest_ms: whole(rest * weight + typical_rest * (1.0 - weight)),
+            memory: whole(memory * weight + typical_memory * (1.0 - weight)),
         };
-        self.rest = rest.mul_f64(weight) + typical.rest.mul_f64(counted * (1.0 - weight));
-        self.memory = blend(memory, typical.memory * u64::from(count), weight);
     }
 }
 
-/// Mean of two amounts, the first of which has this weight.
-#[expect(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn blend(first: u64, second: u64, weight: f64) -> u64 {
-    (first as f64 * weight + second as f64 * (1.0 - weight)) as u64
+/// Rounds an amount.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(value: f64) -> u32 {
+    value.round() as u32
 }
--- a/siskin-dispatch/tests/main/work_reports.rs
+++ b/siskin-dispatch/tests/main/work_reports.rs
@@ -2,13 +2,20 @@
 
 use {
     crate::{
-        fixture::demand,
+        fixture::{NOW, demand, engines},
         fleet::{Fleet, RouterNode},
     },
     googletest::prelude::*,
-    siskin_dispatch::{cost::Request, pool::End, work::Load},
-    siskin_types::id::Endpoint,
-    std::time::Duration,
+    indexmap::IndexMap,
+    siskin_dispatch::{
+        cost::Request,
+        pool::{Demand, End, Pool},
+        spread::{Exchange, Router},
+        work::Load,
+    },
+    siskin_types::id::{Endpoint, Node},
+    siskin_wire::work::Report,
+    std::{collections::HashSet, time::Duration},
 };
 
 const SLOW: Load = Load { running: 3, waiting: 0, slots: 64, percent: Some(240) };
@@ -59,7 +66,28 @@
     }
     fleet.restart(60);
     fleet.run(Duration::from_secs(1));
-    let demand = siskin_dispatch::pool::Demand { cost, ..demand(1, 500) };
+    let demand = Demand { cost, ..demand(1, 500) };
     let placement = fleet.nodes[60].pools["engines"].choose_endpoint(fleet.now, &demand, &[]);
     expect_that!(placement.unwrap().cost.tokens, eq(380));
 }
+
+/// Guards against endpoints that are never reported where there are more than fit a datagram.
+#[googletest::test]
+fn endpoints_are_reported_in_turn() {
+    let router = |node| Router { node: Node(node), data_centre: "a".to_owned(), millicores: 250 };
+    let mut exchange = Exchange::new(Node(1));
+    exchange.list(&[router(1), router(2)]);
+    let mut pools: IndexMap<String, Pool> = [("engines".to_owned(), engines(100))].into();
+    for id in 1..=100 {
+        pools["engines"].record_load(NOW, Endpoint(id), SLOW);
+    }
+    let mut reported = HashSet::new();
+    for round in 0..20 {
+        let now = NOW + Duration::from_millis(50) * round;
+        for (_, report) in exchange.due(now, &mut pools, IndexMap::new()).works {
+            expect_that!(report.works.len(), le(Report::WORKS_MAX));
+            reported.extend(report.works.iter().map(|work| work.endpoint));
+        }
+    }
+    expect_that!(reported.len(), eq(100));
+}
