--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -318,7 +318,8 @@
     let tokens = demand.prompt.tokens() - cached;
     let full =
         if state.total_in_flight() >= state.slots || state.is_full(now) { FULL_TOKENS } else { 0 };
-    let preference = preference_cost(now, demand, id, state, homes, cached);
+    let shared = demand.prompt.shared_tokens().saturating_sub(cached);
+    let preference = preference_cost(now, shared, id, state, homes);
     state.backlog() + tokens + running_cost(state) + full + preference
 }
 
@@ -327,16 +328,15 @@
     u64::from(state.total_in_flight()) * RUNNING_TOKENS * 64 / u64::from(state.slots)
 }
 
-/// Cost of placing the request at an endpoint that has cached some of its tokens, apart from the time until it begins.
+/// Cost of placing a request at an endpoint, apart from the time until it begins. `shared` are the tokens of the shared parts of
+/// its prompt that the endpoint does not cache.
 pub(super) fn preference_cost(
     now: Instant,
-    demand: &Demand,
+    shared: u64,
     id: Endpoint,
     state: &State,
     homes: [Option<Endpoint>; 2],
-    cached: u64,
 ) -> u64 {
-    let shared = demand.prompt.shared_tokens().saturating_sub(cached);
     let replica = match homes {
         [Some(home), _] if home == id => 0,
         [_, Some(second)] if second == id => scaled(shared, REPLICA_WEIGHT / 2.0),
--- a/siskin-dispatch/src/pool/place.rs
+++ b/siskin-dispatch/src/pool/place.rs
@@ -42,7 +42,8 @@
     where
         'a: 'b,
     {
-        let candidate = |endpoint| self.candidate(now, demand, homes, endpoint);
+        let sizes = (demand.prompt.tokens(), demand.prompt.shared_tokens());
+        let candidate = |endpoint| self.candidate(now, demand, sizes, homes, endpoint);
         let mut candidates: Vec<Candidate<'b, 'a>> = Vec::with_capacity(self.endpoints.len());
         candidates.extend(endpoints.map(candidate));
         let best = candidates.iter().min_by(|a, b| a.total.total_cmp(&b.total))?;
@@ -57,16 +58,19 @@
             .max_by_key(|(id, _)| mix(demand.number, u64::from(id.0)))
     }
 
+    /// What placing the request at an endpoint would cost, given the tokens of its prompt and of the shared parts of that.
     fn candidate<'a, 'b>(
         &self,
         now: Instant,
         demand: &Demand,
+        (tokens, shared): (u64, u64),
         homes: [Option<Endpoint>; 2],
         endpoint: &'b (Endpoint, &'a State),
     ) -> Candidate<'b, 'a> {
         let (id, state) = *endpoint;
         let cached = state.cache.cached_tokens(&demand.prompt);
-        let tokens = demand.prompt.tokens() - cached;
+        let tokens = tokens - cached;
+        let shared = shared.saturating_sub(cached);
         let pace = state.work.pace(now, state.total_in_flight());
         let has_free_slot = pace.requests + 1.0 <= f64::from(state.slots);
         // The wait is computed only where there is one: most endpoints have a free slot.
@@ -75,7 +79,7 @@
         let token_millis = state.prefill_millis(1);
         let time = tokens_as_f64(state.backlog() + tokens) * token_millis * pace.slowness + wait;
         let full = if !has_free_slot || state.is_full(now) { FULL_TOKENS } else { 0 };
-        let preference = full + preference_cost(now, demand, id, state, homes, cached);
+        let preference = full + preference_cost(now, shared, id, state, homes);
         let total = time + tokens_as_f64(preference + running_cost(state)) * token_millis;
         Candidate { endpoint, time, preference, total }
     }
