Learn no costs from the rest of a resumed stream

Cause: the rest has fewer tokens than the whole, so means would be too low where streams are resumed. Change: attempts that resume a stream are marked; they count as work, but not for the means and the metrics of costs.

--- a/siskin-dispatch/src/pool/work.rs
+++ b/siskin-dispatch/src/pool/work.rs
@@ -53,6 +53,8 @@
     /// When the prefill was complete, and how slow the endpoint was.
     start: Option<(Instant, f64)>,
     is_stream: bool,
+    /// Whether the response is only the rest of a stream, which says little of the cost of a request.
+    is_rest: bool,
     tokens: Option<u32>,
 }
 
@@ -63,10 +65,17 @@
         self.work.tokens = tokens;
     }
 
+    /// Records that the response is the rest of a stream that another endpoint began.
+    pub const fn record_rest_of_stream(&mut self) {
+        self.work.is_stream = true;
+        self.work.is_rest = true;
+    }
+
     /// Time for which the request was expected to occupy a slot and for which it did until `now`; `None` if nothing was expected.
     #[must_use]
     pub fn expected_and_actual(&self, now: Instant) -> Option<(Duration, Duration)> {
-        Some((self.work.expected?, self.work.time(now, self.since)))
+        let expected = self.work.expected.filter(|_| !self.work.is_rest)?;
+        Some((expected, self.work.time(now, self.since)))
     }
 }
 
@@ -235,7 +244,7 @@
         if note.number == 0 {
             return;
         }
-        if end == End::Completed {
+        if end == End::Completed && !note.is_rest {
             let slowness_at_start = note.start.map_or(slowness, |(_, slowness)| slowness);
             let mean_slowness = f64::midpoint(slowness_at_start, slowness);
             let time = note.time(now, attempt.since).div_f64(mean_slowness);
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -119,6 +119,11 @@
         self.attempt.record_stream(tokens);
     }
 
+    /// Records that the response is the rest of a stream that another endpoint began.
+    pub(crate) fn record_rest_of_stream(&mut self) {
+        self.attempt.record_rest_of_stream();
+    }
+
     /// Sets the result that is reported to the pool on drop; [`End::Abandoned`] unless set.
     pub(crate) fn set_end(&mut self, end: End) {
         self.end = end;
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -74,8 +74,6 @@
     body: Incoming,
     connection: Connection,
     in_flight: Guard,
-    /// Events of the stream that other endpoints sent before.
-    events_before: u64,
 }
 
 /// Makes the response to the caller from a stream whose head has arrived.
@@ -92,7 +90,7 @@
         call,
         framing: Framing::new(head.headers(), resumable),
         tried: vec![in_flight.endpoint()],
-        source: Some(Upstream { body, connection, in_flight, events_before: 0 }),
+        source: Some(Upstream { body, connection, in_flight }),
         splitter: Splitter::default(),
         sends,
         status: head.status().as_u16(),
@@ -186,11 +184,10 @@
 
     fn complete(&mut self) {
         self.ended = true;
-        if let Some(Upstream { connection, mut in_flight, events_before, .. }) = self.source.take()
-        {
+        if let Some(Upstream { connection, mut in_flight, .. }) = self.source.take() {
             // An engine sends an event for each token. Streams of other kinds have no events that are counted.
-            let events = self.splitter.event_count() - events_before;
-            in_flight.record_stream(u32::try_from(events).ok().filter(|events| *events > 0));
+            let events = u32::try_from(self.splitter.event_count()).ok();
+            in_flight.record_stream(events.filter(|events| *events > 0));
             in_flight.set_end(End::Completed);
             drop(in_flight);
             self.gateway.recycle_connection(connection, None);
@@ -308,8 +305,8 @@
             after = last.as_deref().unwrap_or(""), sends = self.sends;
             "stream goes on at another endpoint"
         );
-        let events_before = self.splitter.event_count();
-        Some(Upstream { body, connection, in_flight, events_before })
+        in_flight.record_rest_of_stream();
+        Some(Upstream { body, connection, in_flight })
     }
 
     /// Whether the head of a response belongs to the rest of this stream.
