--- a/siskin-dispatch/src/lib.rs
+++ b/siskin-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`cache`]: estimate of an engine's prefix cache
 //! * [`pool`]: the endpoints of one service, their load, and the choice of an endpoint
 //! * [`condition`]: which endpoints are leaving (draining) or have asked for a back-off
+//! * [`cost`]: expected cost of requests
 //! * [`limit`]: limits that endpoints name, which hold for all routers together
 //! * [`warm_up`]: limits of endpoints that are cold after their start
 //! * [`share`]: max-min fair shares of the capacity by customer
@@ -19,6 +20,7 @@
 //! * [`reading`]: which routers read changes from the platform's store
 //! * [`sizes`]: admission of large prompts
 //! * [`budget`]: the fleet's retry budget, divided among the routers
+//! * [`work`]: remaining work of endpoints
 //!
 //! This crate does no I/O and reads no clock: the current time is an argument.
 
@@ -26,6 +28,7 @@
 pub mod budget;
 pub mod cache;
 pub mod condition;
+pub mod cost;
 pub mod limit;
 pub mod offload;
 pub mod pool;
@@ -36,3 +39,4 @@
 pub mod sizes;
 pub mod spread;
 pub mod warm_up;
+pub mod work;
--- a/siskin-dispatch/src/spread.rs
+++ b/siskin-dispatch/src/spread.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod limits;
 mod permits;
+mod works;
 
 use {
     crate::prompt::mix,
--- a/siskin-dispatch/src/spread/exchange.rs
+++ b/siskin-dispatch/src/spread/exchange.rs
@@ -4,7 +4,7 @@
     super::{
         Changes, Plan, Role, Router, Routing, Target,
         limits::{self, Reports},
-        permits,
+        permits, works,
     },
     crate::{
         pool::Pool,
@@ -18,7 +18,7 @@
     siskin_wire::{
         limit,
         load::{Digest, Leaving, Load},
-        permit,
+        permit, work,
     },
     std::time::Duration,
 };
@@ -37,6 +37,7 @@
     sent_states: IndexMap<Node, Snapshot>,
     limits: Reports,
     permits: permits::Exchange,
+    works: works::Reports,
 }
 
 /// What was last sent to a receiver, and when.
@@ -57,6 +58,8 @@
     pub limits: Vec<(Node, limit::Report)>,
     /// Messages about permits for cold endpoints, by receiver.
     pub permits: Vec<(Node, permit::Message)>,
+    /// Reports of remaining work by receiver.
+    pub works: Vec<(Node, work::Report)>,
     /// All routers that get digests from this one now and then.
     pub targets: Vec<Node>,
     /// This router's role in the fleet.
@@ -89,6 +92,7 @@
             sent_states: IndexMap::new(),
             limits: Reports::default(),
             permits: permits::Exchange::default(),
+            works: works::Reports::default(),
         }
     }
 
@@ -149,6 +153,18 @@
         self.permits.take(now, from, message, &self.routing, pools)
     }
 
+    /// Applies a report of remaining work.
+    pub fn take_works(
+        &mut self,
+        now: Instant,
+        from: Node,
+        report: &work::Report,
+        pools: &mut IndexMap<String, Pool>,
+    ) {
+        let counted = self.routing.applies(from, report.scope);
+        works::apply(now, from, report, pools, counted);
+    }
+
     /// Builds the digests and reports that are due. `usages` are the costs of customers that this router has added since the last
     /// call.
     pub fn due(
@@ -167,12 +183,14 @@
         self.sent_states.retain(|node, _| targets.iter().any(|target| target.node == *node));
         let limits = self.limits.due(now, &self.routing, &targets, pools);
         let permits = self.permits.due(now, &self.routing, &targets, pools);
+        let works = self.works.due(now, &self.routing, &targets, pools);
         let receivers = targets.iter().map(|target| target.node).collect();
         let digests = targets
             .into_iter()
             .filter_map(|target| Some((target.node, self.digest(now, target, pools)?)))
             .collect();
-        Due { digests, limits, permits, targets: receivers, role: self.routing.role(), hub, silent }
+        let role = self.routing.role();
+        Due { digests, limits, permits, works, targets: receivers, role, hub, silent }
     }
 
     /// Builds the digest for a receiver, unless there is nothing new for it and no keepalive is due.
--- a/siskin-dispatch/tests/main/fleet.rs
+++ b/siskin-dispatch/tests/main/fleet.rs
@@ -13,7 +13,7 @@
         id::{Customer, Endpoint, Node},
         time::Instant,
     },
-    siskin_wire::{limit, load::Digest, permit},
+    siskin_wire::{limit, load::Digest, permit, work},
     std::time::Duration,
 };
 
@@ -39,6 +39,8 @@
     /// Bytes of the messages about permits, and their number.
     pub(crate) permit_bytes_sent: usize,
     pub(crate) permits_sent: usize,
+    /// Bytes of the reports of remaining work.
+    pub(crate) work_bytes_sent: usize,
 }
 
 impl RouterNode {
@@ -62,6 +64,7 @@
             limit_bytes_sent: 0,
             permit_bytes_sent: 0,
             permits_sent: 0,
+            work_bytes_sent: 0,
         }
     }
 }
@@ -91,6 +94,7 @@
     Load(Digest),
     Limits(limit::Report),
     Permits(permit::Message),
+    Works(work::Report),
 }
 
 impl Fleet {
@@ -135,6 +139,10 @@
                     let content = node.count_permits(message);
                     self.in_transit.push((from, to, content));
                 }
+                for (to, report) in due.works {
+                    node.work_bytes_sent += postcard::to_stdvec(&report).unwrap().len();
+                    self.in_transit.push((from, to, Content::Works(report)));
+                }
             }
         }
     }
@@ -167,6 +175,9 @@
                         self.in_transit.push((to, from, content));
                     }
                 }
+                Content::Works(report) => {
+                    node.exchange.take_works(self.now, from, &report, &mut node.pools);
+                }
             }
         }
     }
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -7,6 +7,8 @@
 //!
 //! Beside the digests travel, to the same receivers, what is known of crashes of endpoints and of their limits, permits
 //! for cold endpoints, and which routers of the data centre are short of processor time.
+//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints, of their limits and of their remaining
+//! work, and which routers of the data centre are short of processor time.
 
 mod readiness;
 
@@ -27,7 +29,7 @@
     siskin_wire::{
         Message, crash, limit,
         load::{Digest, Scope},
-        permit, relay,
+        permit, relay, work,
     },
     std::{
         net::SocketAddr,
@@ -165,6 +167,7 @@
                 }
                 Message::Limit(report) => self.handle_limits(opened.node, &report),
                 Message::Permit(message) => self.handle_permits(opened.node, &message),
+                Message::Work(report) => self.handle_works(opened.node, &report),
                 Message::Crash(report) => self.gateway.merge_crashes(opened.node, &report),
                 other => {
                     log::debug!(from:% = from; "message that this program does not handle: {other:?}");
@@ -230,6 +233,14 @@
         }
     }
 
+    fn handle_works(&self, node: Node, report: &work::Report) {
+        let now = self.gateway.clock.now();
+        let mut exchange = lock(&self.exchange);
+        self.gateway.with_dispatch(|state| {
+            exchange.take_works(now, node, report, &mut state.pools);
+        });
+    }
+
     /// Records how long ago a hub read the store, unless this router has older versions than the hub.
     fn record_hub_reading(&self, digest: &Digest) {
         let (config_version, directory_position) = self.known_versions();
@@ -292,7 +303,7 @@
             let interval = lock(&self.exchange).interval();
             time::sleep(interval).await;
             self.request_newer_versions();
-            let Due { digests, limits, permits, targets, role, hub: chosen, silent } =
+            let Due { digests, limits, permits, works, targets, role, hub: chosen, silent } =
                 self.take_due_digests();
             self.gateway.log_condition_changes();
             for node in silent {
@@ -313,6 +324,9 @@
             for (node, message) in permits {
                 self.send_to(node, &Message::Permit(message));
             }
+            for (node, report) in works {
+                self.send_to(node, &Message::Work(report));
+            }
             self.balance_readiness(&targets);
             for (node, report) in self.gateway.crash_reports(&targets) {
                 self.send_crash_report(node, report);
@@ -325,6 +339,7 @@
         let mut exchange = lock(&self.exchange);
         self.gateway.with_dispatch(|state| {
             let usages = std::mem::take(&mut state.usages);
+            state.measure_capacity(now);
             exchange.due(now, &mut state.pools, usages)
         })
     }
--- a/siskin-gateway/src/protocol.rs
+++ b/siskin-gateway/src/protocol.rs
@@ -2,7 +2,7 @@
 
 use {
     hyper::{HeaderMap, http::request::Parts},
-    siskin_dispatch::{limit, prompt::Prompt},
+    siskin_dispatch::{limit, prompt::Prompt, work},
     std::{fmt::Debug, time::Duration},
 };
 
@@ -61,6 +61,8 @@
     pub limit: limit::Notice,
     /// Time for which the endpoint states that it is still cold.
     pub cold: Option<Duration>,
+    /// What the endpoint states of its load.
+    pub load: Option<work::Load>,
 }
 
 /// Translates between the platform's headers and the gateway's types.
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -185,6 +185,9 @@
     fn complete(&mut self) {
         self.ended = true;
         if let Some(Upstream { connection, mut in_flight, .. }) = self.source.take() {
+            // An engine sends an event for each token. Streams of other kinds have no events that are counted.
+            let events = u32::try_from(self.splitter.event_count()).ok();
+            in_flight.record_stream(events.filter(|events| *events > 0));
             in_flight.set_end(End::Completed);
             drop(in_flight);
             self.gateway.recycle_connection(connection, None);
@@ -302,6 +305,7 @@
             after = last.as_deref().unwrap_or(""), sends = self.sends;
             "stream goes on at another endpoint"
         );
+        in_flight.record_rest_of_stream();
         Some(Upstream { body, connection, in_flight })
     }
 
