--- a/siskin-gateway/src/cold.rs
+++ b/siskin-gateway/src/cold.rs
@@ -98,12 +98,14 @@
         }
     }
 
-    /// Takes over what a list of another router says.
+    /// Takes over what a list of another router says, unless a newer entry is known.
     pub fn adopt(&mut self, directory: &Directory) {
         for endpoint in directory.endpoints() {
             let until = directory.cold_until(endpoint.id).unwrap_or_default();
             let state = self.by_endpoint.entry(endpoint.id).or_default();
-            *state = State { until, settled: state.settled.max(directory.position()) };
+            if state.settled <= directory.position() {
+                *state = State { until, settled: directory.position() };
+            }
         }
     }
 
--- a/siskin-gateway/src/directory.rs
+++ b/siskin-gateway/src/directory.rs
@@ -126,7 +126,12 @@
     pub fn without_expired(&self) -> Self {
         let endpoints =
             self.endpoints.iter().filter(|endpoint| !endpoint.expired).cloned().collect();
-        Self { endpoints, ..self.clone() }
+        Self {
+            endpoints,
+            position: self.position,
+            drained: self.drained.clone(),
+            cold: self.cold.clone(),
+        }
     }
 
     /// Until when an endpoint is cold. That may be in the past.
--- a/siskin-gateway/tests/main/cold.rs
+++ b/siskin-gateway/tests/main/cold.rs
@@ -54,7 +54,7 @@
     Case { name, reads, want_change, want_until }
 }
 
-const CASES: [Case; 11] = [
+const CASES: [Case; 12] = [
     case("warm in the first list", &[first(0)], false, None),
     case("cold in the first list", &[first(800)], true, Some(800)),
     case("appears", &[entry(0, 5, 0)], true, Some(3_000)),
@@ -70,6 +70,7 @@
     ),
     case("drain ended, written after", &[first(0), DRAIN_END, entry(9_400, 9, 0)], true, None),
     case("listed by a peer before", &[PEER_LIST, entry(100, 6, 900)], false, None),
+    case("newer than a peer's list", &[entry(0, 9, 0), PEER_LIST], true, Some(3_000)),
     case("listed by a peer, rewritten", &[PEER_LIST, entry(100, 8, 900)], true, Some(1_000)),
 ];
 
