Place by cost only where endpoints say how long work takes

Cause: endpoints of the earlier deployments send the load header with three figures; they are to be served as before.

--- a/siskin-dispatch/src/pool/work.rs
+++ b/siskin-dispatch/src/pool/work.rs
@@ -1,4 +1,4 @@
-//! Expected cost of requests and remaining work of endpoints. They count once an endpoint of the service says how busy it is.
+//! Expected cost of requests and remaining work of endpoints. They count once an endpoint of the service says how long work takes on its machine.
 
 use {
     super::{Attempt, End, Pool, endpoint::State},
@@ -24,7 +24,7 @@
 /// What a pool knows of the cost of requests.
 #[derive(Debug, Default)]
 pub(super) struct Works {
-    /// Whether an endpoint of the service has said how busy it is.
+    /// Whether an endpoint of the service has said how long work takes on its machine, which it shares with others.
     active: bool,
     costs: Model,
     /// Number of the last request.
@@ -88,7 +88,7 @@
 }
 
 impl Pool {
-    /// Whether endpoints of the service say how busy they are, so that requests are placed by expected cost and remaining work.
+    /// Whether endpoints of the service say how long work takes, so that requests are placed by expected cost and remaining work.
     #[must_use]
     pub const fn places_by_work(&self) -> bool {
         self.works.active
@@ -97,7 +97,7 @@
     /// Records what an endpoint says of its load in a response.
     pub fn record_load(&mut self, now: Instant, endpoint: Endpoint, load: Load) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
-            self.works.active = true;
+            self.works.active |= load.percent.is_some();
             state.work.record_load(now, load, None);
             state.work.mark_changed(now);
         }
@@ -107,7 +107,7 @@
     pub fn apply_work(&mut self, now: Instant, node: Node, works: &[work::Work]) {
         for work in works {
             let Some(state) = self.endpoints.get_mut(&work.endpoint) else { continue };
-            self.works.active |= work.load.is_some();
+            self.works.active |= work.load.is_some_and(|load| load.slowness > 0);
             state.work.merge(now, node, work, state.slots);
         }
     }
