Take a response that ends before the upload is written for a broken attempt

Cause: an endpoint answers a long upload at once with a 200 that has no length, sends a part of its body, and closes its side while the upload is still being written. hyper's client ends the body without an error, and the caller got the part as a complete response, from siskin-platform and from siskin-router. Change: connections to endpoints record what is written, and whether a read or write failed. If a body that ends with the connection has ended before the request was flushed, or on a connection that failed, the attempt is broken (upstream::Connection::may_be_cut_off). Such a response cannot be told from a complete one, so an unfinished upload counts as broken even if the endpoint meant to answer early; early responses with a length or in chunks are passed on as before. A transfer encoding other than chunked counts as a body that ends with the connection.

--- a/siskin-gateway/src/embedded.rs
+++ b/siskin-gateway/src/embedded.rs
@@ -7,7 +7,7 @@
     crate::protocol::Protocol,
     hyper::{
         HeaderMap,
-        header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING},
+        header::{HeaderName, HeaderValue},
     },
 };
 
@@ -17,11 +17,6 @@
 /// Most headers of a response.
 const HEADERS_MAX: usize = 100;
 
-/// Whether a body ends with its connection.
-pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Whether a body contains the head of an endpoint's response: one with an identifier or a signature. A body may quote any other
 /// head.
 pub(crate) fn contains_response(protocol: &dyn Protocol, body: &[u8]) -> bool {
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -235,7 +235,7 @@
         return Outcome::StreamStarted(Box::new(Stream { head, body, connection, in_flight }));
     }
     in_flight.record_response_start();
-    let ends_with_connection = embedded::ends_with_connection(head.headers());
+    let ends_with_connection = upstream::ends_with_connection(head.headers());
     let reserving = gateway.body_memory.reserve_stated_length(&body, RESPONSE_BYTES_MAX);
     let Ok(memory) = timeout_at(call.deadline.at(), reserving).await else {
         log::warn!(request:% = call.id; "no memory for the response became free before the deadline");
@@ -251,6 +251,12 @@
                 "another response begins inside the body, which has no length".to_owned(),
             )
         }
+        Ok(Ok(_)) if connection.may_be_cut_off() => {
+            in_flight.set_end(End::Broken);
+            Outcome::Broken(
+                "the response has no length and ended before the request was written".to_owned(),
+            )
+        }
         Ok(Ok((bytes, memory))) => {
             in_flight.set_end(end_for_status(status));
             drop(in_flight);
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -134,6 +134,9 @@
                     Ok(None) => continue,
                     Err(malformed) => malformed.to_string(),
                 },
+                Ok(None) if source.connection.may_be_cut_off() => {
+                    "the response has no length and ended before the request was written".to_owned()
+                }
                 Ok(None) if self.splitter.pending().is_empty() => {
                     self.complete();
                     return None;
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -268,16 +268,21 @@
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         let request = format!("GET {path} HTTP/1.1\r\nhost: example\r\n{headers}\r\n");
         stream.write_all(request.as_bytes()).await.unwrap();
-        let mut bytes = Vec::new();
-        let mut buffer = [0; 4096];
-        loop {
-            if let Some(reply) = parse_response(&bytes, false) {
-                return reply;
-            }
-            match stream.read(&mut buffer).await {
-                Ok(0) | Err(_) => return parse_response(&bytes, true).expect("no response"),
-                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-            }
+        read_reply(&mut stream).await
+    }
+}
+
+/// Reads until the gateway closes the connection or the response is complete.
+pub(crate) async fn read_reply(stream: &mut TcpStream) -> Reply {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        if let Some(reply) = parse_response(&bytes, false) {
+            return reply;
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return parse_response(&bytes, true).expect("no response"),
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
         }
     }
 }
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod drain;
 mod earlier_refusals;
+mod early_answers;
 mod endpoint;
 mod fixture;
 mod foreign_heads;
--- a/siskin-net/src/upstream/connect.rs
+++ b/siskin-net/src/upstream/connect.rs
@@ -1,11 +1,14 @@
 //! Opens connections to endpoints.
 
 use {
-    super::{Connection, Error, Options},
+    super::{
+        Connection, Error, Options,
+        written::{Recorded, Written},
+    },
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpStream, time::timeout},
 };
 
@@ -28,6 +31,8 @@
         .map_err(|_| connect_error(io::ErrorKind::TimedOut.into()))?
         .map_err(connect_error)?;
     set_socket_options(&stream, options).map_err(connect_error)?;
+    let written = Arc::<Written>::default();
+    let stream = Recorded::new(stream, Arc::clone(&written));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(HEAD_BYTES_MAX)
         .max_headers(HEADERS_MAX)
@@ -39,7 +44,15 @@
             log::debug!(endpoint:% = address; "connection to endpoint ended: {error}");
         }
     });
-    Ok(Connection { address, announced_idle_timeout: None, responses: 0, sender })
+    Ok(Connection {
+        address,
+        announced_idle_timeout: None,
+        responses: 0,
+        written,
+        request_end: 0,
+        is_close_delimited: false,
+        sender,
+    })
 }
 
 /// Sets the socket options, so that the kernel detects a dead peer.
--- a/siskin-net/src/upstream/mod.rs
+++ b/siskin-net/src/upstream/mod.rs
@@ -5,13 +5,20 @@
 
 mod connect;
 mod pool;
+mod written;
 
 use {
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1::SendRequest},
+    hyper::{
+        HeaderMap, Request, Response,
+        body::{Body, Incoming},
+        client::conn::http1::SendRequest,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
     siskin_types::id::Endpoint,
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    written::Written,
 };
 
 pub use pool::Pool;
@@ -96,6 +103,12 @@
     announced_idle_timeout: Option<Duration>,
     /// Number of response heads that it has carried.
     responses: u64,
+    /// What has been written.
+    written: Arc<Written>,
+    /// Number of bytes written before the last request, plus the length of its body and one.
+    request_end: u64,
+    /// Whether the body of the last response ends with the connection.
+    is_close_delimited: bool,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -110,8 +123,12 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
         let address = self.address;
+        let body_length = request.body().size_hint().lower();
+        self.request_end = self.written.bytes() + body_length + 1;
         let response = self.sender.try_send_request(request).await;
         if let Ok(response) = &response {
+            self.is_close_delimited =
+                !response.body().is_end_stream() && ends_with_connection(response.headers());
             self.announced_idle_timeout = announced_idle_timeout(response.headers());
             self.responses += 1;
         }
@@ -130,6 +147,14 @@
         self.responses > 1
     }
 
+    /// Whether the last response, whose body has ended, may be a part of one: it ends with the connection, and the connection
+    /// failed or the endpoint ended it before the request was written. A write that fails may hide that the endpoint reset the
+    /// connection, and an endpoint that closes its side in the middle of an upload may have failed.
+    #[must_use]
+    pub fn may_be_cut_off(&self) -> bool {
+        self.is_close_delimited && !self.written.is_complete(self.request_end)
+    }
+
     /// The endpoint's address.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -137,6 +162,30 @@
     }
 }
 
+/// Whether the body of a response with these headers ends with its connection: it has no length and is not chunked.
+///
+/// ```
+/// use {hyper::HeaderMap, siskin_net::upstream::ends_with_connection};
+/// let mut headers = HeaderMap::new();
+/// assert!(ends_with_connection(&headers));
+/// headers.insert("content-length", "2".parse().unwrap());
+/// assert!(!ends_with_connection(&headers));
+/// headers.insert("transfer-encoding", "gzip".parse().unwrap());
+/// assert!(ends_with_connection(&headers), "the encoding counts before the length");
+/// headers.insert("transfer-encoding", "gzip, Chunked".parse().unwrap());
+/// assert!(!ends_with_connection(&headers));
+/// ```
+#[must_use]
+pub fn ends_with_connection(headers: &HeaderMap) -> bool {
+    match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(encodings) => {
+            let last = encodings.to_str().unwrap_or_default().rsplit(',').next();
+            !last.unwrap_or_default().trim().eq_ignore_ascii_case("chunked")
+        }
+        None => !headers.contains_key(CONTENT_LENGTH),
+    }
+}
+
 /// The idle timeout that a `Keep-Alive` header announces, in whole seconds.
 ///
 /// ```
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -138,6 +138,13 @@
                 // The stream ended without its last event.
                 self.connection_lost(attempt).await
             }
+            None if self.stage.may_be_cut_off() => {
+                log::info!(
+                    request:% = self.call.request;
+                    "answer has no length and ended before the request was written"
+                );
+                self.connection_lost(attempt).await
+            }
             None => {
                 let outcome = Outcome::answered(self.delivery.status());
                 let used = self.elapsed_cost();
--- a/siskin-router/src/exchange/stage.rs
+++ b/siskin-router/src/exchange/stage.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Whether an answer that has ended may be a part of one.
+    pub(super) fn may_be_cut_off(&self) -> bool {
+        matches!(self, Self::Reading { connection, .. } if connection.may_be_cut_off())
+    }
+
     /// The attempt and endpoint of a stage that has one.
     pub(super) const fn attempt(&self) -> Option<(Attempt, Endpoint)> {
         match self {
--- a/siskin-router/tests/router/main.rs
+++ b/siskin-router/tests/router/main.rs
@@ -1,5 +1,6 @@
 //! The program itself: its settings, its stop, and processes that are frozen and woken.
 
+mod broken_answers;
 mod endless;
 mod lease;
 mod measured;
