Take a response with an invalid status for a broken attempt

Cause: an endpoint in trouble sends a response whose status is no status. hyper refuses 000 and 099, which both programs already took for a broken attempt, but lets 101, 600 and 999 through, and the caller got them as responses, or a 503 that promises that the request has not run if the head said so too. Change: upstream::Connection::send() returns Error::InvalidStatus for statuses other than 200 to 599. The endpoint may have run the request, so one that may not run twice ends with 502. No request asks for another protocol, so 101 counts as invalid.

--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -14,6 +14,7 @@
 mod foreign_heads;
 mod hostile_answers;
 mod idle_connections;
+mod invalid_statuses;
 mod late_in_stop;
 mod leaving;
 mod limits;
--- a/siskin-net/src/upstream/mod.rs
+++ b/siskin-net/src/upstream/mod.rs
@@ -17,7 +17,7 @@
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
     siskin_types::id::Endpoint,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration},
     written::Written,
 };
 
@@ -70,6 +70,16 @@
         /// The endpoint.
         address: SocketAddr,
     },
+    /// The response has a status that no response may have. The endpoint may have run the request.
+    #[error(
+        "endpoint {address} sent a response with the invalid status {status}; check the endpoint"
+    )]
+    InvalidStatus {
+        /// The endpoint.
+        address: SocketAddr,
+        /// The status.
+        status: u16,
+    },
     /// The connection broke after the request may have been sent.
     #[error("connection to endpoint {address} broke: {source}")]
     Broken {
@@ -89,6 +99,9 @@
     }
 }
 
+/// Statuses of final responses. No request asks for another protocol, so 101 is not valid either.
+const STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Error number for too many open files in the process (`EMFILE`).
 const PROCESS_FILE_LIMIT: i32 = 24;
 
@@ -117,7 +130,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Unsent`] if no byte was written, [`Error::Broken`] if some may have been.
+    /// [`Error::Unsent`] if no byte was written, [`Error::Broken`] if some may have been, [`Error::InvalidStatus`] if the
+    /// response has an invalid status.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -132,13 +146,19 @@
             self.announced_idle_timeout = announced_idle_timeout(response.headers());
             self.responses += 1;
         }
-        response.map_err(|mut error| {
+        let response = response.map_err(|mut error| {
             if error.take_message().is_some() {
                 Error::Unsent { address }
             } else {
                 Error::Broken { address, source: error.into_error() }
             }
-        })
+        })?;
+        let status = response.status().as_u16();
+        if STATUSES.contains(&status) {
+            Ok(response)
+        } else {
+            Err(Error::InvalidStatus { address, status })
+        }
     }
 
     /// Whether it has carried an earlier response than the last one, which a faulty endpoint may have sent again.
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -107,7 +107,9 @@
                 let own = Some(self.call.request);
                 self.life.endpoint_refused(now, attempt, own, &mut self.call.pool.budget())
             }
-            upstream::Error::Broken { .. } => self.connection_lost(attempt).await,
+            upstream::Error::Broken { .. } | upstream::Error::InvalidStatus { .. } => {
+                self.connection_lost(attempt).await
+            }
         }
     }
 
--- a/siskin-router/tests/router/broken_answers.rs
+++ b/siskin-router/tests/router/broken_answers.rs
@@ -1,5 +1,6 @@
 //! Applications that answer a long upload at once, without a length, and close the connection while it is still being written.
-//! Guards against a part of an answer that the caller gets as a whole one.
+//! Guards against a part of an answer that the caller gets as a whole one. And applications that answer with an invalid status,
+//! which is no answer.
 
 use {
     super::process::{Fleet, document, ready},
@@ -20,6 +21,12 @@
 /// Beginning of an answer.
 const PART: &str = "HTTP/1.1 200 OK\r\n\r\npart of it";
 
+const STATUS_000: &str = "HTTP/1.1 000 \r\ncontent-length: 2\r\n\r\nok";
+
+const STATUS_600: &str = "HTTP/1.1 600 No\r\ncontent-length: 2\r\n\r\nok";
+
+const STATUS_101: &str = "HTTP/1.1 101 No\r\n\r\n";
+
 /// How the connection ends after the answer.
 #[derive(Clone, Copy, Debug)]
 enum Close {
@@ -36,10 +43,13 @@
     want: &'static str,
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 6] = [
     Case { answer: PART, close: Close::Reset, upload_bytes: UPLOAD_BYTES, want: " 502 " },
     Case { answer: PART, close: Close::Shutdown, upload_bytes: UPLOAD_BYTES, want: " 502 " },
     Case { answer: PART, close: Close::Shutdown, upload_bytes: 2, want: " 200 " },
+    Case { answer: STATUS_000, close: Close::Shutdown, upload_bytes: 2, want: " 502 " },
+    Case { answer: STATUS_600, close: Close::Shutdown, upload_bytes: 2, want: " 502 " },
+    Case { answer: STATUS_101, close: Close::Shutdown, upload_bytes: 2, want: " 502 " },
 ];
 
 /// Starts a relay in front of an application, which answers uploads itself.
