--- a/siskin-gateway/src/gateway/offload.rs
+++ b/siskin-gateway/src/gateway/offload.rs
@@ -76,7 +76,7 @@
         let change = state.offload.record_utilisation(sample.utilisation_since(&before));
         let utilisation = state.offload.utilisation();
         drop(state);
-        self.metrics.utilisation.set(utilisation);
+        self.metrics.offload.utilisation.set(utilisation);
         let rounded = format!("{utilisation:.2}");
         match change {
             Some(Change::Began) => log::warn!(
@@ -99,14 +99,14 @@
     pub(super) fn place_connection(&self, from: SocketAddr) -> Placement {
         let mut state = lock(&self.offload);
         if state.sources.contains(&from.ip()) {
-            self.metrics.relayed_connections.with_label_values(&["received"]).inc();
+            self.metrics.offload.connections.with_label_values(&["received"]).inc();
             return Placement::Once;
         }
         let target = state.offload.choose(u64::from(hash_to_u32(&from.to_string())));
         drop(state);
         match target {
             Some(target) => {
-                self.metrics.relayed_connections.with_label_values(&["sent"]).inc();
+                self.metrics.offload.connections.with_label_values(&["sent"]).inc();
                 Placement::Relay(target)
             }
             None => Placement::Here,
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Prometheus metrics of a gateway. Label values come from fixed sets and from the configured services and kinds of routes.
 
+mod offload;
+
 use {
-    prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
+    prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
     siskin_net::{
         control,
         metrics::{Creator, page},
@@ -9,6 +11,8 @@
     std::time::Duration,
 };
 
+pub use offload::Offload;
+
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.0, 2.0, 5.0, 15.0];
@@ -35,10 +39,8 @@
     pub in_flight: IntGauge,
     /// Open connections from callers.
     pub connections: IntGauge,
-    /// Share of the time in which the process is busy.
-    pub utilisation: Gauge,
-    /// Connections that were relayed: sent to a larger router, or received from a smaller one.
-    pub relayed_connections: IntCounterVec,
+    /// Connections that are relayed between routers.
+    pub offload: Offload,
     /// Configuration version in force.
     pub config_version: IntGauge,
     /// Listed endpoints by state.
@@ -120,15 +122,7 @@
             in_flight: create.gauge("siskin_in_flight_requests", "Requests in flight.")?,
             connections: create
                 .gauge("siskin_caller_connections", "Open connections of callers.")?,
-            utilisation: create.fraction(
-                "siskin_utilisation",
-                "Share of the time in which the process is busy.",
-            )?,
-            relayed_connections: create.counters(
-                "siskin_relayed_connections_total",
-                "Connections of callers relayed between routers.",
-                &["direction"],
-            )?,
+            offload: Offload::new(&create)?,
             config_version: create
                 .gauge("siskin_config_version", "Configuration version in force.")?,
             endpoints: create.gauges("siskin_endpoints", "Listed endpoints.", &["state"])?,
