Relay refusals during uploads, and mend what a newcomer's read found

The test of the relayed refusal passes without the change too, as the answer mostly wins the race on loopback; it guards the path, and the fault is shown by reading only.

--- a/siskin-dispatch/src/cost.rs
+++ b/siskin-dispatch/src/cost.rs
@@ -150,8 +150,12 @@
         self.routes.entries.iter().map(move |(route, entry)| entry.report(service, *route))
     }
 
-    /// Takes over the mean of a route from a peer, unless this router knows the route from own requests.
+    /// Takes over the mean of a route from a peer, unless this router knows the route from own requests or has no room for it.
     pub fn merge(&mut self, mean: &work::Mean) {
+        let entries = &self.routes.entries;
+        if entries.len() >= ROUTES_MAX && !entries.contains_key(&mean.route) {
+            return;
+        }
         let entry = self.routes.entry(mean.route, ROUTES_MAX);
         if entry.time.samples <= 1 {
             entry.replace(mean);
@@ -159,7 +163,7 @@
     }
 }
 
-/// Entries of a bounded number, the least recently used of which are evicted.
+/// Entries of a bounded number, the least recently updated of which are evicted.
 #[derive(Clone, Debug)]
 struct Table<Key> {
     entries: IndexMap<Key, Entry>,
@@ -197,7 +201,7 @@
     token_time: Mean,
     /// Absolute error of the callers' hints, in tokens.
     hint_error: Mean,
-    /// Number of the last use.
+    /// Number of the last update.
     used: u64,
 }
 
--- a/siskin-dispatch/src/offload.rs
+++ b/siskin-dispatch/src/offload.rs
@@ -21,10 +21,11 @@
 /// Utilisation above which callers also close open connections, if all new ones are relayed already: their next ones are relayed.
 const CLOSING_ABOVE: f64 = 0.7;
 
-/// Increase of the relayed share with each sample: the load of a caller can rise to several times the capacity at once.
+/// Increase of the relayed share with each sample; samples are taken every 50 ms. The load of a caller can rise to several times the
+/// capacity at once.
 const INCREASE: f64 = 0.35;
 
-/// Decrease of the relayed share with each sample: a load that ends is gone for longer than a second.
+/// Decrease of the relayed share with each sample, so that relaying fades out over 5 s and does not oscillate.
 const DECREASE: f64 = 0.01;
 
 /// Weight of a new sample in the moving average of the utilisation.
--- a/siskin-dispatch/src/spread/permits.rs
+++ b/siskin-dispatch/src/spread/permits.rs
@@ -21,8 +21,10 @@
     std::{collections::VecDeque, time::Duration},
 };
 
-/// Longest interval between requests for permits, while there are none: it grows with the fleet, as all ask the same issuers.
+/// Increase of the longest interval between requests for permits for each router of the fleet, as all ask the same issuers.
 const REQUEST_INTERVAL_PER_ROUTER: Duration = Duration::from_micros(500);
+
+/// Upper bound of the interval between requests while no permits are issued.
 const REQUEST_INTERVAL_MAX: Duration = Duration::from_millis(500);
 
 /// Most issuers from which permits are requested at a time.
@@ -241,6 +243,7 @@
             [_, Some(second)] if second == node => Some(Part::SmallerHalf),
             _ => None,
         };
+        // The smallest part of all lists; `None`, which is the least, if it was not an issuer by one of them.
         self.issuers.iter().map(part).min().flatten()
     }
 
--- a/siskin-dispatch/src/warm_up/state.rs
+++ b/siskin-dispatch/src/warm_up/state.rs
@@ -12,6 +12,9 @@
 /// Difference between two reports of the end that is no news: it comes from the time that messages take.
 const END_TOLERANCE: Duration = Duration::from_millis(250);
 
+/// Most permits of one router for an endpoint, more than it can use while they last: bounds what a message makes it remember.
+const PERMITS_MAX: usize = 1_024;
+
 /// How long news are announced to other routers.
 const ANNOUNCED_FOR: Duration = Duration::from_millis(700);
 
@@ -28,7 +31,7 @@
     quiet_until: Instant,
     /// When a response or another router reported a later end.
     news_at: Option<Instant>,
-    /// When the permits of this router expire, in order.
+    /// When the permits of this router expire, in the order of their arrival.
     permits: VecDeque<Instant>,
     issued: Issued,
 }
@@ -100,10 +103,12 @@
     pub(crate) fn add_permits(&mut self, now: Instant, requested: Instant, count: u32) {
         self.permits.retain(|expires| now < *expires);
         let expires = requested + PERMIT_LIFETIME;
-        self.permits.extend((0..count).map(|_| expires));
+        let room = PERMITS_MAX.saturating_sub(self.permits.len());
+        let count = usize::try_from(count).unwrap_or(usize::MAX).min(room);
+        self.permits.extend(std::iter::repeat_n(expires, count));
     }
 
-    /// Records that a request is about to be sent, which takes the permit that expires first.
+    /// Records that a request is about to be sent, which takes the oldest permit.
     pub(crate) fn record_sent(&mut self, now: Instant) {
         self.permits.retain(|expires| now < *expires);
         self.permits.pop_front();
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -58,7 +58,7 @@
             if is_own || response.limit != Notice::Unlimited {
                 pool.record_limit(now, endpoint, response.limit);
             }
-            if let Some(time) = response.cold.filter(|time| is_own || !time.is_zero()) {
+            if let Some(time) = response.cold.filter(|_| is_own) {
                 pool.record_cold(now, endpoint, time);
             }
             if response.leaving {
@@ -138,8 +138,6 @@
         self.with_dispatch(|state| state.pools.values().map(Pool::limited).sum())
     }
 
-    /// Sets the gauges of endpoints that are leaving or drained, of those that have asked this router to back off, of those that
-    /// name a limit, and of those that are cold.
     /// Sets the gauges of endpoints by speed, of services whose endpoints say how busy they are.
     fn update_speed_metrics(&self) {
         let now = self.clock.now();
@@ -157,8 +155,8 @@
         }
     }
 
-    /// Sets the gauges of endpoints that are leaving, of those that have asked this router to back off, and of those that name
-    /// a limit.
+    /// Sets the gauges of endpoints that are leaving or drained, that have asked this router to back off, that name a limit, that
+    /// are cold, and of endpoints by speed.
     pub(crate) fn update_condition_metrics(&self) {
         let now = self.clock.now();
         let (leaving, backing_off, cold) = self.with_dispatch(|state| {
--- a/siskin-gateway/src/gateway/offload.rs
+++ b/siskin-gateway/src/gateway/offload.rs
@@ -32,6 +32,7 @@
 
 impl Sample {
     fn take() -> Self {
+        // The program runs on a current-thread runtime, whose only worker has the number 0.
         Self { at: Instant::now(), busy: Handle::current().metrics().worker_total_busy_duration(0) }
     }
 
@@ -98,7 +99,7 @@
     /// Decides where a new connection is served.
     pub(super) fn place_connection(&self, from: SocketAddr) -> Placement {
         let mut state = lock(&self.offload);
-        if state.sources.contains(&from.ip()) {
+        if state.sources.contains(&from.ip().to_canonical()) {
             self.metrics.offload.connections.with_label_values(&["received"]).inc();
             return Placement::Once;
         }
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -5,10 +5,8 @@
 //! and of the list of endpoints. A router with an older version requests the newer one from the sender, so a router that
 //! cannot read the store stays up to date through its peers.
 //!
-//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints and of their limits, permits
-//! for cold endpoints, and which routers of the data centre are short of processor time.
-//! Beside the digests travel, to the same receivers, what is known of crashes of endpoints, of their limits and of their remaining
-//! work, and which routers of the data centre are short of processor time.
+//! The same receivers get what is known of crashes of endpoints, of their limits and of their remaining work, permits for cold
+//! endpoints, and which routers of the data centre are short of processor time.
 
 mod readiness;
 
--- a/siskin-net/src/relay.rs
+++ b/siskin-net/src/relay.rs
@@ -1,11 +1,11 @@
 //! Relays the bytes of a caller's connection to another router.
 //!
-//! Nothing is read into the bytes. A connection that breaks on one side is closed on the other, so that a response that was cut
-//! off never looks complete.
+//! The bytes are not parsed. An error on one side resets the caller's connection, so that a response without a length does not
+//! look complete.
 
 use {
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, pin::pin, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -60,12 +60,7 @@
 /// One of the connections broke.
 pub async fn run(mut caller: TcpStream, mut router: TcpStream) -> io::Result<Outcome> {
     set_socket_options(&caller)?;
-    let (from_caller, to_caller) = caller.split();
-    let (from_router, to_router) = router.split();
-    let result = tokio::select! {
-        result = relay_requests(from_caller, to_router) => result,
-        result = relay_responses(from_router, to_caller) => result,
-    };
+    let result = relay_both(&mut caller, &mut router).await;
     if result.is_err() {
         // A reset, because a response without a length would look complete after an orderly close.
         SockRef::from(&caller).set_linger(Some(Duration::ZERO))?;
@@ -73,28 +68,54 @@
     result
 }
 
+async fn relay_both(caller: &mut TcpStream, router: &mut TcpStream) -> io::Result<Outcome> {
+    let (from_caller, to_caller) = caller.split();
+    let (from_router, to_router) = router.split();
+    let mut responses = pin!(relay_responses(from_router, to_caller));
+    let ended = tokio::select! {
+        result = responses.as_mut() => return result,
+        ended = relay_requests(from_caller, to_router) => ended?,
+    };
+    match ended {
+        RequestEnd::Caller(outcome) => Ok(outcome),
+        // The other router has answered before it has read the whole request, and its answer is still to be relayed.
+        RequestEnd::Router => responses.await,
+    }
+}
+
+/// Why no more of the caller's requests are relayed.
+enum RequestEnd {
+    /// The caller closed its side.
+    Caller(Outcome),
+    /// The other router reads no more.
+    Router,
+}
+
 /// Relays the caller's requests. A caller that waited in the listen queue may have left: its first bytes are then dropped.
 async fn relay_requests(
     mut caller: ReadHalf<'_>,
     mut router: WriteHalf<'_>,
-) -> io::Result<Outcome> {
+) -> io::Result<RequestEnd> {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut is_first = true;
     loop {
         let mut length = caller.read(&mut buffer).await?;
         if length == 0 {
-            return Ok(if is_first { Outcome::Abandoned } else { Outcome::Closed });
+            let outcome = if is_first { Outcome::Abandoned } else { Outcome::Closed };
+            return Ok(RequestEnd::Caller(outcome));
         }
         if is_first && length < buffer.len() {
             match caller.try_read(&mut buffer[length..]) {
-                Ok(0) => return Ok(Outcome::Abandoned),
+                Ok(0) => return Ok(RequestEnd::Caller(Outcome::Abandoned)),
                 Ok(more) => length += more,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
         }
         is_first = false;
-        router.write_all(&buffer[..length]).await?;
+        if router.write_all(&buffer[..length]).await.is_err() {
+            return Ok(RequestEnd::Router);
+        }
     }
 }
 
--- a/siskin-net/tests/main/relay.rs
+++ b/siskin-net/tests/main/relay.rs
@@ -43,6 +43,7 @@
     (String::from_utf8_lossy(&received).into_owned(), end)
 }
 
+/// Guards against relayed connections that stay open and take file descriptors at the relaying router.
 #[googletest::test]
 #[tokio::test]
 async fn relayed_request_is_answered_and_its_connection_closed() {
@@ -55,6 +56,7 @@
     expect_that!(end, ok(anything()));
 }
 
+/// Guards against callers that are refused because a larger router is gone.
 #[googletest::test]
 #[tokio::test]
 async fn connection_is_served_here_if_the_target_is_gone() {
@@ -87,6 +89,30 @@
     expect_that!(end, err(anything()), "the connection is reset");
 }
 
+/// A target that refuses a request before it has read it closes its side; the refusal must reach the caller.
+#[googletest::test]
+#[tokio::test]
+async fn refusal_during_an_upload_is_relayed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 64];
+        let _ = stream.read(&mut head).await.unwrap();
+        let refusal = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull";
+        stream.write_all(refusal).await.unwrap();
+        stream.shutdown().await.unwrap();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    });
+    let (relay, _relaying) = start_server(Placement::Relay(target)).await;
+    let mut caller = TcpStream::connect(relay).await.unwrap();
+    caller.write_all(b"POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\nabc").await.unwrap();
+    let mut received = [0; 64];
+    let length = timeout(Duration::from_secs(5), caller.read(&mut received)).await.unwrap();
+    let received = String::from_utf8_lossy(&received[..length.unwrap()]).into_owned();
+    expect_that!(received, starts_with("HTTP/1.1 503"));
+}
+
 /// A caller that gave up while its connection waited in the listen queue has its request dropped, or it would run for nobody.
 #[googletest::test]
 #[tokio::test]
--- a/siskin-wire/src/work.rs
+++ b/siskin-wire/src/work.rs
@@ -73,7 +73,7 @@
 pub struct Report {
     /// Whose work the report describes.
     pub scope: Scope,
-    /// Endpoints with news.
+    /// Remaining work of endpoints: those with news first, then others in turn.
     pub works: Vec<Work>,
     /// Mean costs of routes, sent now and then.
     pub means: Vec<Mean>,
