Name the work of endpoints and the sources of closed endpoints in plain terms

Cause: a newcomer's read stumbled on Pace (which also holds a number of requests), Works, Note, rest (of a stream, beside the rest of a time), and on leaving(), which counts drained endpoints too. Change: Occupancy, WorkState, RequestWork, is_resumed and closed_sources.

--- a/siskin-dispatch/src/condition.rs
+++ b/siskin-dispatch/src/condition.rs
@@ -434,7 +434,7 @@
     }
 
     /// Sources by which listed endpoints are leaving or drained, one for each endpoint.
-    pub fn leaving(&self) -> impl Iterator<Item = Source> {
+    pub fn closed_sources(&self) -> impl Iterator<Item = Source> {
         let listed = self.by_endpoint.values().filter(|condition| condition.unlisted.is_none());
         listed.filter_map(Condition::closed_by)
     }
--- a/siskin-dispatch/src/pool.rs
+++ b/siskin-dispatch/src/pool.rs
@@ -74,7 +74,7 @@
     /// Whether the response has begun.
     response_begun: bool,
     /// What this router notes of the request's work.
-    work: work::Note,
+    work: work::RequestWork,
 }
 
 /// How a request at an endpoint ended.
@@ -102,7 +102,7 @@
     mean_time: Duration,
     kept: Vec<load::Kept>,
     /// Costs and numbers of requests, once endpoints say how busy they are.
-    works: work::Works,
+    works: work::WorkState,
 }
 
 impl Default for Pool {
@@ -117,7 +117,7 @@
             }),
             mean_time: endpoint::MEAN_TIME_INITIAL,
             kept: Vec::new(),
-            works: work::Works::default(),
+            works: work::WorkState::default(),
         }
     }
 }
@@ -206,8 +206,8 @@
     }
 
     /// Sources by which listed endpoints are leaving or drained, one for each endpoint.
-    pub fn leaving(&self) -> impl Iterator<Item = Source> {
-        self.conditions.leaving()
+    pub fn closed_sources(&self) -> impl Iterator<Item = Source> {
+        self.conditions.closed_sources()
     }
 
     /// Number of endpoints whose back-off for this router has not ended.
@@ -240,7 +240,7 @@
             tokens: 0,
             backlog_ahead: 0,
             response_begun: false,
-            work: work::Note::default(),
+            work: work::RequestWork::default(),
         };
         self.conditions.sent(now, endpoint);
         let Some(state) = self.endpoints.get_mut(&endpoint) else { return attempt };
--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -203,7 +203,7 @@
             tokens,
             backlog: state.backlog(),
             in_flight: state.total_in_flight(),
-            blocked: blocked.len() + self.leaving().count(),
+            blocked: blocked.len() + self.closed_sources().count(),
             cost: estimate,
             slowness: state.work.slowness(now),
         })
--- a/siskin-dispatch/src/pool/place.rs
+++ b/siskin-dispatch/src/pool/place.rs
@@ -71,13 +71,14 @@
         let cached = state.cache.cached_tokens(&demand.prompt);
         let tokens = tokens - cached;
         let shared = shared.saturating_sub(cached);
-        let pace = state.work.pace(now, state.total_in_flight());
-        let has_free_slot = pace.requests + 1.0 <= f64::from(state.slots);
+        let occupancy = state.work.occupancy(now, state.total_in_flight());
+        let has_free_slot = occupancy.requests + 1.0 <= f64::from(state.slots);
         // The wait is computed only where there is one: most endpoints have a free slot.
         let wait =
             if has_free_slot { 0.0 } else { millis(self.view(now, state).wait(state.slots)) };
         let token_millis = state.prefill_millis(1);
-        let time = tokens_as_f64(state.backlog() + tokens) * token_millis * pace.slowness + wait;
+        let time =
+            tokens_as_f64(state.backlog() + tokens) * token_millis * occupancy.slowness + wait;
         let full = if !has_free_slot || state.is_full(now) { FULL_TOKENS } else { 0 };
         let preference = full + preference_cost(now, shared, id, state, homes);
         let total = time + tokens_as_f64(preference + running_cost(state)) * token_millis;
--- a/siskin-dispatch/src/pool/work.rs
+++ b/siskin-dispatch/src/pool/work.rs
@@ -23,7 +23,7 @@
 
 /// What a pool knows of the cost of requests.
 #[derive(Debug, Default)]
-pub(super) struct Works {
+pub(super) struct WorkState {
     /// Whether an endpoint of the service has said how long work takes on its machine, which it shares with others.
     active: bool,
     costs: Model,
@@ -35,7 +35,7 @@
     free_memory_min: u64,
 }
 
-impl Works {
+impl WorkState {
     #[expect(clippy::cast_precision_loss)]
     fn add_memory(&mut self, tokens: u64) {
         let weight = if self.last_number == 0 { 1.0 } else { MEMORY_WEIGHT };
@@ -45,7 +45,7 @@
 
 /// What a router notes of the work of a request that it has sent.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Note {
+pub(super) struct RequestWork {
     /// Number of the request among those of the pool; 0 if its work is not counted.
     number: u64,
     cost: cost::Request,
@@ -54,7 +54,7 @@
     start: Option<(Instant, f64)>,
     is_stream: bool,
     /// Whether the response is only the rest of a stream, which says little of the cost of a request.
-    is_rest: bool,
+    is_resumed: bool,
     tokens: Option<u32>,
 }
 
@@ -66,20 +66,20 @@
     }
 
     /// Records that the response is the rest of a stream that another endpoint began.
-    pub const fn record_rest_of_stream(&mut self) {
+    pub const fn record_resumed_stream(&mut self) {
         self.work.is_stream = true;
-        self.work.is_rest = true;
+        self.work.is_resumed = true;
     }
 
     /// Time for which the request was expected to occupy a slot and for which it did until `now`; `None` if nothing was expected.
     #[must_use]
     pub fn expected_and_actual(&self, now: Instant) -> Option<(Duration, Duration)> {
-        let expected = self.work.expected.filter(|_| !self.work.is_rest)?;
+        let expected = self.work.expected.filter(|_| !self.work.is_resumed)?;
         Some((expected, self.work.time(now, self.since)))
     }
 }
 
-impl Note {
+impl RequestWork {
     /// Time for which the request has occupied a slot. Only streams show when the prefill was complete.
     fn time(&self, now: Instant, sent: Instant) -> Duration {
         let start = self.start.filter(|_| self.is_stream).map_or(sent, |(at, _)| at);
@@ -158,7 +158,8 @@
         for (_, state) in self.open_endpoints() {
             open += 1;
             full += u32::from(
-                state.work.pace(now, state.total_in_flight()).requests >= f64::from(state.slots),
+                state.work.occupancy(now, state.total_in_flight()).requests
+                    >= f64::from(state.slots),
             );
         }
         open > 0 && full * 2 >= open
@@ -210,7 +211,7 @@
         self.works.last_number += 1;
         let expected = Some(estimate.time).filter(|time| !time.is_zero());
         let number = self.works.last_number;
-        attempt.work = Note { number, cost, expected, ..Note::default() };
+        attempt.work = RequestWork { number, cost, expected, ..RequestWork::default() };
         let (typical, mean_time) = (self.typical(), self.mean_time);
         let Some(state) = self.endpoints.get_mut(&attempt.endpoint) else { return };
         state.work.sent(number, expected.unwrap_or(mean_time), memory);
@@ -244,7 +245,7 @@
         if note.number == 0 {
             return;
         }
-        if end == End::Completed && !note.is_rest {
+        if end == End::Completed && !note.is_resumed {
             let slowness_at_start = note.start.map_or(slowness, |(_, slowness)| slowness);
             let mean_slowness = f64::midpoint(slowness_at_start, slowness);
             let time = note.time(now, attempt.since).div_f64(mean_slowness);
--- a/siskin-dispatch/src/work.rs
+++ b/siskin-dispatch/src/work.rs
@@ -81,7 +81,7 @@
 
 /// How fast an endpoint works, and for how many requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
+pub struct Occupancy {
     /// Time that work takes, relative to the usual one.
     pub slowness: f64,
     /// Requests at the endpoint, running or waiting.
@@ -321,18 +321,20 @@
     /// Time that work takes now, relative to the usual one.
     #[must_use]
     pub fn slowness(&self, now: Instant) -> f64 {
-        self.pace(now, 0).slowness
+        self.occupancy(now, 0).slowness
     }
 
     /// Speed and number of requests by the endpoint's own figures and by the number of requests that routers know of.
     #[must_use]
-    pub fn pace(&self, now: Instant, known: u32) -> Pace {
+    pub fn occupancy(&self, now: Instant, known: u32) -> Occupancy {
         let known = f64::from(known);
-        let Some(figures) = &self.figures else { return Pace { slowness: 1.0, requests: known } };
+        let Some(figures) = &self.figures else {
+            return Occupancy { slowness: 1.0, requests: known };
+        };
         let age = now.as_micros().saturating_sub(figures.at.as_micros());
         #[expect(clippy::cast_precision_loss)]
         let weight = weight_of_micros(age as f64);
-        Pace {
+        Occupancy {
             slowness: 1.0 + (figures.slowness - 1.0) * weight,
             requests: known + (figures.requests().max(0.0) - known) * weight,
         }
@@ -351,7 +353,7 @@
         let (known, slots) = known;
         let running = known.min(slots);
         let rest = self.sums.rest.saturating_sub((now - self.sums.at) * running);
-        let Pace { slowness, requests } = self.pace(now, known);
+        let Occupancy { slowness, requests } = self.occupancy(now, known);
         let known = f64::from(known);
         let typical_rest = typical.rest.mul_f64(requests);
         let expected = if known > 0.0 { rest.mul_f64(requests / known) } else { typical_rest };
--- a/siskin-dispatch/tests/main/drained.rs
+++ b/siskin-dispatch/tests/main/drained.rs
@@ -64,7 +64,7 @@
         let later = NOW + Duration::from_secs(10);
         let blocked = Availability::Blocked(case.want);
         expect_that!(pool.availability(later, Endpoint(1)), eq(blocked), "{}", case.name);
-        expect_that!(pool.leaving().count(), eq(1), "{}", case.name);
+        expect_that!(pool.closed_sources().count(), eq(1), "{}", case.name);
         for subject in 0..20 {
             let chosen = pool.choose_endpoint(later, &demand(subject, 100), &[]).unwrap();
             expect_that!(chosen.endpoint, eq(Endpoint(2)), "{}", case.name);
@@ -84,5 +84,5 @@
     let refusal = pool.choose_endpoint(NOW, &demand(1, 100), &[]).unwrap_err();
     expect_that!(refusal.cause, eq(Cause::NoEndpoint));
     expect_that!(refusal.retry_after, gt(Duration::ZERO));
-    expect_that!(pool.leaving().collect::<Vec<_>>(), eq(&vec![Source::Drain; 2]));
+    expect_that!(pool.closed_sources().collect::<Vec<_>>(), eq(&vec![Source::Drain; 2]));
 }
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -120,8 +120,8 @@
     }
 
     /// Records that the response is the rest of a stream that another endpoint began.
-    pub(crate) fn record_rest_of_stream(&mut self) {
-        self.attempt.record_rest_of_stream();
+    pub(crate) fn record_resumed_stream(&mut self) {
+        self.attempt.record_resumed_stream();
     }
 
     /// Sets the result that is reported to the pool on drop; [`End::Abandoned`] unless set.
--- a/siskin-gateway/src/gateway/conditions.rs
+++ b/siskin-gateway/src/gateway/conditions.rs
@@ -160,7 +160,8 @@
     pub(crate) fn update_condition_metrics(&self) {
         let now = self.clock.now();
         let (leaving, backing_off, cold) = self.with_dispatch(|state| {
-            let leaving: Vec<Source> = state.pools.values().flat_map(Pool::leaving).collect();
+            let leaving: Vec<Source> =
+                state.pools.values().flat_map(Pool::closed_sources).collect();
             let backing_off = state.pools.values().map(|pool| pool.backing_off(now)).sum::<usize>();
             let cold = state.pools.values().map(|pool| pool.cold(now)).sum::<usize>();
             (leaving, backing_off, cold)
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -308,7 +308,7 @@
             after = last.as_deref().unwrap_or(""), sends = self.sends;
             "stream goes on at another endpoint"
         );
-        in_flight.record_rest_of_stream();
+        in_flight.record_resumed_stream();
         Some(Upstream { body, connection, in_flight })
     }
 
