--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and cases of the second review. Usage: `review-2 CASE FOLDER`, at the root of the repository; with `TROUBLE=0` in the
+//! Stand-ins and cases of the second review. Usage: `review-2 CASE RECORD`, at the root of the repository; with `TROUBLE=0` in the
 //! environment the disruption is left out.
 
 mod engine;
@@ -15,12 +15,12 @@
 
 fn main() {
     let arguments: Vec<String> = env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-2 CASE FOLDER");
+    let [_, case, record] = &arguments[..] else {
+        eprintln!("usage: review-2 CASE RECORD");
         exit(2);
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let folder = Path::new(folder);
+    let record = Path::new(record);
     // A run takes less than two minutes; one that does not ends here, with its processes.
     thread::spawn(|| {
         thread::sleep(Duration::from_secs(114));
@@ -29,10 +29,10 @@
         exit(2);
     });
     let code = match case.as_str() {
-        "relay-freeze" => relay::run_freeze(folder, trouble),
-        "relay-stop" => relay::run_stop(folder, trouble),
-        "wrong-bytes" => wrong_bytes::run_once(folder, trouble),
-        "endless-head" => wrong_bytes::run_endless_head(folder, trouble),
+        "relay-freeze" => relay::run_freeze(record, trouble),
+        "relay-stop" => relay::run_stop(record, trouble),
+        "wrong-bytes" => wrong_bytes::run_once(record, trouble),
+        "endless-head" => wrong_bytes::run_endless_head(record, trouble),
         _ => 2,
     };
     exit(code);
--- a/review/standin-2/relay.rs
+++ b/review/standin-2/relay.rs
@@ -41,15 +41,15 @@
 const INTERVAL: Duration = Duration::from_millis(50);
 
 /// The larger router freezes for some seconds.
-pub fn run_freeze(folder: &Path, trouble: bool) -> i32 {
-    let site = Site::new(folder, trouble, TIMEOUT);
+pub fn run_freeze(record: &Path, trouble: bool) -> i32 {
+    let site = Site::new(record, trouble, TIMEOUT);
     let code = start(&site, WORK).map_or(2, |running| play_freeze(&site, running));
     site.finish(code)
 }
 
 /// The small router is stopped. Clients use channels that they opened before.
-pub fn run_stop(folder: &Path, trouble: bool) -> i32 {
-    let site = Site::new(folder, trouble, STOP_TIMEOUT);
+pub fn run_stop(record: &Path, trouble: bool) -> i32 {
+    let site = Site::new(record, trouble, STOP_TIMEOUT);
     let code = start(&site, STOP_WORK).map_or(2, |running| play_stop(&site, running));
     site.finish(code)
 }
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -38,7 +38,7 @@
 
 impl Site {
     /// Writes the configuration: `/app/` may be repeated, `/order/` may not.
-    pub fn new(folder: &Path, trouble: bool, timeout: Duration) -> Self {
+    pub fn new(record: &Path, trouble: bool, timeout: Duration) -> Self {
         let temporary = env::temp_dir().join(format!("siskin-review-{}", process::id()));
         fs::create_dir_all(&temporary).expect("temporary folder");
         let [low, high, ..] = process::id().to_le_bytes();
@@ -55,7 +55,7 @@
             r#"{{"version":3,"routes":[{routes}],"services":[{{"name":"app","health_path":"/healthz","max_connections":500}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":15000}}}}"#
         ));
         Self {
-            record: Arc::new(Record::create(&folder.join("record.txt"))),
+            record: Arc::new(Record::create(record)),
             store,
             timeout,
             trouble,
--- a/review/standin-2/wrong_bytes.rs
+++ b/review/standin-2/wrong_bytes.rs
@@ -57,11 +57,11 @@
 
 /// One answer without a length is followed by additional bytes on its channel: an engine that writes the beginning of a status line
 /// again and again, 1 MB in all, and then closes.
-pub fn run_once(folder: &Path, trouble: bool) -> i32 {
+pub fn run_once(record: &Path, trouble: bool) -> i32 {
     const ADDITIONAL: &str = "HTTP/1.1 200 OK ";
     const ADDITIONAL_BYTES: usize = 1_000_000;
     let state = State::new();
-    let (shared, site) = (Arc::clone(&state), Site::new(folder, trouble, TIMEOUT));
+    let (shared, site) = (Arc::clone(&state), Site::new(record, trouble, TIMEOUT));
     let record = Arc::clone(&site.record);
     let answer: Arc<Trouble> = Arc::new(move |connection: &mut Connection, request: &Message| {
         if request.word(0) != "GET" || !shared.on.swap(false, Ordering::Relaxed) {
@@ -90,12 +90,12 @@
 }
 
 /// An engine in trouble sends bytes that are no answer, without end, in the head: interim responses.
-pub fn run_endless_head(folder: &Path, trouble: bool) -> i32 {
+pub fn run_endless_head(record: &Path, trouble: bool) -> i32 {
     /// Bytes per second of all channels together: the fastest link of a machine on the users' sheets, 2,500 Mbit/s.
     const BYTES_PER_SECOND: i64 = 2_500_000_000 / 8;
     const PIECE: &str = "HTTP/1.1 100 \r\n\r\n";
     let state = State::new();
-    let (shared, site) = (Arc::clone(&state), Site::new(folder, trouble, TIMEOUT));
+    let (shared, site) = (Arc::clone(&state), Site::new(record, trouble, TIMEOUT));
     let record = Arc::clone(&site.record);
     let budget = Arc::new(AtomicI64::new(0));
     let filled = Arc::clone(&budget);
