Search bodies without a length once, from front to back

Cause: contains_response parsed the whole rest of the body as a head at each "HTTP/1." in it. A reason has no limit, so where no line ends each parse reads to the end of the body, and the time grows with the square of the length, in one go on the only thread.

A limit on the length of a head would only have divided the time by a constant.

All status lines in a line end together, and of the heads under way only the last one before an identifier or a signature can be the one to be found, so a state of a few words is enough. It yields to the other tasks after each 16 KiB, within the deadline of the request.

--- a/siskin-gateway/examples/list_cost.rs
+++ b/siskin-gateway/examples/list_cost.rs
@@ -39,6 +39,10 @@
         Answer::default()
     }
 
+    fn marks_response(&self, _name: &[u8]) -> bool {
+        false
+    }
+
     fn remove_router_headers(&self, _headers: &mut HeaderMap) {}
 }
 
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -21,7 +21,7 @@
     siskin_net::upstream::{self, Connection},
     siskin_types::id::Endpoint,
     std::{pin::pin, sync::Arc, time::Duration},
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, error::Elapsed, timeout_at},
 };
 
 /// Time without data from an endpoint after which the gateway probes whether it still accepts connections.
@@ -242,15 +242,20 @@
         return Outcome::TimedOut;
     };
     let collected = memory.read_body(body, RESPONSE_BYTES_MAX);
-    match wait_for_endpoint(gateway, call, in_flight.endpoint(), collected).await {
-        Ok(Ok((bytes, _)))
-            if ends_with_connection && embedded::contains_response(&*gateway.protocol, &bytes) =>
-        {
-            in_flight.set_end(End::Broken);
-            Outcome::Broken(
-                "another response begins inside the body, which has no length".to_owned(),
-            )
+    let collected = wait_for_endpoint(gateway, call, in_flight.endpoint(), collected).await;
+    if let (true, Ok(Ok((bytes, _)))) = (ends_with_connection, &collected) {
+        match find_other_response(gateway, call, bytes).await {
+            Ok(false) => {}
+            Ok(true) => {
+                in_flight.set_end(End::Broken);
+                return Outcome::Broken(
+                    "another response begins inside the body, which has no length".to_owned(),
+                );
+            }
+            Err(Elapsed { .. }) => return Outcome::TimedOut,
         }
+    }
+    match collected {
         Ok(Ok(_)) if connection.may_be_cut_off() => {
             in_flight.set_end(End::Broken);
             Outcome::Broken(
@@ -287,6 +292,23 @@
     }
 }
 
+/// Whether another response begins inside a body without a length.
+///
+/// # Errors
+///
+/// The deadline of the request passed during the search.
+async fn find_other_response(gateway: &Gateway, call: &Call, body: &[u8]) -> Result<bool, Elapsed> {
+    let started = Instant::now();
+    let search = embedded::contains_response(&*gateway.protocol, body);
+    let found = timeout_at(call.deadline.at(), search).await;
+    log::debug!(
+        request:% = call.id, bytes = body.len(), took_ms = super::saturating_millis(started.elapsed()),
+        found:? = found;
+        "body without a length was searched for another response"
+    );
+    found
+}
+
 /// Why no response head arrived.
 pub(crate) enum Error {
     /// Nothing was sent: the endpoint is no longer listed, or the connection failed before.
--- a/siskin-gateway/src/lib.rs
+++ b/siskin-gateway/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod cold;
 pub mod descriptors;
 pub mod directory;
-mod embedded;
+pub mod embedded;
 pub mod events;
 pub mod exchange;
 pub mod gateway;
--- a/siskin-gateway/src/protocol.rs
+++ b/siskin-gateway/src/protocol.rs
@@ -80,6 +80,10 @@
     /// Parses the head of an endpoint's response.
     fn answer<'a>(&self, status: u16, headers: &'a HeaderMap) -> Answer<'a>;
 
+    /// Whether a header of this name, in any case, stands only in heads of endpoints' responses: the identifier of the request or
+    /// the signature.
+    fn marks_response(&self, name: &[u8]) -> bool;
+
     /// Removes the headers that are addressed to this router only from an endpoint's response.
     fn remove_router_headers(&self, headers: &mut HeaderMap);
 }
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -81,6 +81,10 @@
         }
     }
 
+    fn marks_response(&self, name: &[u8]) -> bool {
+        name.eq_ignore_ascii_case(b"id") || name.eq_ignore_ascii_case(b"signed")
+    }
+
     fn remove_router_headers(&self, headers: &mut HeaderMap) {
         headers.remove("leaving");
         headers.remove("backoff-ms");
