Search the first line of a stream's event once, however it is cut

What callers could see: an endpoint that sends a line without end in chunks of one byte each takes all of its router's processor time for the 64 KiB that are let in, so that other callers' answers are late.

Cause: Splitter::is_at_other_response searched the first line of what is pending from its start again with each piece of the stream.

Change: the search goes on where it ended.

--- a/siskin-gateway/src/events.rs
+++ b/siskin-gateway/src/events.rs
@@ -1,6 +1,9 @@
 //! Splits a stream of server-sent events into complete events.
 
-use crate::embedded;
+use {
+    crate::embedded::{self, STATUS_LINE_PREFIX},
+    memchr::memchr2,
+};
 
 /// Longest event in bytes. Longer data is not treated as an event, as its end may never come.
 pub const EVENT_BYTES_MAX: usize = 64 * 1024;
@@ -29,6 +32,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
+    first_line: FirstLine,
     last_id: Option<String>,
     event_count: u64,
 }
@@ -44,6 +48,7 @@
         let searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.pending, searched) else {
+            self.first_line.search(&self.pending);
             return if self.pending.len() > EVENT_BYTES_MAX {
                 Err(Malformed::TooLong)
             } else {
@@ -56,6 +61,8 @@
         }
         let rest = self.pending.split_off(other.unwrap_or(end));
         let complete = std::mem::replace(&mut self.pending, rest);
+        self.first_line = FirstLine::default();
+        self.first_line.search(&self.pending);
         self.record_ids(&complete);
         Ok(complete)
     }
@@ -75,8 +82,7 @@
     /// Whether all events before the head of another response have been returned.
     #[must_use]
     pub fn is_at_other_response(&self) -> bool {
-        let first_line = self.pending.split(|byte| *byte == b'\n').next().unwrap_or_default();
-        embedded::is_status_line(first_line)
+        self.first_line == FirstLine::StatusLine
     }
 
     /// Bytes of an event that is not complete yet.
@@ -88,6 +94,7 @@
     /// Discards an incomplete event after the stream broke inside it.
     pub fn discard_pending(&mut self) {
         self.pending.clear();
+        self.first_line = FirstLine::default();
     }
 
     fn record_ids(&mut self, events: &[u8]) {
@@ -101,6 +108,40 @@
     }
 }
 
+/// Whether the first line of the pending bytes is the status line of another response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FirstLine {
+    /// The name of its field has not ended after this many bytes, and they contain no status line.
+    Open(usize),
+    /// It begins an event.
+    Field,
+    /// It is a status line.
+    StatusLine,
+}
+
+impl Default for FirstLine {
+    fn default() -> Self {
+        Self::Open(0)
+    }
+}
+
+impl FirstLine {
+    /// Searches the bytes that were added to the pending ones. Bytes of earlier searches are not read again, as an endpoint may
+    /// send a line in single bytes.
+    fn search(&mut self, pending: &[u8]) {
+        let Self::Open(searched) = *self else { return };
+        // The beginning of the status line may span the old and the new bytes.
+        let new = &pending[searched.saturating_sub(STATUS_LINE_PREFIX.len() - 1)..];
+        *self = if embedded::is_status_line(new) {
+            Self::StatusLine
+        } else if memchr2(b':', b'\n', new).is_some() {
+            Self::Field
+        } else {
+            Self::Open(pending.len())
+        };
+    }
+}
+
 /// Returns the start of the event in which the head of another response begins.
 fn other_response_start(events: &[u8]) -> Option<usize> {
     let mut event_start = 0;
--- a/siskin-gateway/tests/main/wrong_bytes.rs
+++ b/siskin-gateway/tests/main/wrong_bytes.rs
@@ -6,7 +6,10 @@
         fixture::TestRouter,
     },
     googletest::prelude::*,
-    siskin_gateway::catalog::Kind,
+    siskin_gateway::{
+        catalog::Kind,
+        events::{EVENT_BYTES_MAX, Splitter},
+    },
     std::time::Duration,
     tokio::time::{Instant, sleep_until},
 };
@@ -78,3 +81,46 @@
         router.stop().await;
     }
 }
+
+/// Guards against a line of a stream that is searched from its beginning again with each of its bytes.
+#[googletest::test]
+fn a_line_in_single_bytes_takes_no_time() {
+    let mut splitter = Splitter::default();
+    let started = Instant::now();
+    for _ in 0..EVENT_BYTES_MAX {
+        expect_that!(splitter.push(b"a"), ok(is_empty()));
+        expect_that!(splitter.is_at_other_response(), eq(false));
+    }
+    expect_that!(started.elapsed(), lt(Duration::from_millis(500)));
+}
+
+/// Guards against a status line that is missed because it arrives in pieces.
+#[googletest::test]
+fn status_lines_in_pieces_are_recognised() {
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+        want: bool,
+    }
+    let cases = [
+        Case { name: "at the start", text: "HTTP/1.1 200 OK\r\n", want: true },
+        Case {
+            name: "after the beginning of a field",
+            text: "dataHTTP/1.1 200 OK\r\n",
+            want: true,
+        },
+        Case { name: "in the value of a field", text: "data: HTTP/1.1 200 OK\r\n", want: false },
+        Case { name: "in a later line", text: "data\r\nHTTP/1.1 200 OK\r\n", want: false },
+        Case { name: "after an event", text: "id: 1\n\nHTTP/1.1", want: true },
+    ];
+    for case in cases {
+        for length in 1..=case.text.len() {
+            let mut splitter = Splitter::default();
+            for piece in case.text.as_bytes().chunks(length) {
+                splitter.push(piece).unwrap();
+            }
+            let found = splitter.is_at_other_response();
+            expect_that!(found, eq(case.want), "{} in pieces of {length}", case.name);
+        }
+    }
+}
