--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -46,7 +46,7 @@
     TimedOut,
 }
 
-/// A stream whose response head has arrived.
+/// A response whose head has arrived.
 pub(crate) struct Stream {
     pub(crate) head: Response<()>,
     pub(crate) body: Incoming,
@@ -234,6 +234,13 @@
         remove_hop_by_hop_headers(head.headers_mut());
         return Outcome::StreamStarted(Box::new(Stream { head, body, connection, in_flight }));
     }
+    receive_body(gateway, call, Stream { head, body, connection, in_flight }).await
+}
+
+/// Reads the whole body of a response whose head has arrived.
+async fn receive_body(gateway: &Arc<Gateway>, call: &Call, begun: Stream) -> Outcome {
+    let Stream { mut head, body, connection, mut in_flight } = begun;
+    let status = head.status();
     in_flight.record_response_start();
     let ends_with_connection = upstream::ends_with_connection(head.headers());
     let reserving = gateway.body_memory.reserve_stated_length(&body, RESPONSE_BYTES_MAX);
