Relay no request that a stopping router cannot see through

Cause: a connection was placed when it was accepted, and one that is relayed ran as relay::run until a side closed it, whatever the stop signal said. What serve_connection does at a stop had no counterpart: idle connections stayed open, new requests were passed on, and the other router, which does not stop, knows nothing of the end. Nobody told the callers of requests that the end cut off.

Change: * A connection is placed when its first bytes arrive, so an idle one is never relayed, and is served here from the stop on. * The head is read before the other router is contacted. Until then, and while the connection to it is opened, a stop has the request served here: this router then refuses it if it cannot see it through, and "not run" is true. * Only the first request of a connection with a plain length is relayed; chunks, HTTP/2 and heads in doubt are served here. So the relay knows whether the other router has the whole request. If it has only a part half a second after the end of relaying, the caller gets 503, and the other router never gets the rest; it forwards only what it has read completely. * A request that was passed on is waited for. 200 ms before the end its caller gets 502, the request may have run; a response that has begun is reset, as an orderly close could make it look complete. * Relaying ends at the stop signal, or sooner if no more time is left than the slowest service is expected to need; the rule is that of outlasts_request, for a request whose service the relay does not know.

request_of_a_caller_that_left_is_not_relayed drove relay::run, which no longer reads the first bytes. It plays the same through a server now, and checks besides that nothing is even connected, and that another request is relayed.

--- a/siskin-gateway/src/gateway/load.rs
+++ b/siskin-gateway/src/gateway/load.rs
@@ -33,6 +33,11 @@
     }
 }
 
+/// Time in which a request of a service is expected to be answered, with a reserve.
+fn longest_time(pool: &Pool) -> Duration {
+    pool.mean_time() * STOP_TIME_FACTOR + STOP_TIME_MIN
+}
+
 impl Gateway {
     /// Whether this router is ready for new connections and can serve requests.
     #[must_use]
@@ -120,11 +125,19 @@
     /// when the request's time is over.
     pub(crate) fn outlasts_request(&self, service: &str, left: Duration) -> bool {
         let Some(end) = *lock(&self.stop_end) else { return true };
-        let mean_time = self.with_dispatch(|state| state.pools.get(service).map(Pool::mean_time));
-        let expected = mean_time.unwrap_or_default() * STOP_TIME_FACTOR + STOP_TIME_MIN;
+        let expected = self.with_dispatch(|state| state.pools.get(service).map(longest_time));
+        let expected = expected.unwrap_or(STOP_TIME_MIN);
         end.saturating_duration_since(time::Instant::now()) >= expected.min(left)
     }
 
+    /// Until when a request of any service can be expected to be answered before a stop ends. It is not known of which service a
+    /// relayed request is.
+    pub(super) fn relaying_end(&self, stop_end: time::Instant) -> time::Instant {
+        let expected = self.with_dispatch(|state| state.pools.values().map(longest_time).max());
+        let now = time::Instant::now();
+        stop_end.checked_sub(expected.unwrap_or(STOP_TIME_MIN)).map_or(now, |end| end.max(now))
+    }
+
     /// Whether the process is stopping.
     #[must_use]
     pub fn stopping(&self) -> bool {
--- a/siskin-net/src/relay.rs
+++ b/siskin-net/src/relay.rs
@@ -1,11 +1,22 @@
-//! Relays the bytes of a caller's connection to another router.
+//! Relays the first request of a caller's connection to another router, which closes the connection after its response.
 //!
-//! The bytes are not parsed. An error on one side resets the caller's connection, so that a response without a length does not
-//! look complete.
+//! Nothing but the end of the request is parsed. It is needed at a stop: a request of which the other router has only a part does
+//! not run, and the caller is told so; one that was passed on completely is waited for. An error on one side resets the caller's
+//! connection, so that a response without a length does not look complete.
+
+mod opening;
+mod stop;
 
 use {
+    bytes::BytesMut,
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, pin::pin, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        pin::pin,
+        sync::atomic::{AtomicBool, AtomicU64, Ordering},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -16,6 +27,11 @@
     },
 };
 
+pub use {
+    opening::{Kind, Opening},
+    stop::Stop,
+};
+
 /// Longest time to open the connection to the other router, which is in the same data centre.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -31,20 +47,45 @@
 /// Pause after bytes for the caller, so that events of a stream that follow each other closely are read and written together.
 const GATHER_TIME: Duration = Duration::from_millis(60);
 
+/// Time in which a caller reads a response made here before its connection is closed.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
+/// Response to a request that the other router has not received completely.
+const NOT_RUN_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain; charset=utf-8\r\n\
+    retry-after: 0.050\r\nconnection: close\r\ncontent-length: 48\r\n\r\nthis router stops; the request has not been run\n";
+
+/// Response to a request that the other router has received completely and not begun to answer.
+const UNKNOWN_RESPONSE: &[u8] =
+    b"HTTP/1.1 502 Bad Gateway\r\ncontent-type: text/plain; charset=utf-8\r\n\
+    connection: close\r\ncontent-length: 44\r\n\r\nthis router stops; the request may have run\n";
+
 /// Outcome of a relayed connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// One side closed the connection.
     Closed,
-    /// The caller had closed the connection before anything was relayed.
-    Abandoned,
+    /// This router stops. The request was not passed on completely, and the caller was told that it has not run.
+    NotRun,
+    /// This router ends. The request may have run, and the caller was told so.
+    Unknown,
+}
+
+/// A request whose head was read and not passed on yet.
+#[derive(Debug)]
+pub struct Request {
+    /// The head and what arrived with it.
+    pub bytes: BytesMut,
+    /// Length of the head in bytes.
+    pub head: usize,
+    /// Length of the body in bytes.
+    pub body: u64,
 }
 
 /// Opens a connection to the router at `target`.
 ///
 /// # Errors
 ///
-/// The connection cannot be opened in time. Nothing has been read from the caller then.
+/// The connection cannot be opened in time.
 pub async fn connect(target: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target))
         .await
@@ -53,75 +94,155 @@
     Ok(stream)
 }
 
-/// Relays bytes in both directions until one side closes its connection.
+/// Relays a request and its response until one side closes its connection, or until this router stops.
 ///
 /// # Errors
 ///
-/// One of the connections broke.
-pub async fn run(mut caller: TcpStream, mut router: TcpStream) -> io::Result<Outcome> {
+/// One of the connections broke, or this router ends in the middle of a response.
+pub async fn run(
+    mut caller: TcpStream,
+    mut router: TcpStream,
+    request: Request,
+    stop: Stop,
+) -> io::Result<Outcome> {
     set_socket_options(&caller)?;
-    let result = relay_both(&mut caller, &mut router).await;
-    if result.is_err() {
+    let progress = Progress::new(&request);
+    let result = tokio::select! {
+        result = relay_both(&mut caller, &mut router, &request.bytes, &progress) => result,
+        outcome = progress.wait_for_end(stop) => outcome,
+    };
+    // The other router must not receive the rest of a request of which the caller learns that it has not run.
+    drop(router);
+    match result {
+        Ok(Outcome::NotRun) => respond(&mut caller, NOT_RUN_RESPONSE).await?,
+        Ok(Outcome::Unknown) => respond(&mut caller, UNKNOWN_RESPONSE).await?,
+        Ok(Outcome::Closed) => {}
         // A reset, because a response without a length would look complete after an orderly close.
-        SockRef::from(&caller).set_linger(Some(Duration::ZERO))?;
+        Err(_) => SockRef::from(&caller).set_linger(Some(Duration::ZERO))?,
     }
     result
 }
 
-async fn relay_both(caller: &mut TcpStream, router: &mut TcpStream) -> io::Result<Outcome> {
+/// How much of a request and of its response was relayed.
+#[derive(Debug)]
+struct Progress {
+    /// Bytes of the request that were not passed on yet.
+    request_left: AtomicU64,
+    response_begun: AtomicBool,
+}
+
+impl Progress {
+    fn new(request: &Request) -> Self {
+        let head = u64::try_from(request.head).unwrap_or(u64::MAX);
+        Self {
+            request_left: AtomicU64::new(head.saturating_add(request.body)),
+            response_begun: AtomicBool::new(false),
+        }
+    }
+
+    fn passed_on(&self, bytes: usize) {
+        let left = self.request_left.load(Ordering::Relaxed);
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.request_left.store(left.saturating_sub(bytes), Ordering::Relaxed);
+    }
+
+    /// Whether the other router has received a part of the request, and has not begun to answer.
+    fn is_incomplete(&self) -> bool {
+        self.request_left.load(Ordering::Relaxed) > 0
+            && !self.response_begun.load(Ordering::Relaxed)
+    }
+
+    /// Waits until this router's stop ends the exchange.
+    async fn wait_for_end(&self, mut stop: Stop) -> io::Result<Outcome> {
+        stop.wait_for_request_end().await;
+        if self.is_incomplete() {
+            return Ok(Outcome::NotRun);
+        }
+        stop.wait_for_response_end().await;
+        if self.response_begun.load(Ordering::Relaxed) {
+            Err(io::Error::other("this router ends in the middle of the response"))
+        } else {
+            Ok(Outcome::Unknown)
+        }
+    }
+}
+
+/// Writes a response made here and closes the connection. What the caller still sends is dropped, as a close with unread bytes
+/// would reset the connection before the caller has read the response.
+async fn respond(caller: &mut TcpStream, response: &[u8]) -> io::Result<()> {
+    caller.write_all(response).await?;
+    caller.shutdown().await?;
+    let mut dropped = [0; 1_024];
+    let closed = async { while caller.read(&mut dropped).await.is_ok_and(|length| length > 0) {} };
+    // The caller need not close its side.
+    let _ = timeout(CLOSE_TIME, closed).await;
+    Ok(())
+}
+
+async fn relay_both(
+    caller: &mut TcpStream,
+    router: &mut TcpStream,
+    opening: &[u8],
+    progress: &Progress,
+) -> io::Result<Outcome> {
     let (from_caller, to_caller) = caller.split();
     let (from_router, to_router) = router.split();
-    let mut responses = pin!(relay_responses(from_router, to_caller));
+    let mut responses = pin!(relay_responses(from_router, to_caller, progress));
     let ended = tokio::select! {
         result = responses.as_mut() => return result,
-        ended = relay_requests(from_caller, to_router) => ended?,
+        ended = relay_requests(from_caller, to_router, opening, progress) => ended?,
     };
     match ended {
-        RequestEnd::Caller(outcome) => Ok(outcome),
+        RequestEnd::Caller => Ok(Outcome::Closed),
         // The other router has answered before it has read the whole request, and its answer is still to be relayed.
         RequestEnd::Router => responses.await,
     }
 }
 
-/// Why no more of the caller's requests are relayed.
+/// Why no more of the caller's bytes are relayed.
 enum RequestEnd {
     /// The caller closed its side.
-    Caller(Outcome),
+    Caller,
     /// The other router reads no more.
     Router,
 }
 
-/// Relays the caller's requests. A caller that waited in the listen queue may have left: its first bytes are then dropped.
 async fn relay_requests(
     mut caller: ReadHalf<'_>,
     mut router: WriteHalf<'_>,
+    opening: &[u8],
+    progress: &Progress,
 ) -> io::Result<RequestEnd> {
+    if pass_on(&mut router, opening, progress).await.is_err() {
+        return Ok(RequestEnd::Router);
+    }
     let mut buffer = vec![0; BUFFER_BYTES];
-    let mut is_first = true;
     loop {
-        let mut length = caller.read(&mut buffer).await?;
+        let length = caller.read(&mut buffer).await?;
         if length == 0 {
-            let outcome = if is_first { Outcome::Abandoned } else { Outcome::Closed };
-            return Ok(RequestEnd::Caller(outcome));
+            return Ok(RequestEnd::Caller);
         }
-        if is_first && length < buffer.len() {
-            match caller.try_read(&mut buffer[length..]) {
-                Ok(0) => return Ok(RequestEnd::Caller(Outcome::Abandoned)),
-                Ok(more) => length += more,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err(error),
-            }
-        }
-        is_first = false;
-        if router.write_all(&buffer[..length]).await.is_err() {
+        if pass_on(&mut router, &buffer[..length], progress).await.is_err() {
             return Ok(RequestEnd::Router);
         }
     }
 }
 
+/// Writes bytes of the caller to the other router, and counts them as they are written: the write may be given up half-way.
+async fn pass_on(router: &mut WriteHalf<'_>, bytes: &[u8], progress: &Progress) -> io::Result<()> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let length = router.write(rest).await?;
+        progress.passed_on(length);
+        rest = &rest[length..];
+    }
+    Ok(())
+}
+
 async fn relay_responses(
     mut router: ReadHalf<'_>,
     mut caller: WriteHalf<'_>,
+    progress: &Progress,
 ) -> io::Result<Outcome> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -129,6 +250,7 @@
         if length == 0 {
             return Ok(Outcome::Closed);
         }
+        progress.response_begun.store(true, Ordering::Relaxed);
         caller.write_all(&buffer[..length]).await?;
         if length < buffer.len() {
             sleep(GATHER_TIME).await;
--- a/siskin-net/src/server.rs
+++ b/siskin-net/src/server.rs
@@ -1,7 +1,8 @@
 //! HTTP server with graceful shutdown.
 
 use {
-    crate::relay,
+    crate::relay::{self, Opening, Stop},
+    bytes::Bytes,
     hyper::{
         Request, Response, Version,
         body::{Body, Incoming},
@@ -15,7 +16,8 @@
     socket2::SockRef,
     std::{
         convert::Infallible,
-        error, io,
+        error,
+        io::{self, Cursor},
         net::SocketAddr,
         pin::{Pin, pin},
         sync::{
@@ -25,6 +27,7 @@
         time::Duration,
     },
     tokio::{
+        io::{AsyncRead, AsyncReadExt, AsyncWrite},
         net::{TcpListener, TcpStream},
         sync::{mpsc, watch},
         time,
@@ -47,7 +50,10 @@
 const ACCEPT_GRACE: Duration = Duration::from_millis(20);
 
 /// Time after the stop signal during which an idle connection may still deliver a request that is already on its way.
-const REQUEST_GRACE: Duration = Duration::from_millis(500);
+pub(crate) const REQUEST_GRACE: Duration = Duration::from_millis(500);
+
+/// Part of the time for requests in flight that is left for the answers to those which this router cannot see through.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -60,7 +66,7 @@
     pub user_timeout: Option<Duration>,
 }
 
-/// What happens with a new connection.
+/// What happens with a connection when its first bytes arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
     /// It is served here.
@@ -68,10 +74,20 @@
     /// Its first request is served here, and it is closed after the response: another router relays it, and a connection that
     /// stays open takes file descriptors there.
     Once,
-    /// It is relayed to the router at this address, and served here if that cannot be reached.
+    /// Its first request is relayed to the router at this address. It is served here if that cannot be reached, if the end of the
+    /// request cannot be told from its head, or if this router stops before anything was passed on.
     Relay(SocketAddr),
 }
 
+/// Where connections are served.
+#[derive(Clone, Debug)]
+pub struct Placing<P> {
+    /// Decides on each connection by the address that it comes from.
+    pub place: P,
+    /// Whether this router stops, so that no further request is relayed.
+    pub relaying_ended: watch::Receiver<bool>,
+}
+
 /// Serves connections with `handle` until `stop` becomes true, then waits at most `finish` for requests in flight.
 /// `limits` is called for each new connection, and `open` counts the open connections.
 ///
@@ -89,50 +105,48 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
 {
-    run_with_placement(listener, limits, handle, stop, finish, open, |_| Placement::Here).await
+    let placing = Placing { place: |_| Placement::Here, relaying_ended: stop.clone() };
+    run_with_placement(listener, limits, handle, stop, finish, open, placing).await
 }
 
-/// Serves connections like [`run`], or relays them: `place` decides on each new connection by the address that it comes from.
+/// Serves connections like [`run`], or relays them.
 ///
 /// The shutdown drops no request: connections in the listen queue are accepted, and every connection may deliver the
-/// request that is on its way. Responses ask for the connection to be closed meanwhile.
+/// request that is on its way. Responses ask for the connection to be closed meanwhile. Connections of which nothing was relayed
+/// are served here from the end of relaying on.
 ///
 /// Returns whether all connections ended in time.
-pub async fn run_with_placement<H, F, B>(
+pub async fn run_with_placement<H, F, B, P>(
     listener: TcpListener,
     limits: impl Fn() -> Limits,
     handle: H,
     mut stop: watch::Receiver<bool>,
     finish: Duration,
     open: &Open,
-    place: impl Fn(SocketAddr) -> Placement,
+    placing: Placing<P>,
 ) -> bool
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
+    P: Fn(SocketAddr) -> Placement + Clone + Send + 'static,
 {
     // Each connection holds a sender, so the channel closes when the last one has ended.
     let (connection_guard, mut all_ended) = mpsc::channel::<Infallible>(1);
+    let (end, ending) = watch::channel(false);
     let stopping = stop.clone();
     let serve = |(stream, from): (TcpStream, SocketAddr)| {
-        let placement = place(from);
-        let (limits, handle, stopping) = (limits(), handle.clone(), stopping.clone());
-        let (open, connection_guard) = (open.clone(), connection_guard.clone());
+        let connection = Connection {
+            limits: limits(),
+            handle: handle.clone(),
+            stop: stopping.clone(),
+            relay_stop: Stop::new(placing.relaying_ended.clone(), ending.clone()),
+            open: open.clone(),
+        };
+        let (place, connection_guard) = (placing.place.clone(), connection_guard.clone());
         tokio::spawn(async move {
-            let _held = (Counted::new(&open), connection_guard);
-            if let Placement::Relay(target) = placement {
-                // The connection to the other router takes a file descriptor too.
-                let _second = Counted::new(&open);
-                match relay::connect(target).await {
-                    Ok(router) => return log_relayed(target, relay::run(stream, router).await),
-                    Err(error) => {
-                        log::info!(router:% = target; "connection cannot be relayed and is served here: {error}");
-                    }
-                }
-            }
-            let keep_alive = placement != Placement::Once;
-            serve_connection(stream, limits, handle, stopping, keep_alive).await;
+            let _held = (Counted::new(&connection.open), connection_guard);
+            connection.run(stream, move || place(from)).await;
         });
     };
     let mut stopped = pin!(wait_for_stop(&mut stop));
@@ -144,16 +158,141 @@
         serve(stream);
     }
     drop((listener, connection_guard));
-    let finished = time::timeout(finish, all_ended.recv()).await.is_ok();
+    let regular_time = finish.saturating_sub(LAST_ANSWERS_TIME);
+    let finished = time::timeout(regular_time, all_ended.recv()).await.is_ok();
     if !finished {
         log::warn!("requests were still in flight when the stop timeout ended");
+        end.send_replace(true);
+        // Served requests may last longer than relayed ones; both were reported.
+        let _ = time::timeout(finish.saturating_sub(regular_time), all_ended.recv()).await;
     }
     finished
 }
 
+/// What a connection needs while it is served or relayed.
+struct Connection<H> {
+    limits: Limits,
+    handle: H,
+    stop: watch::Receiver<bool>,
+    relay_stop: Stop,
+    open: Open,
+}
+
+impl<H, F, B> Connection<H>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
+{
+    /// Serves or relays a connection, as `place` decides when its first bytes arrive.
+    async fn run(mut self, stream: TcpStream, place: impl FnOnce() -> Placement) {
+        set_socket_options(&stream, &self.limits);
+        match self.wait_for_bytes(&stream).await {
+            Wait::Bytes => match place() {
+                Placement::Here => self.serve(stream, true).await,
+                Placement::Once => self.serve(stream, false).await,
+                Placement::Relay(target) => self.relay(stream, target).await,
+            },
+            Wait::Stopping => self.serve(stream, true).await,
+            Wait::Idle => log::debug!("client's connection was idle for too long"),
+        }
+    }
+
+    async fn wait_for_bytes(&mut self, stream: &TcpStream) -> Wait {
+        tokio::select! {
+            biased;
+            () = self.relay_stop.wait_for_relaying_end() => Wait::Stopping,
+            readable = time::timeout(self.limits.head_timeout, stream.readable()) => match readable {
+                // An error is reported again by the first read.
+                Ok(_) => Wait::Bytes,
+                Err(_) => Wait::Idle,
+            },
+        }
+    }
+
+    async fn serve<S>(self, stream: S, keep_alive: bool)
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        serve_connection(stream, self.limits, self.handle, self.stop, keep_alive).await;
+    }
+
+    /// Relays the first request, or serves the connection here if nothing can be passed on.
+    async fn relay(mut self, mut stream: TcpStream, target: SocketAddr) {
+        let mut opening = Opening::default();
+        let Some(begun) = self.begin_relaying(&mut stream, &mut opening, target).await else {
+            return;
+        };
+        let bytes = opening.into_bytes();
+        let Begun::Relaying { router, head, body } = begun else {
+            return self.serve(unread(stream, bytes.freeze()), true).await;
+        };
+        // The connection to the other router takes a file descriptor too.
+        let _second = Counted::new(&self.open);
+        let request = relay::Request { bytes, head, body };
+        log_relayed(target, relay::run(stream, router, request, self.relay_stop).await);
+    }
+
+    /// Reads the head of the first request and connects to the other router. `None` if the caller's connection has ended.
+    async fn begin_relaying(
+        &mut self,
+        stream: &mut TcpStream,
+        opening: &mut Opening,
+        target: SocketAddr,
+    ) -> Option<Begun> {
+        let begun = async {
+            let head_bytes = usize::try_from(self.limits.head_bytes).unwrap_or(usize::MAX);
+            let reading = opening.read(stream, head_bytes);
+            let (head, body) = match time::timeout(self.limits.head_timeout, reading).await {
+                Ok(Ok(relay::Kind::Request { head, body })) => (head, body),
+                Ok(Ok(relay::Kind::Other)) => return Some(Begun::Here),
+                Ok(Ok(relay::Kind::Closed) | Err(_)) | Err(_) => return None,
+            };
+            match relay::connect(target).await {
+                Ok(router) => Some(Begun::Relaying { router, head, body }),
+                Err(error) => {
+                    log::info!(router:% = target; "connection cannot be relayed and is served here: {error}");
+                    Some(Begun::Here)
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            () = self.relay_stop.wait_for_relaying_end() => Some(Begun::Here),
+            begun = begun => begun,
+        }
+    }
+}
+
+/// What ended the wait for the first bytes of a connection.
+enum Wait {
+    Bytes,
+    /// This router stops.
+    Stopping,
+    /// The idle timeout.
+    Idle,
+}
+
+/// How a connection goes on whose request was to be relayed.
+enum Begun {
+    /// Its request is relayed on a connection to the other router.
+    Relaying { router: TcpStream, head: usize, body: u64 },
+    /// It is served here.
+    Here,
+}
+
+/// A connection whose first bytes, already read, are read again.
+fn unread(stream: TcpStream, bytes: Bytes) -> impl AsyncRead + AsyncWrite + Send + Unpin + 'static {
+    let (reader, writer) = stream.into_split();
+    tokio::io::join(Cursor::new(bytes).chain(reader), writer)
+}
+
 fn log_relayed(target: SocketAddr, result: io::Result<relay::Outcome>) {
     match result {
-        Ok(outcome) => log::debug!(router:% = target; "relayed connection ended: {outcome:?}"),
+        Ok(relay::Outcome::Closed) => log::debug!(router:% = target; "relayed connection ended"),
+        Ok(outcome @ (relay::Outcome::NotRun | relay::Outcome::Unknown)) => {
+            log::warn!(router:% = target, outcome:? = outcome; "relayed request was ended by the stop");
+        }
         Err(error) => log::debug!(router:% = target; "relayed connection broke: {error}"),
     }
 }
@@ -179,18 +318,18 @@
 }
 
 /// Serves one connection until it ends or, after a stop, until its last request has been answered.
-async fn serve_connection<H, F, B>(
-    stream: TcpStream,
+async fn serve_connection<S, H, F, B>(
+    stream: S,
     limits: Limits,
     handle: H,
     mut stop: watch::Receiver<bool>,
     keep_alive: bool,
 ) where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
 {
-    set_socket_options(&stream, &limits);
     let stopping = stop.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let version = request.version();
@@ -277,7 +416,7 @@
     }
 }
 
-async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
+pub(crate) async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     // A closed channel means that the process is ending.
     let _ = stop.wait_for(|stop| *stop).await;
 }
--- a/siskin-net/tests/main/main.rs
+++ b/siskin-net/tests/main/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the network code shared by the programs.
 
 mod relay;
+mod relay_stop;
 mod stop;
--- a/siskin-net/tests/main/relay.rs
+++ b/siskin-net/tests/main/relay.rs
@@ -4,7 +4,7 @@
 use {
     super::stop::{LIMITS, REQUEST, echo},
     googletest::prelude::*,
-    siskin_net::server::{self, Open, Placement},
+    siskin_net::server::{self, Open, Placement, Placing},
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -18,13 +18,18 @@
 async fn start_server(placement: Placement) -> (SocketAddr, watch::Sender<bool>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
+    (address, serve(listener, placement))
+}
+
+/// Serves a listener. It runs as long as the returned sender lives.
+fn serve(listener: TcpListener, placement: Placement) -> watch::Sender<bool> {
     let (stop, stopped) = watch::channel(false);
     tokio::spawn(async move {
         let (open, finish) = (Open::default(), Duration::from_secs(3));
-        let place = move |_| placement;
-        server::run_with_placement(listener, || LIMITS, echo, stopped, finish, &open, place).await
+        let placing = Placing { place: move |_| placement, relaying_ended: stopped.clone() };
+        server::run_with_placement(listener, || LIMITS, echo, stopped, finish, &open, placing).await
     });
-    (address, stop)
+    stop
 }
 
 /// Sends a request and reads until the connection ends.
@@ -117,19 +122,57 @@
 #[googletest::test]
 #[tokio::test]
 async fn request_of_a_caller_that_left_is_not_relayed() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let target = listener.local_addr().unwrap();
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let front = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let mut caller = TcpStream::connect(front.local_addr().unwrap()).await.unwrap();
+    let front_address = front.local_addr().unwrap();
+    let mut caller = TcpStream::connect(front_address).await.unwrap();
     caller.write_all(REQUEST).await.unwrap();
     drop(caller);
     tokio::time::sleep(Duration::from_millis(50)).await;
-    let (accepted, _) = front.accept().await.unwrap();
-    let router = siskin_net::relay::connect(target).await.unwrap();
-    let outcome = siskin_net::relay::run(accepted, router).await;
-    expect_that!(outcome, ok(eq(&siskin_net::relay::Outcome::Abandoned)));
-    let (mut received, _) = listener.accept().await.unwrap();
-    let mut bytes = Vec::new();
-    received.read_to_end(&mut bytes).await.unwrap();
-    expect_that!(bytes, is_empty());
+    let placement = Placement::Relay(target.local_addr().unwrap());
+    let _running = serve(front, placement);
+    let relayed = timeout(Duration::from_millis(500), target.accept()).await;
+    expect_that!(relayed.is_err(), eq(true), "nothing is relayed");
+    // The relay still works.
+    let request = tokio::spawn(send_request(front_address));
+    let relayed = timeout(Duration::from_secs(5), target.accept()).await;
+    expect_that!(relayed.is_ok(), eq(true), "another request is relayed");
+    drop((relayed, target));
+    let _ = request.await.unwrap();
+}
+
+/// Requests whose end cannot be told from their head are served here: at a stop it would not be known whether they were passed on.
+#[googletest::test]
+#[tokio::test]
+async fn requests_without_a_plain_length_are_served_here() {
+    struct Case {
+        name: &'static str,
+        request: &'static str,
+        want: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "chunks",
+            request: "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            want: "HTTP/1.1 200",
+        },
+        Case {
+            name: "two lengths",
+            request: "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+            want: "HTTP/1.1 400",
+        },
+        Case { name: "no request", request: "hello\r\n\r\n", want: "HTTP/1.1 400" },
+    ];
+    for case in cases {
+        let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (relay, _running) = start_server(Placement::Relay(target.local_addr().unwrap())).await;
+        let mut caller = TcpStream::connect(relay).await.unwrap();
+        caller.write_all(case.request.as_bytes()).await.unwrap();
+        let mut received = [0; 64];
+        let length = timeout(Duration::from_secs(5), caller.read(&mut received)).await.unwrap();
+        let received = String::from_utf8_lossy(&received[..length.unwrap()]).into_owned();
+        expect_that!(received, starts_with(case.want), "{}", case.name);
+        let relayed = timeout(Duration::from_millis(50), target.accept()).await;
+        expect_that!(relayed.is_err(), eq(true), "{}: not relayed", case.name);
+    }
 }
