Bound the interim responses before a response

Cause: each interim response is a head that is complete, so the limit of 64 KiB on a head holds for each of them alone. The task of the connection goes on as long as there are bytes to read, on the only thread, and so delays also the deadline that would end it.

Evidence: the new case "interim responses without end at full speed" of memory_time_and_connections_are_bounded fails on: 50 of 64 connections still read after 4 s. The case that was there pauses for 2 ms between the responses, so it could not show this.

Change: the stream that counts what is written to an endpoint also counts what interim responses take before each final one, and fails beyond 64 KiB in all. It looks at no more than the status line of a final response.

--- a/siskin-gateway/tests/main/hostile_answers.rs
+++ b/siskin-gateway/tests/main/hostile_answers.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        endpoint::{header_value, read_head},
+        endpoint::{Endpoint, Step, header_value, read_head},
         fixture::{Reply, TestRouter, gateway_with_memory},
     },
     googletest::prelude::*,
@@ -116,7 +116,7 @@
 const IDEMPOTENT: Kind = Kind::Idempotent;
 const STREAM: Kind = Kind::Stream { resumable: false };
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 15] = [
     Case {
         name: "status line without end",
         kind: IDEMPOTENT,
@@ -157,6 +157,14 @@
         pause: Duration::from_millis(2),
         want: Want::Unknown,
     },
+    Case {
+        name: "interim responses without end at full speed",
+        kind: IDEMPOTENT,
+        begin: "",
+        repeated: "HTTP/1.1 100 \r\n\r\n",
+        pause: FULL_SPEED,
+        want: Want::Unknown,
+    },
     Case {
         name: "body without length",
         kind: IDEMPOTENT,
@@ -377,3 +385,21 @@
         expect_that!(own || next.status == 502, eq(true), "{}: {next:?}", case.name);
     }
 }
+
+/// Guards against sound responses that are cut off because interim ones precede them, on a connection that is used again.
+#[googletest::test]
+#[tokio::test]
+async fn interim_responses_precede_a_response() {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\n";
+    const FINAL: &str =
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: s\r\ncontent-length: 90000\r\n\r\n";
+    // The body is longer than all interim responses may be.
+    let response =
+        format!("{}{FINAL}{}", INTERIM.repeat(9), "HTTP/1.1 100 \r\n\r\n ".repeat(5_000));
+    let endpoint = Endpoint::start(&[Step::Respond(response.leak())]).await;
+    let router = TestRouter::start(IDEMPOTENT, &[endpoint.address]).await;
+    for id in ["one", "two", "three"] {
+        let reply = router.send_request(id, "").await;
+        expect_that!((reply.status, reply.body.len()), eq((200, 90_000)), "{id}");
+    }
+}
--- a/siskin-net/src/upstream/mod.rs
+++ b/siskin-net/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 //! whose response was abandoned is closed, so a late response can never reach another caller.
 
 mod connect;
+mod interim;
 mod pool;
 mod written;
 
@@ -139,6 +140,7 @@
         let address = self.address;
         let body_length = request.body().size_hint().lower();
         self.request_end = self.written.bytes() + body_length + 1;
+        self.written.await_response();
         let response = self.sender.try_send_request(request).await;
         if let Ok(response) = &response {
             self.is_close_delimited =
--- a/siskin-net/src/upstream/written.rs
+++ b/siskin-net/src/upstream/written.rs
@@ -1,6 +1,7 @@
 //! How much of a request has been written to a connection, and whether the connection has failed.
 
 use {
+    super::interim,
     std::{
         io,
         io::IoSlice,
@@ -22,9 +23,16 @@
     flushed: AtomicU64,
     /// Whether a read or a write has failed.
     failed: AtomicBool,
+    /// Whether the next bytes that are read begin a response.
+    awaits_response: AtomicBool,
 }
 
 impl Written {
+    /// Records that a request is about to be sent, so that the next bytes that are read begin a response.
+    pub(super) fn await_response(&self) {
+        self.awaits_response.store(true, Ordering::Release);
+    }
+
     /// Number of bytes written.
     pub(super) fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Acquire)
@@ -52,11 +60,20 @@
 pub(super) struct Recorded<S> {
     inner: S,
     written: Arc<Written>,
+    interim: interim::Meter,
 }
 
 impl<S> Recorded<S> {
-    pub(super) const fn new(inner: S, written: Arc<Written>) -> Self {
-        Self { inner, written }
+    pub(super) fn new(inner: S, written: Arc<Written>) -> Self {
+        Self { inner, written, interim: interim::Meter::default() }
+    }
+
+    /// Counts the interim responses among the bytes that were read.
+    fn count_interim(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.written.awaits_response.swap(false, Ordering::AcqRel) {
+            self.interim = interim::Meter::default();
+        }
+        self.interim.add(bytes).map_err(io::Error::other)
     }
 }
 
@@ -66,7 +83,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
         let read = ready!(Pin::new(&mut self.inner).poll_read(context, buffer));
+        let read = read.and_then(|()| self.count_interim(&buffer.filled()[before..]));
         if read.is_err() {
             self.written.failed.store(true, Ordering::Release);
         }
