--- a/siskin-net/src/upstream/interim.rs
+++ b/siskin-net/src/upstream/interim.rs
@@ -59,14 +59,13 @@
     fn after(self, byte: u8) -> Self {
         match (self, byte) {
             // Empty lines may precede a status line.
-            (Self::StatusLine(0), b'\r' | b'\n') => Self::StatusLine(0),
+            (Self::StatusLine(0), b'\r' | b'\n')
+            | (Self::Interim { at_line_start: true }, b'\n') => Self::StatusLine(0),
             (Self::StatusLine(STATUS_AT), b'1') => Self::Interim { at_line_start: false },
-            (Self::StatusLine(STATUS_AT), _) | (Self::Final, _) => Self::Final,
+            (Self::StatusLine(STATUS_AT) | Self::Final, _) => Self::Final,
             (Self::StatusLine(length), _) => Self::StatusLine(length + 1),
-            (Self::Interim { at_line_start: true }, b'\n') => Self::StatusLine(0),
-            (Self::Interim { .. }, b'\n') => Self::Interim { at_line_start: true },
             (Self::Interim { at_line_start }, b'\r') => Self::Interim { at_line_start },
-            (Self::Interim { .. }, _) => Self::Interim { at_line_start: false },
+            (Self::Interim { .. }, _) => Self::Interim { at_line_start: byte == b'\n' },
         }
     }
 }
