Log when no timer ran for a while, with the processor time used

The line "no timer ran for a while" tells a task that did not let the others run (cpu_ms about over_ms) from a process that got no processor (cpu_ms much less); the last "request sent" before it, and the "attempt broke" after it, name the request. The processor time is read once a second, as each reading is a system call.

--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod conditions;
 mod crashes;
+mod delay;
 mod known;
 mod load;
 mod offload;
--- a/siskin-gateway/src/gateway/load.rs
+++ b/siskin-gateway/src/gateway/load.rs
@@ -1,7 +1,7 @@
 //! Load limits of a gateway: processor time, file descriptors, and readiness for new connections.
 
 use {
-    super::{Dispatch, Gateway},
+    super::{Dispatch, Gateway, delay::Delays},
     crate::{descriptors, exchange, overload},
     siskin_dispatch::{pool::Pool, reading::Freshness},
     siskin_net::{clock::boot_time, lock},
@@ -94,6 +94,7 @@
     pub(super) async fn monitor_overload(self: Arc<Self>) {
         let mut before = overload::State::Calm;
         let mut last_boot_time = boot_time();
+        let mut delays = Delays::start();
         loop {
             let begin = time::Instant::now();
             let due = begin + overload::INTERVAL;
@@ -109,6 +110,7 @@
                 self.resumed.notify_waiters();
             }
             self.sample_utilisation();
+            delays.record(due.elapsed());
             let (state, mean) = self.record_timer_lateness(due.elapsed());
             if state != before {
                 log::warn!(
--- a/siskin-gateway/tests/main/hostile_answers.rs
+++ b/siskin-gateway/tests/main/hostile_answers.rs
@@ -391,8 +391,7 @@
 #[tokio::test]
 async fn interim_responses_precede_a_response() {
     const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\n";
-    const FINAL: &str =
-        "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: s\r\ncontent-length: 90000\r\n\r\n";
+    const FINAL: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: s\r\ncontent-length: 90000\r\n\r\n";
     // The body is longer than all interim responses may be.
     let response =
         format!("{}{FINAL}{}", INTERIM.repeat(9), "HTTP/1.1 100 \r\n\r\n ".repeat(5_000));
--- a/siskin-net/src/clock.rs
+++ b/siskin-net/src/clock.rs
@@ -38,6 +38,20 @@
     }
 }
 
+/// Processor time that the calling thread has used.
+///
+/// ```
+/// use siskin_net::clock::thread_cpu_time;
+/// let before = thread_cpu_time();
+/// assert!(thread_cpu_time() >= before);
+/// ```
+#[must_use]
+pub fn thread_cpu_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    // The time counts from the start of the thread, so it is never negative.
+    Duration::try_from(time).unwrap_or_default()
+}
+
 /// Deadline of a request, by both the monotonic clock and the boot-time clock.
 ///
 /// The monotonic clock stops while the VM is suspended, but the caller's clock does not. The deadline has passed as soon
