Name the request in the log of the router that relays it

docs/OPERATIONS.md said that the router which relays a request logs nothing of it, so a request that it ends itself could not be found by its id. The gateway reads the head of a relayed request for its time already and now hands its id over as well; each line on a relayed connection has it. Nothing else changes: the tests on relaying and on stops pass.

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -30,7 +30,7 @@
     tokio::time::Instant,
 };
 
-pub use accept::time_allowed;
+pub use accept::relay_terms;
 pub(crate) use attempt::{
     Guard, Stream, connect_to_endpoint, mark_unreachable, send_and_await_head, wait_for_endpoint,
 };
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -23,6 +23,7 @@
     siskin_net::{
         body_memory::{self, Reservation},
         clock::{Deadline, boot_time},
+        relay::Terms,
     },
     siskin_outcome::features::Features,
     siskin_types::id::Customer,
@@ -126,16 +127,16 @@
     })
 }
 
-/// Time in which a request of which only the head is known has to be answered. `None` if it would be rejected, or if this router
-/// stops and cannot see it through.
-pub fn time_allowed(gateway: &Gateway, request: &Request<()>) -> Option<Duration> {
+/// The terms on which a request is relayed to another router, by its head. `None` if it would be rejected, or if this router stops
+/// and cannot see it through.
+pub fn relay_terms(gateway: &Gateway, request: &Request<()>) -> Option<Terms> {
     let (parts, ()) = request.clone().into_parts();
     let head = gateway.protocol.read(&parts).ok()?;
     let catalog = gateway.catalog()?;
     let route = catalog.route(host(&parts), parts.uri.path())?;
     let allowed = time_for(&head, route);
     let service = route.target(u64::from(hash_to_u32(&head.id)))?;
-    gateway.outlasts_request(service, allowed).then_some(allowed)
+    gateway.outlasts_request(service, allowed).then_some(Terms { id: head.id, allowed })
 }
 
 fn time_for(head: &Head, route: &Route) -> Duration {
--- a/siskin-gateway/src/gateway/serve.rs
+++ b/siskin-gateway/src/gateway/serve.rs
@@ -58,10 +58,9 @@
         let callers = tokio::spawn(async move {
             let handle = move |request| respond_to_caller(Arc::clone(&served), request);
             let placing = Arc::clone(&limits);
-            let timing = Arc::clone(&limits);
+            let relaying = Arc::clone(&limits);
             let place = move |from| placing.place_connection(from);
-            let time_allowed =
-                move |request: &Request<()>| exchange::time_allowed(&timing, request);
+            let terms = move |request: &Request<()>| exchange::relay_terms(&relaying, request);
             server::run_with_placement(
                 listener,
                 move || limits.limits(),
@@ -69,7 +68,7 @@
                 callers_stop,
                 drain_timeout,
                 &open,
-                Placing { place, time_allowed },
+                Placing { place, terms },
             )
             .await
         });
--- a/siskin-net/examples/relay_cost.rs
+++ b/siskin-net/examples/relay_cost.rs
@@ -5,7 +5,10 @@
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming},
     rustix::time::{ClockId, clock_gettime},
-    siskin_net::server::{self, Limits, Open, Placement, Placing},
+    siskin_net::{
+        relay::Terms,
+        server::{self, Limits, Open, Placement, Placing},
+    },
     std::{
         error::Error,
         io::{Read, Write},
@@ -60,7 +63,7 @@
             let Ok(listener) = TcpListener::from_std(listener) else { return };
             let placing = Placing {
                 place: move |_| placement,
-                time_allowed: |_: &Request<()>| Some(TIME_ALLOWED),
+                terms: |_: &Request<()>| Some(Terms { id: String::new(), allowed: TIME_ALLOWED }),
             };
             let (open, finish) = (Open::default(), Duration::from_secs(1));
             server::run_with_placement(
--- a/siskin-net/src/relay.rs
+++ b/siskin-net/src/relay.rs
@@ -67,6 +67,15 @@
     TimedOut,
 }
 
+/// What has to be known of a request to relay it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Identifier of the request, for the log.
+    pub id: String,
+    /// Time in which it has to be answered.
+    pub allowed: Duration,
+}
+
 /// A request whose head was read and not passed on yet.
 #[derive(Debug)]
 pub struct Request {
--- a/siskin-net/src/server.rs
+++ b/siskin-net/src/server.rs
@@ -1,7 +1,7 @@
 //! HTTP server with graceful shutdown.
 
 use {
-    crate::relay::{self, Opening, Stop},
+    crate::relay::{self, Opening, Stop, Terms},
     bytes::Bytes,
     hyper::{
         Request, Response, Version,
@@ -84,8 +84,8 @@
 pub struct Placing<P, T> {
     /// Decides on each connection by the address that it comes from.
     pub place: P,
-    /// The time in which a request has to be answered; `None` if it is not to be relayed.
-    pub time_allowed: T,
+    /// The terms on which a request is relayed; `None` if it is to be served here.
+    pub terms: T,
 }
 
 /// Serves connections with `handle` until `stop` becomes true, then waits at most `finish` for requests in flight.
@@ -105,7 +105,7 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
 {
-    let placing = Placing { place: |_| Placement::Here, time_allowed: |_: &Request<()>| None };
+    let placing = Placing { place: |_| Placement::Here, terms: |_: &Request<()>| None };
     run_with_placement(listener, limits, handle, stop, finish, open, placing).await
 }
 
@@ -130,7 +130,7 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
     P: Fn(SocketAddr) -> Placement + Clone + Send + 'static,
-    T: Fn(&Request<()>) -> Option<Duration> + Clone + Send + Sync + 'static,
+    T: Fn(&Request<()>) -> Option<Terms> + Clone + Send + Sync + 'static,
 {
     // Each connection holds a sender, so the channel closes when the last one has ended.
     let (connection_guard, mut all_ended) = mpsc::channel::<Infallible>(1);
@@ -140,7 +140,7 @@
         let connection = Connection {
             limits: limits(),
             handle: handle.clone(),
-            time_allowed: placing.time_allowed.clone(),
+            terms: placing.terms.clone(),
             stop: stopping.clone(),
             relay_stop: Stop::new(stopping.clone(), ending.clone()),
             open: open.clone(),
@@ -175,7 +175,7 @@
 struct Connection<H, T> {
     limits: Limits,
     handle: H,
-    time_allowed: T,
+    terms: T,
     stop: watch::Receiver<bool>,
     relay_stop: Stop,
     open: Open,
@@ -186,7 +186,7 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static,
-    T: Fn(&Request<()>) -> Option<Duration> + Send + Sync + 'static,
+    T: Fn(&Request<()>) -> Option<Terms> + Send + Sync + 'static,
 {
     /// Serves or relays a connection, as `place` decides when its first bytes arrive.
     async fn run(mut self, stream: TcpStream, place: impl FnOnce() -> Placement) {
@@ -228,13 +228,13 @@
             return;
         };
         let bytes = opening.into_bytes();
-        let Begun::Relaying { router, length, deadline } = begun else {
+        let Begun::Relaying { router, id, length, deadline } = begun else {
             return self.serve(unread(stream, bytes.freeze()), true).await;
         };
         // The connection to the other router takes a file descriptor too.
         let _second = Counted::new(&self.open);
         let request = relay::Request { bytes, length, deadline };
-        log_relayed(target, relay::run(stream, router, request, self.relay_stop).await);
+        log_relayed(target, &id, relay::run(stream, router, request, self.relay_stop).await);
     }
 
     /// Reads the head of the first request and connects to the other router. `None` if the caller's connection has ended.
@@ -253,12 +253,13 @@
                 Ok(Ok(relay::Kind::Closed) | Err(_)) | Err(_) => return None,
             };
             let arrived = time::Instant::now();
-            let Some(allowed) = (self.time_allowed)(&head.request) else {
+            let Some(Terms { id, allowed }) = (self.terms)(&head.request) else {
                 return Some(Begun::Here);
             };
             match relay::connect(target).await {
                 Ok(router) => Some(Begun::Relaying {
                     router,
+                    id,
                     length: head.head_bytes.saturating_add(head.body_bytes),
                     deadline: arrived + allowed,
                 }),
@@ -288,7 +289,7 @@
 /// How a connection goes on whose request was to be relayed.
 enum Begun {
     /// Its request is relayed on a connection to the other router.
-    Relaying { router: TcpStream, length: u64, deadline: time::Instant },
+    Relaying { router: TcpStream, id: String, length: u64, deadline: time::Instant },
     /// It is served here.
     Here,
 }
@@ -299,13 +300,20 @@
     tokio::io::join(Cursor::new(bytes).chain(reader), writer)
 }
 
-fn log_relayed(target: SocketAddr, result: io::Result<relay::Outcome>) {
+fn log_relayed(target: SocketAddr, id: &str, result: io::Result<relay::Outcome>) {
     match result {
-        Ok(relay::Outcome::Closed) => log::debug!(router:% = target; "relayed connection ended"),
+        Ok(relay::Outcome::Closed) => {
+            log::debug!(request = id, router:% = target; "relayed connection ended");
+        }
         Ok(outcome) => {
-            log::warn!(router:% = target, outcome:? = outcome; "relayed request was answered here, without the other router");
+            log::warn!(
+                request = id, router:% = target, outcome:? = outcome;
+                "relayed request was answered here, without the other router"
+            );
+        }
+        Err(error) => {
+            log::debug!(request = id, router:% = target; "relayed connection broke: {error}");
         }
-        Err(error) => log::debug!(router:% = target; "relayed connection broke: {error}"),
     }
 }
 
--- a/siskin-net/tests/main/relay.rs
+++ b/siskin-net/tests/main/relay.rs
@@ -5,7 +5,10 @@
     super::stop::{LIMITS, REQUEST, echo},
     googletest::prelude::*,
     hyper::Request,
-    siskin_net::server::{self, Open, Placement, Placing},
+    siskin_net::{
+        relay::Terms,
+        server::{self, Open, Placement, Placing},
+    },
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -35,7 +38,7 @@
         let (open, finish) = (Open::default(), Duration::from_secs(3));
         let placing = Placing {
             place: move |_| placement,
-            time_allowed: |_: &Request<()>| Some(TIME_ALLOWED),
+            terms: |_: &Request<()>| Some(Terms { id: String::new(), allowed: TIME_ALLOWED }),
         };
         server::run_with_placement(listener, || LIMITS, echo, stopped, finish, &open, placing).await
     });
--- a/siskin-net/tests/main/relay_stop.rs
+++ b/siskin-net/tests/main/relay_stop.rs
@@ -10,7 +10,10 @@
         Request, Response,
         body::{Frame, Incoming},
     },
-    siskin_net::server::{self, Open, Placement, Placing},
+    siskin_net::{
+        relay::Terms,
+        server::{self, Open, Placement, Placing},
+    },
     std::{
         convert::Infallible,
         io,
@@ -68,7 +71,7 @@
         tokio::spawn(async move {
             let placing = Placing {
                 place: move |_| placement,
-                time_allowed: |_: &Request<()>| Some(TIME_ALLOWED),
+                terms: |_: &Request<()>| Some(Terms { id: String::new(), allowed: TIME_ALLOWED }),
             };
             let open = Open::default();
             server::run_with_placement(listener, || LIMITS, handle, stopped, FINISH, &open, placing)
