Search a line of a watch once, however it is cut

What could be seen: a store that sends a line of a watch in chunks of single bytes keeps its client busy until the watch's time is over, and the line is never read.

Cause: Lines::next searched the whole buffer, up to 8 MiB, from its start again with each piece.

--- a/siskin-store/src/http/transport.rs
+++ b/siskin-store/src/http/transport.rs
@@ -137,7 +137,7 @@
                     self.advance_preferred();
                 }
             })?;
-        let mut lines = Lines { body: response.into_body(), buffer: BytesMut::new() };
+        let mut lines = Lines { body: response.into_body(), buffer: BytesMut::new(), searched: 0 };
         let deadline = Instant::now() + wait;
         let mut last = Watch::default();
         while let Ok(line) = timeout_at(deadline, lines.next()).await {
@@ -207,13 +207,19 @@
 struct Lines {
     body: Incoming,
     buffer: BytesMut,
+    /// Bytes of the buffer that contain no end of a line. They are not searched again, as a line may arrive in small pieces.
+    searched: usize,
 }
 
 impl Lines {
     async fn next(&mut self) -> Result<Watch, Error> {
         loop {
-            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let new = &self.buffer[self.searched..];
+            let end = new.iter().position(|byte| *byte == b'\n').map(|end| self.searched + end);
+            self.searched = self.buffer.len();
+            if let Some(end) = end {
                 let line = self.buffer.split_to(end + 1);
+                self.searched = 0;
                 let line: Streamed<Watch> =
                     serde_json::from_slice(&line).map_err(|error| unanswered(&error))?;
                 return Ok(line.result);
--- a/siskin-store/tests/store/faults.rs
+++ b/siskin-store/tests/store/faults.rs
@@ -15,7 +15,11 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::task::JoinSet,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        task::JoinSet,
+    },
 };
 
 /// Guards against a failed write that is reported with the wrong effect.
@@ -218,3 +222,26 @@
         expect_that!(found, eq(case.written), "{}", case.name);
     }
 }
+
+/// Guards against a line of a watch that is searched from its beginning again with each of its bytes: it is not read in time.
+#[gtest]
+#[tokio::test]
+async fn watch_takes_a_line_in_single_bytes() {
+    const LINE_BYTES: usize = 200_000;
+    const WATCH_TIME: Duration = Duration::from_secs(5);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let addresses = vec![listener.local_addr().unwrap()];
+    let line = "1\r\na\r\n".repeat(LINE_BYTES);
+    let response =
+        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{line}1\r\n\n\r\n");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            stream.write_all(response.as_bytes()).await.unwrap();
+            // The connection stays open, so the watch does not end before its time unless the line was read.
+            tokio::spawn(async move { stream.read_to_end(&mut Vec::new()).await });
+        }
+    });
+    let client = Client::new(http::Options { addresses, ..http::Options::default() });
+    let watched = client.watch(Scope::Key("k"), Revision(1), WATCH_TIME).await;
+    expect_that!(watched, err(anything()), "the line is complete, and no message");
+}
