--- a/siskin-net/tests/main/relay.rs
+++ b/siskin-net/tests/main/relay.rs
@@ -18,6 +18,9 @@
     },
 };
 
+/// Longest time in which a connection ends.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Time in which relayed requests have to be answered.
 const TIME_ALLOWED: Duration = Duration::from_millis(800);
 
@@ -49,15 +52,14 @@
 async fn send_request(address: SocketAddr) -> (String, io::Result<()>) {
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(REQUEST).await.unwrap();
+    read_to_end(&mut stream).await
+}
+
+/// Reads until the connection ends. Returns what was read and how it ended.
+pub(crate) async fn read_to_end(stream: &mut TcpStream) -> (String, io::Result<()>) {
     let mut received = Vec::new();
-    let mut buffer = [0; 1_024];
-    let end = loop {
-        match timeout(Duration::from_secs(5), stream.read(&mut buffer)).await.unwrap() {
-            Ok(0) => break Ok(()),
-            Ok(length) => received.extend_from_slice(&buffer[..length]),
-            Err(error) => break Err(error),
-        }
-    };
+    let read = timeout(READ_TIMEOUT, stream.read_to_end(&mut received)).await;
+    let end = read.unwrap_or_else(|elapsed| Err(elapsed.into())).map(|_| ());
     (String::from_utf8_lossy(&received).into_owned(), end)
 }
 
@@ -154,7 +156,7 @@
     let _ = request.await.unwrap();
 }
 
-/// Requests whose end cannot be told from their head are served here: at a stop it would not be known whether they were passed on.
+/// Requests whose head does not state where they end are served here: at a stop it would not be known whether they were passed on.
 #[googletest::test]
 #[tokio::test]
 async fn requests_without_a_plain_length_are_served_here() {
@@ -233,12 +235,9 @@
         caller.write_all(case.request).await.unwrap();
         let (mut accepted, _) = silent.accept().await.unwrap();
         accepted.write_all(case.response).await.unwrap();
-        let mut answer = Vec::new();
-        let end = timeout(Duration::from_secs(5), caller.read_to_end(&mut answer)).await;
-        let answer = String::from_utf8_lossy(&answer).into_owned();
+        let (answer, end) = read_to_end(&mut caller).await;
         expect_that!(sent.elapsed(), lt(ANSWER_TIME_MAX), "{}", case.name);
         expect_that!(answer, starts_with(case.want), "{}", case.name);
-        let reset = end.is_ok_and(|end| end.is_err());
-        expect_that!(reset, eq(case.want_reset), "{}", case.name);
+        expect_that!(end.is_err(), eq(case.want_reset), "{}: {end:?}", case.name);
     }
 }
--- a/siskin-net/tests/main/relay_stop.rs
+++ b/siskin-net/tests/main/relay_stop.rs
@@ -2,7 +2,7 @@
 //! answer when the process ends.
 
 use {
-    super::stop::LIMITS,
+    super::{relay::read_to_end, stop::LIMITS},
     bytes::Bytes,
     googletest::prelude::*,
     http_body_util::{BodyExt, Full, StreamBody},
@@ -16,7 +16,6 @@
     },
     std::{
         convert::Infallible,
-        io,
         net::SocketAddr,
         sync::{
             Arc,
@@ -25,10 +24,10 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
         sync::watch,
-        time::{sleep, timeout},
+        time::sleep,
     },
 };
 
@@ -109,21 +108,6 @@
     Response::new(StreamBody::new(parts).boxed_unsync())
 }
 
-/// Reads until the connection ends.
-async fn read_to_end(stream: &mut TcpStream) -> (String, io::Result<()>) {
-    let mut received = Vec::new();
-    let mut buffer = [0; 1_024];
-    let end = loop {
-        match timeout(Duration::from_secs(5), stream.read(&mut buffer)).await {
-            Ok(Ok(0)) => break Ok(()),
-            Ok(Ok(length)) => received.extend_from_slice(&buffer[..length]),
-            Ok(Err(error)) => break Err(error),
-            Err(elapsed) => break Err(elapsed.into()),
-        }
-    };
-    (String::from_utf8_lossy(&received).into_owned(), end)
-}
-
 struct Case {
     name: &'static str,
     /// Sent before the stop.
@@ -301,3 +285,21 @@
     expect_that!(answer, starts_with("HTTP/1.1 502"));
     expect_that!(relay.runs(), eq(0), "the request may have run, so it must not run here");
 }
+
+/// Guards against requests that are cut off when the router that they were relayed to stops at the same time.
+#[googletest::test]
+#[tokio::test]
+async fn request_is_answered_when_both_routers_stop() {
+    let work = Duration::from_millis(600);
+    let target = Router::start(Placement::Once, work, 0).await;
+    let relay = Router::start(Placement::Relay(target.address), work, 0).await;
+    let mut caller = TcpStream::connect(relay.address).await.unwrap();
+    caller.write_all(ALL.concat().as_bytes()).await.unwrap();
+    sleep(SETTLE_TIME).await;
+    target.stop.send(true).unwrap();
+    relay.stop.send(true).unwrap();
+    let (answer, end) = read_to_end(&mut caller).await;
+    expect_that!(answer, starts_with("HTTP/1.1 200"));
+    expect_that!(answer, ends_with("0\r\n\r\n"), "{end:?}");
+    expect_that!((relay.runs(), target.runs()), eq((0, 1)));
+}
