Look up the terms of a relayed request only where they are needed

Cause: for each relayed request the gateway parsed the head as for one that it serves, for a deadline that most requests never reach.

Change: the deadline is looked up after 400 ms without an end, and the id only for the line of a request that is ended here. While this router is about to stop, between SIGTERM and its stop signal, the terms are looked up before a request is relayed (Placement::RelayInTime), as that is when they decide.

--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -127,8 +127,7 @@
     })
 }
 
-/// The terms on which a request is relayed to another router, by its head. `None` if it would be rejected, or if this router stops
-/// and cannot see it through.
+/// What is known of a request that is relayed to another router, by its head; `None` if it would be rejected.
 pub fn relay_terms(gateway: &Gateway, request: Request<()>) -> Option<Terms> {
     let (parts, ()) = request.into_parts();
     let head = gateway.protocol.read(&parts).ok()?;
@@ -136,7 +135,7 @@
     let route = catalog.route(host(&parts), parts.uri.path())?;
     let allowed = time_for(&head, route);
     let service = route.target(u64::from(hash_to_u32(&head.id)))?;
-    gateway.outlasts_request(service, allowed).then_some(Terms { id: head.id, allowed })
+    Some(Terms { in_time: gateway.outlasts_request(service, allowed), allowed, id: head.id })
 }
 
 fn time_for(head: &Head, route: &Route) -> Duration {
--- a/siskin-gateway/src/gateway/offload.rs
+++ b/siskin-gateway/src/gateway/offload.rs
@@ -108,7 +108,11 @@
         match target {
             Some(target) => {
                 self.metrics.offload.connections.with_label_values(&["sent"]).inc();
-                Placement::Relay(target)
+                if self.stopping() {
+                    Placement::RelayInTime(target)
+                } else {
+                    Placement::Relay(target)
+                }
             }
             None => Placement::Here,
         }
--- a/siskin-net/src/relay.rs
+++ b/siskin-net/src/relay.rs
@@ -31,7 +31,7 @@
 };
 
 pub use {
-    opening::{Head, Kind, Opening},
+    opening::{Kind, Opening},
     stop::Stop,
 };
 
@@ -56,6 +56,10 @@
 /// Time after the deadline of a request in which the other router's own answer arrives.
 const DEADLINE_RESERVE: Duration = Duration::from_millis(200);
 
+/// Time without an end after which the deadline of a relayed request is looked up. Most requests have ended by then; a shorter deadline is
+/// kept to half a second.
+const TERMS_AFTER: Duration = Duration::from_millis(400);
+
 /// Outcome of a relayed connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -71,13 +75,15 @@
     TimedOut,
 }
 
-/// What has to be known of a request to relay it.
+/// What this router knows of a request by its head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
     /// Identifier of the request, for the log.
     pub id: String,
     /// Time in which it has to be answered.
     pub allowed: Duration,
+    /// Whether this router is there until then.
+    pub in_time: bool,
 }
 
 /// A request whose head was read and not passed on yet.
@@ -85,10 +91,23 @@
 pub struct Request {
     /// The head and what arrived with it.
     pub bytes: BytesMut,
-    /// Length of the head and the body in bytes.
-    pub length: u64,
-    /// When the response has to be complete. The other router has the same limit and answers itself by then if it can.
-    pub deadline: Instant,
+    /// Length of the head in bytes.
+    pub head_bytes: usize,
+    /// Length of the body in bytes.
+    pub body_bytes: u64,
+    /// When the head had been read.
+    pub arrived: Instant,
+}
+
+impl Request {
+    /// The terms of the request; `None` if this router would reject it. Parsing the head takes a good part of the time that
+    /// relaying takes, so this is done only where the terms are needed.
+    pub fn terms<T>(&self, terms: &T) -> Option<Terms>
+    where
+        T: Fn(hyper::Request<()>) -> Option<Terms>,
+    {
+        terms(opening::to_request(&self.bytes[..self.head_bytes])?)
+    }
 }
 
 /// Opens a connection to the router at `target`.
@@ -109,21 +128,25 @@
 /// # Errors
 ///
 /// One of the connections broke, or a response had begun when it had to be ended here.
-pub async fn run(
+pub async fn run<T>(
     mut caller: TcpStream,
     mut router: TcpStream,
-    request: Request,
+    request: &Request,
+    terms: &T,
     stop: Stop,
-) -> io::Result<Outcome> {
+) -> io::Result<Outcome>
+where
+    T: Fn(hyper::Request<()>) -> Option<Terms>,
+{
     if has_left(&caller) {
         return Ok(Outcome::Abandoned);
     }
     set_socket_options(&caller)?;
-    let progress = Progress::new(&request);
+    let progress = Progress::new(request);
     let result = tokio::select! {
         result = relay_both(&mut caller, &mut router, &request.bytes, &progress) => result,
         outcome = progress.wait_for_stop(stop) => outcome,
-        outcome = progress.wait_for_deadline(request.deadline) => outcome,
+        outcome = progress.wait_for_deadline(request, terms) => outcome,
     };
     // The other router must not receive the rest of a request of which the caller learns that it has not run.
     drop(router);
@@ -155,8 +178,9 @@
 
 impl Progress {
     fn new(request: &Request) -> Self {
+        let head_bytes = u64::try_from(request.head_bytes).unwrap_or(u64::MAX);
         Self {
-            request_left: AtomicU64::new(request.length),
+            request_left: AtomicU64::new(head_bytes.saturating_add(request.body_bytes)),
             response_begun: AtomicBool::new(false),
         }
     }
@@ -174,8 +198,14 @@
     }
 
     /// Waits until the time of the request is over.
-    async fn wait_for_deadline(&self, deadline: Instant) -> io::Result<Outcome> {
-        sleep_until(deadline + DEADLINE_RESERVE).await;
+    async fn wait_for_deadline<T>(&self, request: &Request, terms: &T) -> io::Result<Outcome>
+    where
+        T: Fn(hyper::Request<()>) -> Option<Terms>,
+    {
+        sleep(TERMS_AFTER).await;
+        // The other router rejects at once what this one would reject.
+        let allowed = request.terms(terms).map_or(Duration::ZERO, |terms| terms.allowed);
+        sleep_until(request.arrived + allowed + DEADLINE_RESERVE).await;
         if self.is_incomplete() {
             return Ok(Outcome::NotRun);
         }
--- a/siskin-net/src/relay/opening.rs
+++ b/siskin-net/src/relay/opening.rs
@@ -14,27 +14,21 @@
 const HEADERS_MAX: usize = 100;
 
 /// What a caller's connection begins with.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// The head of a request that states where the request ends.
-    Request(Box<Head>),
+    Request {
+        /// Length of the head in bytes.
+        head_bytes: usize,
+        /// Length of the body in bytes.
+        body_bytes: u64,
+    },
     /// Anything else: a request in chunks, HTTP/2, a head that is too long, or no request.
     Other,
     /// The caller has closed the connection.
     Closed,
 }
 
-/// The head of a request.
-#[derive(Debug)]
-pub struct Head {
-    /// Its method, target and headers.
-    pub request: Request<()>,
-    /// Length of the head in bytes.
-    pub head_bytes: u64,
-    /// Length of the body in bytes.
-    pub body_bytes: u64,
-}
-
 /// The bytes that were read from a caller and not passed on yet.
 #[derive(Debug, Default)]
 pub struct Opening {
@@ -98,18 +92,21 @@
     if !matches!(parsed.parse(head), Ok(httparse::Status::Complete(_))) {
         return Kind::Other;
     }
-    let Some(body_bytes) = body_length(parsed.headers) else { return Kind::Other };
-    let Some(request) = to_request(&parsed) else { return Kind::Other };
-    let head_bytes = u64::try_from(head.len()).unwrap_or(u64::MAX);
-    Kind::Request(Box::new(Head { request, head_bytes, body_bytes }))
+    match body_length(parsed.headers) {
+        Some(body_bytes) => Kind::Request { head_bytes: head.len(), body_bytes },
+        None => Kind::Other,
+    }
 }
 
-fn to_request(parsed: &httparse::Request<'_, '_>) -> Option<Request<()>> {
+/// The method, target and headers of a request; `None` if the head is malformed.
+pub(super) fn to_request(head: &[u8]) -> Option<Request<()>> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Request::new(&mut headers);
+    parsed.parse(head).ok()?;
     let builder = Request::builder().method(parsed.method?).uri(parsed.path?);
-    let builder = parsed
-        .headers
-        .iter()
-        .fold(builder, |builder, header| builder.header(header.name, header.value));
+    let headers = parsed.headers.iter();
+    let builder =
+        headers.fold(builder, |builder, header| builder.header(header.name, header.value));
     builder.body(()).ok()
 }
 
--- a/siskin-net/src/server.rs
+++ b/siskin-net/src/server.rs
@@ -1,8 +1,8 @@
 //! HTTP server with graceful shutdown.
 
 use {
-    crate::relay::{self, Opening, Stop, Terms},
-    bytes::Bytes,
+    crate::relay::{self, Kind, Opening, Stop, Terms},
+    bytes::{Bytes, BytesMut},
     hyper::{
         Request, Response, Version,
         body::{Body, Incoming},
@@ -77,6 +77,8 @@
     /// Its first request is relayed to the router at this address. It is served here if that cannot be reached, if the head does not
     /// state where the request ends, or if this router stops before anything was passed on.
     Relay(SocketAddr),
+    /// The same, but only if this router, which is about to stop, is there until the request has to be answered.
+    RelayInTime(SocketAddr),
 }
 
 /// Where connections are served.
@@ -84,7 +86,7 @@
 pub struct Placing<P, T> {
     /// Decides on each connection by the address that it comes from.
     pub place: P,
-    /// The terms on which a request is relayed; `None` if it is to be served here.
+    /// What is known of a request by its head; `None` if it would be rejected.
     pub terms: T,
 }
 
@@ -194,7 +196,8 @@
             Wait::Bytes => match place() {
                 Placement::Here => true,
                 Placement::Once => false,
-                Placement::Relay(target) => return self.relay(stream, target).await,
+                Placement::Relay(target) => return self.relay(stream, target, false).await,
+                Placement::RelayInTime(target) => return self.relay(stream, target, true).await,
             },
             Wait::Stopping => true,
             Wait::Idle => return log::debug!("client's connection was idle for too long"),
@@ -222,61 +225,69 @@
         serve_connection(stream, self.limits, self.handle, self.stop, keep_alive).await;
     }
 
-    /// Relays the first request, or serves the connection here if nothing can be passed on.
-    async fn relay(mut self, mut stream: TcpStream, target: SocketAddr) {
+    /// Relays the first request, or serves the connection here if nothing can be passed on. With `in_time`, a request is relayed only
+    /// if its terms allow.
+    async fn relay(mut self, mut stream: TcpStream, target: SocketAddr, in_time: bool) {
         let mut opening = Opening::default();
-        let Some(begun) = self.begin_relaying(&mut stream, &mut opening, target).await else {
-            return;
+        let kind = match self.read_opening(&mut stream, &mut opening).await {
+            Some(Kind::Closed) => return,
+            kind => kind,
         };
         let bytes = opening.into_bytes();
-        let Begun::Relaying { router, id, length, deadline } = begun else {
-            set_socket_options(&stream, &self.limits);
-            return self.serve(unread(stream, bytes.freeze()), true).await;
+        let Some(Kind::Request { head_bytes, body_bytes }) = kind else {
+            return self.serve_again(stream, bytes).await;
+        };
+        let arrived = time::Instant::now();
+        let request = relay::Request { bytes, head_bytes, body_bytes, arrived };
+        let fits = |terms: Terms| terms.in_time;
+        if in_time && !request.terms(&self.terms).is_some_and(fits) {
+            return self.serve_again(stream, request.bytes).await;
+        }
+        let Some(router) = self.connect(target).await else {
+            return self.serve_again(stream, request.bytes).await;
         };
         // The connection to the other router takes a file descriptor too.
         let _second = Counted::new(&self.open);
-        let request = relay::Request { bytes, length, deadline };
-        log_relayed(target, &id, relay::run(stream, router, request, self.relay_stop).await);
+        let outcome = relay::run(stream, router, &request, &self.terms, self.relay_stop).await;
+        log_relayed(target, outcome, || request.terms(&self.terms).map(|terms| terms.id));
     }
 
-    /// Reads the head of the first request and connects to the other router. `None` if the caller's connection has ended.
-    async fn begin_relaying(
+    /// Reads the head of the first request; `None` if this router stops before it is complete.
+    async fn read_opening(
         &mut self,
         stream: &mut TcpStream,
         opening: &mut Opening,
-        target: SocketAddr,
-    ) -> Option<Begun> {
-        let begun = async {
-            let head_bytes = usize::try_from(self.limits.head_bytes).unwrap_or(usize::MAX);
-            let reading = opening.read(stream, head_bytes);
-            let head = match time::timeout(self.limits.head_timeout, reading).await {
-                Ok(Ok(relay::Kind::Request(head))) => head,
-                Ok(Ok(relay::Kind::Other)) => return Some(Begun::Here),
-                Ok(Ok(relay::Kind::Closed) | Err(_)) | Err(_) => return None,
-            };
-            let arrived = time::Instant::now();
-            let Some(Terms { id, allowed }) = (self.terms)(head.request) else {
-                return Some(Begun::Here);
-            };
-            match relay::connect(target).await {
-                Ok(router) => Some(Begun::Relaying {
-                    router,
-                    id,
-                    length: head.head_bytes.saturating_add(head.body_bytes),
-                    deadline: arrived + allowed,
-                }),
-                Err(error) => {
-                    log::info!(router:% = target; "connection cannot be relayed and is served here: {error}");
-                    Some(Begun::Here)
-                }
-            }
-        };
+    ) -> Option<Kind> {
+        let head_bytes = usize::try_from(self.limits.head_bytes).unwrap_or(usize::MAX);
         tokio::select! {
             biased;
-            () = self.relay_stop.wait_for_signal() => Some(Begun::Here),
-            begun = begun => begun,
+            () = self.relay_stop.wait_for_signal() => None,
+            read = time::timeout(self.limits.head_timeout, opening.read(stream, head_bytes)) => match read {
+                Ok(Ok(kind)) => Some(kind),
+                Ok(Err(_)) | Err(_) => Some(Kind::Closed),
+            },
         }
     }
+
+    /// Connects to the other router; `None` if that fails or this router stops first.
+    async fn connect(&mut self, target: SocketAddr) -> Option<TcpStream> {
+        let connected = tokio::select! {
+            biased;
+            () = self.relay_stop.wait_for_signal() => return None,
+            connected = relay::connect(target) => connected,
+        };
+        connected
+            .inspect_err(|error| {
+                log::info!(router:% = target; "connection cannot be relayed and is served here: {error}");
+            })
+            .ok()
+    }
+
+    /// Serves a connection of which some bytes were read.
+    async fn serve_again(self, stream: TcpStream, bytes: BytesMut) {
+        set_socket_options(&stream, &self.limits);
+        self.serve(unread(stream, bytes.freeze()), true).await;
+    }
 }
 
 /// What ended the wait for the first bytes of a connection.
@@ -288,33 +299,29 @@
     Idle,
 }
 
-/// How a connection goes on whose request was to be relayed.
-enum Begun {
-    /// Its request is relayed on a connection to the other router.
-    Relaying { router: TcpStream, id: String, length: u64, deadline: time::Instant },
-    /// It is served here.
-    Here,
-}
-
 /// A connection whose first bytes, already read, are read again.
 fn unread(stream: TcpStream, bytes: Bytes) -> impl AsyncRead + AsyncWrite + Send + Unpin + 'static {
     let (reader, writer) = stream.into_split();
     tokio::io::join(Cursor::new(bytes).chain(reader), writer)
 }
 
-fn log_relayed(target: SocketAddr, id: &str, result: io::Result<relay::Outcome>) {
+fn log_relayed(
+    target: SocketAddr,
+    result: io::Result<relay::Outcome>,
+    id: impl Fn() -> Option<String>,
+) {
     match result {
         Ok(outcome @ (relay::Outcome::Closed | relay::Outcome::Abandoned)) => {
-            log::debug!(request = id, router:% = target; "relayed connection ended: {outcome:?}");
+            log::debug!(router:% = target; "relayed connection ended: {outcome:?}");
         }
         Ok(outcome) => {
             log::warn!(
-                request = id, router:% = target, outcome:? = outcome;
+                request:% = id().unwrap_or_default(), router:% = target, outcome:? = outcome;
                 "relayed request was answered here, without the other router"
             );
         }
         Err(error) => {
-            log::debug!(request = id, router:% = target; "relayed connection broke: {error}");
+            log::debug!(router:% = target; "relayed connection broke: {error}");
         }
     }
 }
