Take a refusal under overload for a final answer in the test of wrong bytes

Traced with 20 busy processes: 4 of 4 runs have such answers, all of them "this router is overloaded", as timers are late on a machine without processor time. Callers get that answer at once, and the rule that the test keeps is about answers that are late. The bound on the time stays, and without the fix the first request is still 100 s late.

--- a/siskin-gateway/tests/main/wrong_bytes.rs
+++ b/siskin-gateway/tests/main/wrong_bytes.rs
@@ -72,7 +72,9 @@
                 let due = Instant::now() + INTERVAL;
                 sleep_until(due).await;
                 let reply = router.send_request(&format!("sound-{number}"), "").await;
-                expect_that!(reply.status, eq(200), "{}: request {number}", case.name);
+                // On a loaded machine some are refused as overloaded, which is a final answer too.
+                let is_final = reply.status == 200 || reply.body.contains("overloaded");
+                expect_that!(is_final, eq(true), "{}: request {number}: {reply:?}", case.name);
                 expect_that!(due.elapsed(), lt(ANSWER_TIME_MAX), "{}: request {number}", case.name);
             }
         };
