--- /dev/null
+++ b/review/standin-3/main.rs
@@ -0,0 +1,47 @@
+//! Stand-ins and scenarios of the third review: `standin-3 CASE FOLDER`.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. Without `TROUBLE=0` the disruption of the
+//! case is part of the run. Uses the standard library only.
+
+mod client;
+mod dead_source;
+mod engine;
+mod fleet;
+mod foreign_entry;
+mod http;
+mod json;
+mod newcomer;
+mod router;
+mod store;
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let [case, folder] = arguments.as_slice() else {
+        eprintln!("usage: standin-3 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let folder = PathBuf::from(folder);
+    let result = match case.as_str() {
+        "newcomer" => newcomer::run(&folder, trouble),
+        "dead-source" => dead_source::run(&folder, trouble),
+        "foreign-entry" => foreign_entry::run(&folder, trouble),
+        _ => Err(format!("there is no case '{case}'").into()),
+    };
+    match result {
+        Ok(true) => {
+            println!("the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("the rule was broken; see record.txt");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
