--- a/review/standin-3/router.rs
+++ b/review/standin-3/router.rs
@@ -135,7 +135,13 @@
         }
     }
 
-    /// Whether the process has ended by itself.
+    /// SIGTERM.
+    pub fn terminate(&self) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        Command::new("kill").args(["-TERM", &child.id().to_string()]).status().map(drop)
+    }
+
+    /// Whether the process has ended, other than by [`Router::kill`].
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
