--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -21,6 +21,9 @@
     Sound,
     /// Each call is answered with 503, also a watch that is waiting.
     Busy,
+    /// Down: a call that arrives, or whose answer would be due, is never answered, and its channel returns nothing further. A watch
+    /// that waits all the while is answered later.
+    Silent,
 }
 
 #[derive(Clone, Debug)]
@@ -124,7 +127,13 @@
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = http::read(&mut stream, &mut buffer) {
-            let (status, body) = self.answer(&request, address);
+            let answer = match self.mode(address) {
+                Mode::Silent => None,
+                Mode::Sound | Mode::Busy => Some(self.answer(&request, address)),
+            };
+            let Some((status, body)) = answer.filter(|_| self.mode(address) != Mode::Silent) else {
+                return stay_silent(&mut stream);
+            };
             let kind = [("content-type", "application/json")];
             if http::respond(&mut stream, status, &kind, body.as_bytes()).is_err() {
                 return;
@@ -251,6 +260,12 @@
     }
 }
 
+/// Keeps a channel open without an answer until the other side closes it.
+fn stay_silent(stream: &mut TcpStream) {
+    let mut bytes = [0; 1024];
+    while matches!(io::Read::read(stream, &mut bytes), Ok(length) if length > 0) {}
+}
+
 fn write(table: &mut Table, key: &str, value: Vec<u8>, lease: u64) {
     table.revision += 1;
     let revision = table.revision;
