--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -156,7 +156,7 @@
     }
 
     /// Writes the record: the notes, then each request with its answer and its runs.
-    pub fn write_record(&self, folder: &Path) -> std::io::Result<()> {
+    pub fn write_record(&self, record: &Path) -> std::io::Result<()> {
         let mut text = self.record.clone();
         text.push_str("\nrequests: sent at, router, identifier, path, key, status (0: no answer), answered at, engines that ran it\n");
         let runs = self.runs_by_id();
@@ -182,7 +182,7 @@
                 ran.join("; ")
             );
         }
-        fs::write(folder.join("record.txt"), text)
+        fs::write(record, text)
     }
 
     pub fn runs_by_id(&self) -> HashMap<String, Vec<Run>> {
--- a/review/standin-3/foreign_entry.rs
+++ b/review/standin-3/foreign_entry.rs
@@ -16,7 +16,7 @@
 /// `heartbeat_ms`: after this time the engine writes its own entry again.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-pub fn run(folder: &Path, trouble: bool) -> Outcome {
+pub fn run(record: &Path, trouble: bool) -> Outcome {
     let routes = [
         route("r-lookup", "/loads/", "idempotent", SERVICE, 600),
         route("r-digest", "/digests/", "non_idempotent", MODELS, 3_000),
@@ -58,6 +58,6 @@
         .filter(|run| run.path.starts_with("/digests/") && run.engine.starts_with("i-7f3a91c"))
         .count();
     fleet.note(&format!("{diverted} requests for {MODELS} were run by an engine of {SERVICE}"));
-    fleet.write_record(folder)?;
+    fleet.write_record(record)?;
     Ok(diverted == 0)
 }
--- a/review/standin-3/newcomer.rs
+++ b/review/standin-3/newcomer.rs
@@ -28,7 +28,7 @@
 /// `config_apply_ms` and `max_stretch_ms`.
 const BOUND: Duration = Duration::from_millis(2_000 + 5_000);
 
-pub fn run(folder: &Path, trouble: bool) -> Outcome {
+pub fn run(record: &Path, trouble: bool) -> Outcome {
     let mut fleet = Fleet::start(ROUTERS)?;
     for router in SEEDS..ROUTERS {
         fleet.add_client(router, KEPT_KEY, Duration::from_millis(80));
@@ -70,7 +70,7 @@
         late.len(),
         BOUND.as_millis()
     ));
-    fleet.write_record(folder)?;
+    fleet.write_record(record)?;
     if fleet.routers[SEEDS..].iter_mut().any(|router| router.has_ended()) {
         return Err("a router has ended by itself".into());
     }
--- a/review/standin-3/short_outage.rs
+++ b/review/standin-3/short_outage.rs
@@ -25,7 +25,7 @@
 /// `config_apply_ms`.
 const APPLY: Duration = Duration::from_millis(2_000);
 
-pub fn run(folder: &Path, trouble: bool) -> Outcome {
+pub fn run(record: &Path, trouble: bool) -> Outcome {
     let mut fleet = Fleet::start(ROUTERS)?;
     for router in 0..ROUTERS {
         for key in [KEPT_KEY, REVOKED_KEY] {
@@ -58,7 +58,7 @@
         late.len(),
         beyond.as_millis()
     ));
-    fleet.write_record(folder)?;
+    fleet.write_record(record)?;
     if fleet.routers.iter_mut().any(|router| router.has_ended()) {
         return Err("a router has ended by itself".into());
     }
