--- a/siskin-dispatch/src/reading.rs
+++ b/siskin-dispatch/src/reading.rs
@@ -64,6 +64,8 @@
     hub_read: Option<Instant>,
     /// When any other router last had all changes from the store, as far as its digests have said.
     peer_read: Option<Instant>,
+    /// When this router last had all changes, read by itself, even if it has lost the store since.
+    last_read: Option<Instant>,
     delegates_to_hub: bool,
 }
 
@@ -77,6 +79,7 @@
             own_read: None,
             hub_read: None,
             peer_read: None,
+            last_read: None,
             delegates_to_hub: false,
         }
     }
@@ -94,6 +97,7 @@
     /// Records that this router has all changes up to this time from the store.
     pub fn read(&mut self, at: Instant) {
         self.own_read = self.own_read.max(Some(at));
+        self.last_read = self.last_read.max(Some(at));
     }
 
     /// Records that this router no longer knows whether it has all changes.
@@ -120,6 +124,22 @@
         read.map(|read| now - read)
     }
 
+    /// Age of what this router knows of the store; `None` before its first read. Unlike [`Self::age`], it goes on while the store
+    /// is lost. A suspension of the process does not count.
+    ///
+    /// ```
+    /// use {siskin_dispatch::reading::Freshness, siskin_types::time::Instant, std::time::Duration};
+    /// let mut reading = Freshness::new(Duration::from_secs(4));
+    /// let read = Instant::from_micros(10_000_000);
+    /// reading.read(read);
+    /// reading.lost();
+    /// assert_eq!(reading.view_age(read + Duration::from_secs(3)), Some(Duration::from_secs(3)));
+    /// ```
+    #[must_use]
+    pub fn view_age(&self, now: Instant) -> Option<Duration> {
+        self.last_read.max(self.hub_read).map(|read| now - read)
+    }
+
     /// Records that this router's hub, or another hub if this router is one, read the store `age` ago, and that this
     /// router has everything that the hub has.
     pub fn told(&mut self, now: Instant, age: Duration) {
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -35,6 +35,17 @@
         change(&mut lock(&self.reading))
     }
 
+    /// The metrics page, with the gauges that are read just now.
+    #[must_use]
+    pub fn metrics_page(&self) -> String {
+        let now = self.clock.now();
+        if let Some(age) = self.reading(|reading| reading.view_age(now)) {
+            let millis = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+            self.metrics.store_view_age.set(millis);
+        }
+        self.metrics.page()
+    }
+
     /// Sets whether this router receives changes from the store. If not, it takes them from its peers.
     pub fn set_watching_store(&self, watching_store: bool) {
         let was_watching = self.watching_store.swap(watching_store, Ordering::Relaxed);
--- a/siskin-gateway/src/gateway/serve.rs
+++ b/siskin-gateway/src/gateway/serve.rs
@@ -159,7 +159,7 @@
             respond::text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
         seed::SNAPSHOT_PATH => seed::snapshot_response(gateway, request.uri()),
-        "/metrics" => Response::new(respond::full_body(gateway.metrics.page())),
+        "/metrics" => Response::new(respond::full_body(gateway.metrics_page())),
         _ => respond::text_response(StatusCode::NOT_FOUND, "use the readiness path or /metrics"),
     }
 }
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -71,6 +71,8 @@
     pub crash_trials: IntCounter,
     /// Other routers that are listed or have recently sent digests.
     pub peers: IntGauge,
+    /// Age of what this router knows of the platform's store, in milliseconds.
+    pub store_view_age: IntGauge,
     /// Calls to the platform by kind.
     pub platform_calls: IntCounterVec,
     /// Failed calls to the platform by kind.
@@ -172,6 +174,10 @@
                 "Requests with a cause of crashes that were let through to try it.",
             )?,
             peers: create.gauge("siskin_peers", "Routers heard of lately.")?,
+            store_view_age: create.gauge(
+                "siskin_store_view_age_milliseconds",
+                "Age of what this router knows of the platform's store.",
+            )?,
             platform_calls: create.counters(
                 "siskin_platform_calls_total",
                 "Calls to the platform.",
