--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -41,7 +41,7 @@
         let now = self.clock.now();
         if let Some(age) = self.reading(|reading| reading.view_age(now)) {
             let millis = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
-            self.metrics.store_view_age.set(millis);
+            self.metrics.store.view_age.set(millis);
         }
         self.metrics.page()
     }
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a gateway. Label values come from fixed sets and from the configured services and kinds of routes.
 
 mod offload;
+mod store;
 
 use {
     prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry},
@@ -11,7 +12,7 @@
     std::time::Duration,
 };
 
-pub use offload::Offload;
+pub use {offload::Offload, store::Store};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
@@ -71,12 +72,8 @@
     pub crash_trials: IntCounter,
     /// Other routers that are listed or have recently sent digests.
     pub peers: IntGauge,
-    /// Age of what this router knows of the platform's store, in milliseconds.
-    pub store_view_age: IntGauge,
-    /// Calls to the platform by kind.
-    pub platform_calls: IntCounterVec,
-    /// Failed calls to the platform by kind.
-    pub platform_errors: IntCounterVec,
+    /// Calls to the platform's store.
+    pub store: Store,
     /// Frames between routers.
     pub control: control::Metrics,
 }
@@ -174,20 +171,7 @@
                 "Requests with a cause of crashes that were let through to try it.",
             )?,
             peers: create.gauge("siskin_peers", "Routers heard of lately.")?,
-            store_view_age: create.gauge(
-                "siskin_store_view_age_milliseconds",
-                "Age of what this router knows of the platform's store.",
-            )?,
-            platform_calls: create.counters(
-                "siskin_platform_calls_total",
-                "Calls to the platform.",
-                &["kind"],
-            )?,
-            platform_errors: create.counters(
-                "siskin_platform_errors_total",
-                "Failed calls to the platform.",
-                &["kind"],
-            )?,
+            store: Store::new(&create)?,
             control: control::Metrics::new(&create)?,
             registry,
         })
