Take the time limits of reads from the time in which a router has to recover

The bound is 3 s after the outage (contact_ms).

Cause: a call that reaches the store in an outage is never answered, while its connection stays sound. After a change all routers pause for the same time and ask for the next one, here in the outage. A watch was given up after 1.5 times the propagation limit and 2 s, 5 s in all, and nothing else reads the store at rest, so no router knew of the next configuration. No time limit of a read came from the time in which a router has to be current again.

Ruled out: a slow list (0.1 s), and a peer that knew it (each router took it from the store).

Change: the settings' contact_ms is the recovery limit. A watch may be held for a third of it and its response may take another third; the same goes for a page of a list. The delay before a read is repeated counts from the start of the failed one and is at most a quarter. A lost watch and the list after it fit into the limit, as does a lost list. The limits that stood before stay as upper bounds.

Calculated, at rest: one call a router in 1.0 s in place of 3 s where there are no hubs (8 routers: 8 calls/s); hubs watch for a quarter of the propagation limit as before, so nothing changes for 73 (P 3 s) or 1,200 routers. When all lose a call in the same moment: 8 lists after 2 s in place of 5 s; with hubs, members read for themselves after 0.45 of the propagation limit as before. In a long silent outage a router calls once in 1.0 s (1.7 s at 5 s) in place of 2.1 to 3.2 s.

--- a/siskin-dispatch/src/reading.rs
+++ b/siskin-dispatch/src/reading.rs
@@ -5,6 +5,10 @@
 //! it has everything that the hub has and the hub's last read is recent. Otherwise the member reads the store itself,
 //! so a hub that has failed or cannot reach the store delays a change by only a fraction of the propagation limit, the
 //! time within which a change has to be in force.
+//!
+//! The store never responds to a call that reaches it during an outage, and the call's connection shows no fault. Time limits
+//! of the calls therefore come from the recovery limit, the time after an outage within which a router has to know all changes
+//! again: a watch that was lost and the list that is read after it have to fit into it.
 
 use {
     crate::spread::Role, siskin_types::time::Instant, siskin_wire::load::Scope, std::time::Duration,
@@ -30,22 +34,48 @@
 /// Shortest watch timeout that a hub asks the store for.
 const HUB_WATCH_TIMEOUT_MIN: Duration = Duration::from_millis(100);
 
-/// Watch timeout of a router that is not a hub, as a share of the propagation limit. A watch on a dead connection
-/// reports no changes, which has to be detected soon after an outage.
-const WATCH_TIMEOUT_SHARE: f64 = 1.5;
+/// Watch timeout of a router that is not a hub, as a share of the recovery limit.
+const WATCH_TIMEOUT_SHARE: f64 = 0.33;
+
+/// Longest watch timeout, as a share of the propagation limit.
+const WATCH_TIMEOUT_PROPAGATION_SHARE: f64 = 1.5;
+
+/// Time for the store's response, beyond the time for which it may hold a watch, as a share of the recovery limit. With
+/// [`WATCH_TIMEOUT_SHARE`] it leaves a third of the limit for the list.
+const RESPONSE_TIMEOUT_SHARE: f64 = 0.33;
+
+/// Shortest and longest time for the store's response: it responds within milliseconds, or a few hundred when it is slow.
+const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(300);
+const RESPONSE_TIMEOUT_MAX: Duration = Duration::from_secs(2);
+
+/// Longest delay before a failed read is repeated, as a share of the recovery limit.
+const RETRY_DELAY_SHARE: f64 = 0.25;
+
+/// Longest delay before a failed read is repeated, whatever the recovery limit.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_200);
 
 /// Longest time that a digest is on its way. An age in it looks smaller by that time.
 const DIGEST_DELAY_MAX: Duration = Duration::from_millis(500);
 
+/// Time limits for the reads of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Propagation limit: time within which a change has to be in force.
+    pub propagation: Duration,
+    /// Recovery limit: time after an outage of the store within which a router has to know all changes again.
+    pub recovery: Duration,
+}
+
 /// When this router, its hub and other routers last read the store.
 ///
 /// ```
 /// use {
-///     siskin_dispatch::{reading::Freshness, spread::Role},
+///     siskin_dispatch::{reading::{Freshness, Limits}, spread::Role},
 ///     siskin_types::time::Instant,
 ///     std::time::Duration,
 /// };
-/// let mut reading = Freshness::new(Duration::from_secs(4));
+/// let limits = Limits { propagation: Duration::from_secs(4), recovery: Duration::from_secs(5) };
+/// let mut reading = Freshness::new(limits);
 /// let now = Instant::from_micros(10_000_000);
 /// reading.set_role(Role::Member);
 /// assert!(!reading.hub_read_suffices(now), "no digest of the hub yet");
@@ -55,8 +85,7 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
-    /// Propagation limit: time within which a change has to be in force.
-    propagation_limit: Duration,
+    limits: Limits,
     role: Role,
     /// When this router last had all changes from the store.
     own_read: Option<Instant>,
@@ -72,9 +101,9 @@
 impl Freshness {
     /// A router that has read nothing yet.
     #[must_use]
-    pub const fn new(propagation_limit: Duration) -> Self {
+    pub const fn new(limits: Limits) -> Self {
         Self {
-            propagation_limit,
+            limits,
             role: Role::Peer,
             own_read: None,
             hub_read: None,
@@ -84,9 +113,9 @@
         }
     }
 
-    /// Changes the propagation limit.
-    pub const fn set_propagation_limit(&mut self, propagation_limit: Duration) {
-        self.propagation_limit = propagation_limit;
+    /// Changes the time limits.
+    pub const fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
     }
 
     /// Changes this router's role in the fleet.
@@ -128,8 +157,9 @@
     /// is lost. A suspension of the process does not count.
     ///
     /// ```
-    /// use {siskin_dispatch::reading::Freshness, siskin_types::time::Instant, std::time::Duration};
-    /// let mut reading = Freshness::new(Duration::from_secs(4));
+    /// use {siskin_dispatch::reading::{Freshness, Limits}, siskin_types::time::Instant, std::time::Duration};
+    /// let limits = Limits { propagation: Duration::from_secs(4), recovery: Duration::from_secs(5) };
+    /// let mut reading = Freshness::new(limits);
     /// let read = Instant::from_micros(10_000_000);
     /// reading.read(read);
     /// reading.lost();
@@ -155,8 +185,9 @@
     /// entries may still return after an outage, so what the store does not list then is gone.
     ///
     /// ```
-    /// use {siskin_dispatch::reading::Freshness, siskin_types::time::Instant, std::time::Duration};
-    /// let mut reading = Freshness::new(Duration::from_secs(4));
+    /// use {siskin_dispatch::reading::{Freshness, Limits}, siskin_types::time::Instant, std::time::Duration};
+    /// let limits = Limits { propagation: Duration::from_secs(4), recovery: Duration::from_secs(5) };
+    /// let mut reading = Freshness::new(limits);
     /// let lost = Instant::from_micros(10_000_000);
     /// reading.record_peer_read(lost + Duration::from_secs(1), Duration::from_millis(900));
     /// assert!(!reading.peer_has_read_since(lost), "the digest may have been on its way");
@@ -172,7 +203,7 @@
     #[must_use]
     pub fn hub_read_suffices(&self, now: Instant) -> bool {
         let is_fresh =
-            |hub_read| now - hub_read < self.propagation_limit.mul_f64(HUB_READ_AGE_SHARE);
+            |hub_read| now - hub_read < self.limits.propagation.mul_f64(HUB_READ_AGE_SHARE);
         self.role == Role::Member && self.hub_read.is_some_and(is_fresh)
     }
 
@@ -180,21 +211,46 @@
     /// still receives changes, which its members rely on.
     #[must_use]
     pub fn watch_timeout(&self, now: Instant) -> Duration {
+        let Limits { propagation, recovery } = self.limits;
+        let longest = recovery
+            .mul_f64(WATCH_TIMEOUT_SHARE)
+            .min(propagation.mul_f64(WATCH_TIMEOUT_PROPAGATION_SHARE));
         if self.role != Role::Hub {
-            return self.propagation_limit.mul_f64(WATCH_TIMEOUT_SHARE);
+            return longest;
         }
-        let interval = self.propagation_limit.mul_f64(HUB_READ_INTERVAL_SHARE);
+        let interval = propagation.mul_f64(HUB_READ_INTERVAL_SHARE).min(longest);
         let age = self.age(now, Scope::Own).unwrap_or_default();
         interval.saturating_sub(age).max(HUB_WATCH_TIMEOUT_MIN)
     }
 
+    /// How long to wait for the store's response to a read. For a watch this begins when the store may no longer hold it.
+    ///
+    /// ```
+    /// use {siskin_dispatch::reading::{Freshness, Limits}, siskin_types::time::Instant, std::time::Duration};
+    /// let limits = Limits { propagation: Duration::from_secs(2), recovery: Duration::from_secs(3) };
+    /// let reading = Freshness::new(limits);
+    /// let watch = reading.watch_timeout(Instant::from_micros(0)) + reading.response_timeout();
+    /// assert!(watch <= Duration::from_secs(2), "a third of the limit is left for the list");
+    /// ```
+    #[must_use]
+    pub fn response_timeout(&self) -> Duration {
+        let timeout = self.limits.recovery.mul_f64(RESPONSE_TIMEOUT_SHARE);
+        timeout.clamp(RESPONSE_TIMEOUT_MIN, RESPONSE_TIMEOUT_MAX)
+    }
+
+    /// Longest delay before a failed read is repeated, from the start of that read.
+    #[must_use]
+    pub fn retry_delay_max(&self) -> Duration {
+        self.limits.recovery.mul_f64(RETRY_DELAY_SHARE).min(RETRY_DELAY_MAX)
+    }
+
     /// Pause before the next read after changes, in a fleet of this size, so that changes in quick succession are read
     /// with one call.
     #[must_use]
     pub fn pause(&self, routers: usize) -> Duration {
         match self.role {
-            Role::Hub => self.propagation_limit.mul_f64(HUB_PAUSE_SHARE),
-            Role::Peer | Role::Member => pause(routers, self.propagation_limit),
+            Role::Hub => self.limits.propagation.mul_f64(HUB_PAUSE_SHARE),
+            Role::Peer | Role::Member => pause(routers, self.limits.propagation),
         }
     }
 
--- a/siskin-dispatch/tests/main/store_calls_at_size.rs
+++ b/siskin-dispatch/tests/main/store_calls_at_size.rs
@@ -7,9 +7,9 @@
     googletest::prelude::*,
     indexmap::IndexMap,
     siskin_dispatch::{
-        reading::Freshness,
+        reading::{Freshness, Limits},
         share::Ledger,
-        spread::{Exchange, Router},
+        spread::{Exchange, Role, Router},
     },
     siskin_types::{id::Node, time::Instant},
     siskin_wire::load::{Digest, Scope},
@@ -18,6 +18,7 @@
 
 const STEP: Duration = Duration::from_millis(10);
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(4);
+const LIMITS: Limits = Limits { propagation: PROPAGATION_LIMIT, recovery: Duration::from_secs(5) };
 const CHANGE_INTERVAL: Duration = Duration::from_millis(700);
 const ZONES: u32 = 6;
 
@@ -74,7 +75,7 @@
             RouterNode {
                 router: router.clone(),
                 exchange,
-                reading: Freshness::new(PROPAGATION_LIMIT),
+                reading: Freshness::new(LIMITS),
                 mode: Mode::Watching(NOW),
                 known: 0,
                 next_digest: NOW + Duration::from_millis(u64::from(router.node.0 % 50)),
@@ -282,8 +283,42 @@
 /// Guards against a hub that resumes after a suspension and still reports a read from before it.
 #[googletest::test]
 fn read_before_a_suspension_does_not_count() {
-    let mut reading = Freshness::new(PROPAGATION_LIMIT);
+    let mut reading = Freshness::new(LIMITS);
     reading.read(NOW);
     reading.reset();
     expect_that!(reading.age(NOW, Scope::Fleet), none());
 }
+
+/// Guards against time limits of calls that are longer than the time in which a router has to know all changes again: a call
+/// that reaches the store during an outage has no response.
+#[googletest::test]
+fn lost_reads_are_repeated_within_the_recovery_limit() {
+    struct Case {
+        name: &'static str,
+        propagation_ms: u64,
+        recovery_ms: u64,
+    }
+    let cases = [
+        Case { name: "8 routers", propagation_ms: 2_000, recovery_ms: 3_000 },
+        Case { name: "73 routers", propagation_ms: 3_000, recovery_ms: 4_000 },
+        Case { name: "195 routers", propagation_ms: 4_000, recovery_ms: 5_000 },
+        Case { name: "short recovery", propagation_ms: 2_000, recovery_ms: 1_500 },
+        Case { name: "long recovery", propagation_ms: 2_000, recovery_ms: 30_000 },
+    ];
+    for case in cases {
+        let recovery = Duration::from_millis(case.recovery_ms);
+        let propagation = Duration::from_millis(case.propagation_ms);
+        let mut reading = Freshness::new(Limits { propagation, recovery });
+        // Part of the limit that is left for the read that succeeds.
+        let most = recovery.mul_f64(0.7);
+        let list_lost = reading.response_timeout().max(reading.retry_delay_max());
+        expect_that!(list_lost, le(most), "{}: list", case.name);
+        for role in [Role::Peer, Role::Member, Role::Hub] {
+            reading.set_role(role);
+            let watch_lost = reading.watch_timeout(NOW) + reading.response_timeout();
+            expect_that!(watch_lost, le(most), "{}: watch of {role:?}", case.name);
+            let known_late = reading.watch_timeout(NOW);
+            expect_that!(known_late, le(propagation.mul_f64(1.5)), "{}: {role:?}", case.name);
+        }
+    }
+}
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -17,7 +17,7 @@
     siskin_dispatch::{
         budget::{self, Budget},
         pool::Pool,
-        reading::Freshness,
+        reading::{self, Freshness},
         share::{Ledger, Standing, Usage},
         sizes::Classes,
     },
@@ -132,12 +132,21 @@
     pub memory_bytes: usize,
     /// Longest time until a change in the platform's store has to be in force.
     pub apply_within: Duration,
+    /// Longest time after an outage of the platform's store until all changes are known again.
+    pub recover_within: Duration,
     /// Multiple of the rate that a cold endpoint sustains that may arrive there within one second.
     pub cold_burst_factor: f64,
     /// Requests that may arrive at a cold endpoint within one second in addition.
     pub cold_burst_requests: f64,
 }
 
+impl Parameters {
+    /// Time limits for the reads of the platform's store.
+    const fn reading_limits(&self) -> reading::Limits {
+        reading::Limits { propagation: self.apply_within, recovery: self.recover_within }
+    }
+}
+
 /// State of dispatch decisions, locked only for the time of one function call.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
@@ -223,7 +232,7 @@
             overload: Mutex::default(),
             offload: Mutex::default(),
             body_memory: Limiter::new(options.parameters.memory_bytes / BODY_MEMORY_DIVISOR),
-            reading: Mutex::new(Freshness::new(options.parameters.apply_within)),
+            reading: Mutex::new(Freshness::new(options.parameters.reading_limits())),
             crashes: Mutex::new(Register::new(quarantine::Options::default())),
             logged_causes: Mutex::default(),
             caller_connections: server::Open::default(),
@@ -242,7 +251,7 @@
     /// Replaces the limits in force.
     pub fn set_parameters(&self, parameters: Parameters) {
         *self.parameters.write().unwrap_or_else(PoisonError::into_inner) = parameters;
-        self.reading(|reading| reading.set_propagation_limit(parameters.apply_within));
+        self.reading(|reading| reading.set_limits(parameters.reading_limits()));
         self.body_memory.set_limit(parameters.memory_bytes / BODY_MEMORY_DIVISOR);
         self.with_dispatch(|state| {
             state.ledger.set_window(parameters.share_window);
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -133,6 +133,7 @@
             descriptors: 1_024,
             memory_bytes: 256 << 20,
             apply_within: Duration::from_secs(2),
+            recover_within: Duration::from_secs(3),
             cold_burst_factor: 1.0,
             cold_burst_requests: 0.0,
         },
