Ask another router for newer versions if the one that told of them is gone

Cause: only a digest with newer versions than any before changed the router that is asked for them. If that one was gone, the others that had the same version were never asked, and a newest version that nobody has any longer kept those between out of sight.

Evidence: newer_configuration_is_requested_from_another_router_if_the_first_is_lost fails before in both of its cases.

Change: of the peers that have the newest version that this router lacks, the last one to report is asked. With each request, what was heard is forgotten, so that the next digests (several a second) show whom to ask next.

--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -89,6 +89,7 @@
 struct Versions {
     config_version: u64,
     directory_position: Position,
+    /// The peer that is asked for them.
     from: Option<SocketAddr>,
     behind_since: Option<Instant>,
     last_request: Option<Instant>,
@@ -198,15 +199,29 @@
         if counted && digest.scope != Scope::Own {
             self.record_hub_reading(digest);
         }
+        self.record_versions(from, digest);
+    }
+
+    /// Records the versions that a peer has. Of the peers that have the newest one that this router lacks, the last one to report is
+    /// asked for it: the first one may be gone.
+    fn record_versions(&self, from: SocketAddr, digest: &Digest) {
+        let (config_version, directory_position) = self.known_versions();
         let mut newest = lock(&self.newest);
         let newer = digest.config_version > newest.config_version
             || digest.directory_position > newest.directory_position;
-        if newer {
+        newest.config_version = newest.config_version.max(digest.config_version);
+        newest.directory_position = newest.directory_position.max(digest.directory_position);
+        let has_newest_config = digest.config_version == newest.config_version
+            && digest.config_version > config_version;
+        let has_newest_directory = digest.directory_position == newest.directory_position
+            && digest.directory_position > directory_position;
+        if has_newest_config || has_newest_directory {
             newest.from = Some(from);
+        }
+        drop(newest);
+        if newer {
             self.gateway.record_newer_version_at_peer();
         }
-        newest.config_version = newest.config_version.max(digest.config_version);
-        newest.directory_position = newest.directory_position.max(digest.directory_position);
     }
 
     fn handle_limits(&self, node: Node, report: &limit::Report) {
@@ -410,13 +425,17 @@
         let waiting = newest.last_request.is_some_and(|at| now - at < REQUEST_INTERVAL);
         let Some(from) = newest.from.filter(|_| now - since >= delay && !waiting) else { return };
         newest.last_request = Some(now);
+        let (newest_config, newest_directory) = (newest.config_version, newest.directory_position);
+        // If that peer is gone, the next reports show which others have newer versions, even if not the newest one.
+        (newest.config_version, newest.directory_position) = (config_version, directory_position);
+        newest.from = None;
+        drop(newest);
         log::info!(
-            config_version, newest = newest.config_version, directory = directory_position.number(),
-            newest_directory = newest.directory_position.number(), peer:% = from;
+            config_version, newest = newest_config, directory = directory_position.number(),
+            newest_directory = newest_directory.number(), peer:% = from;
             "versions are older than those of a peer; requesting newer ones"
         );
         let request = relay::Message::Ask { config_version, directory_position };
-        drop(newest);
         self.control.send(None, from, &Message::Relay(request));
     }
 
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -22,6 +22,7 @@
 mod loads;
 mod outcome;
 mod overload;
+mod peers;
 mod readiness;
 mod resume;
 mod seed;
