Name other routers to a router that starts without the store

The routers that its settings name had left; it knew no others until the store served it.

Cause: it asks its seeds alone. The list of routers and the secret of their exchange are in the store.

--- a/siskin-gateway/src/catalog/encoding.rs
+++ b/siskin-gateway/src/catalog/encoding.rs
@@ -43,21 +43,22 @@
         postcard::to_stdvec(&warm_ups.collect::<IndexMap<_, _>>())
     }
 
-    /// Decodes how services warm up.
-    pub(crate) fn decode_warm_ups(
+    /// Decodes how services warm up. Returns the bytes that follow.
+    pub(crate) fn decode_warm_ups<'bytes>(
         &mut self,
-        bytes: &[u8],
+        bytes: &'bytes [u8],
         known: Option<&Self>,
-    ) -> postcard::Result<()> {
-        let warm_ups: IndexMap<String, WarmUp> = if bytes.is_empty() {
+    ) -> postcard::Result<&'bytes [u8]> {
+        let (warm_ups, rest): (IndexMap<String, WarmUp>, _) = if bytes.is_empty() {
             let known = known.into_iter().flat_map(|known| &known.services);
-            known.filter_map(|(name, one)| Some((name.clone(), one.warm_up?))).collect()
+            let warm_ups = known.filter_map(|(name, one)| Some((name.clone(), one.warm_up?)));
+            (warm_ups.collect(), bytes)
         } else {
-            postcard::from_bytes(bytes)?
+            postcard::take_from_bytes(bytes)?
         };
         for (name, service) in &mut self.services {
             service.warm_up = warm_ups.get(name).copied();
         }
-        Ok(())
+        Ok(rest)
     }
 }
--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -185,6 +185,8 @@
     overload: Mutex<overload::Meter>,
     /// Which new connections are relayed to larger routers.
     offload: Mutex<offload::State>,
+    /// Addresses at which other routers serve snapshots.
+    pub(crate) snapshot_sources: Mutex<Vec<SocketAddr>>,
     reading: Mutex<Freshness>,
     /// Crashes of endpoints, and the requests that cause them.
     crashes: Mutex<Register>,
@@ -231,6 +233,7 @@
             peer_ahead_since: Mutex::default(),
             overload: Mutex::default(),
             offload: Mutex::default(),
+            snapshot_sources: Mutex::default(),
             body_memory: Limiter::new(options.parameters.memory_bytes / BODY_MEMORY_DIVISOR),
             reading: Mutex::new(Freshness::new(options.parameters.reading_limits())),
             crashes: Mutex::new(Register::new(quarantine::Options::default())),
--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -75,6 +75,8 @@
     pub address: SocketAddr,
     /// Address at which it serves callers; `None` for a router of an earlier version.
     pub callers: Option<SocketAddr>,
+    /// Address at which it serves snapshots to routers that start; `None` for a router of an earlier version.
+    pub snapshots: Option<SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -128,6 +130,8 @@
         lock(&self.exchange).list(&fleet);
         lock(&self.readiness).set_routers(&fleet, &self.gateway.options.data_centre);
         self.gateway.set_offload_targets(self.node, routers);
+        let others = routers.iter().filter(|listed| listed.router.node != self.node);
+        self.gateway.set_snapshot_sources(others.filter_map(|listed| listed.snapshots).collect());
         let mut peers = lock(&self.by_node);
         for peer in peers.values_mut() {
             peer.listed = false;
--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -1,5 +1,6 @@
 //! Start without the store: a router that the store does not serve requests the configuration and the list of endpoints from
-//! other routers (seeds), until it reads the store. The list of all routers, which could send it newer ones, is in the store.
+//! other routers, until it reads the store. It begins with those that its settings name (seeds). As the list of all routers is in
+//! the store, responses also name some other routers, in case the seeds leave.
 
 use {
     crate::{
@@ -16,6 +17,9 @@
         Request, Response, StatusCode, Uri,
         header::{HOST, HeaderValue},
     },
+    indexmap::IndexSet,
+    rand::seq::IteratorRandom,
+    siskin_net::lock,
     siskin_types::{position::Position, time::Instant},
     std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -36,28 +40,72 @@
 /// Largest snapshot that is read: several times that of a fleet with thousands of endpoints.
 const SNAPSHOT_BYTES_MAX: usize = 4 * 1024 * 1024;
 
+/// Most other routers that a snapshot names.
+const NAMED_SOURCES_MAX: usize = 16;
+
+/// Most other routers that are remembered as sources besides the seeds.
+const LEARNED_SOURCES_MAX: usize = 64;
+
+/// Most learned sources that are asked in one round besides the seeds.
+const LEARNED_SOURCES_PER_ROUND: usize = 3;
+
 /// The configuration and endpoints of a router, sent to one that has none.
 #[derive(Debug)]
 struct Snapshot {
     catalog: Catalog,
     directory: Directory,
+    /// Addresses at which other routers serve snapshots.
+    sources: Vec<SocketAddr>,
 }
 
 impl Snapshot {
-    /// Encodes a snapshot for a router of this or the previous version, which ignores how services warm up.
-    fn encode(catalog: &Catalog, directory: &Directory, now: Instant) -> postcard::Result<Vec<u8>> {
+    /// Encodes a snapshot for a router of this or an earlier version, which ignores the parts at the end that it does not know.
+    fn encode(
+        catalog: &Catalog,
+        directory: &Directory,
+        sources: &[SocketAddr],
+        now: Instant,
+    ) -> postcard::Result<Vec<u8>> {
         let mut bytes = catalog.encode_base()?;
         bytes.extend(directory.encode(now)?);
         bytes.extend(catalog.encode_warm_ups()?);
+        bytes.extend(postcard::to_stdvec(sources)?);
         Ok(bytes)
     }
 
-    /// Decodes a snapshot of this or the previous version.
+    /// Decodes a snapshot of this or an earlier version, which lacks parts at the end.
     fn decode(bytes: &[u8], known: Option<&Catalog>, now: Instant) -> postcard::Result<Self> {
         let (mut catalog, rest) = postcard::take_from_bytes::<Catalog>(bytes)?;
         let (directory, rest) = Directory::decode_first(rest, now)?;
-        catalog.decode_warm_ups(rest, known)?;
-        Ok(Self { catalog, directory })
+        let rest = catalog.decode_warm_ups(rest, known)?;
+        let sources = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok(Self { catalog, directory, sources })
+    }
+}
+
+/// Routers that are asked for snapshots.
+#[derive(Debug)]
+struct Sources {
+    seeds: Vec<SocketAddr>,
+    /// Other routers that snapshots have named.
+    learned: IndexSet<SocketAddr>,
+}
+
+impl Sources {
+    /// The sources of one round: all seeds and some others.
+    fn choose(&self) -> Vec<SocketAddr> {
+        let mut chosen = self.seeds.clone();
+        let learned = self.learned.iter().copied();
+        chosen.extend(learned.choose_multiple(&mut rand::rng(), LEARNED_SOURCES_PER_ROUND));
+        chosen
+    }
+
+    /// Adds sources that a snapshot names. The oldest ones give way.
+    fn learn(&mut self, named: &[SocketAddr]) {
+        let new = named.iter().filter(|source| !self.seeds.contains(source));
+        self.learned.extend(new);
+        let excess = self.learned.len().saturating_sub(LEARNED_SOURCES_MAX);
+        self.learned.drain(..excess);
     }
 }
 
@@ -91,19 +139,31 @@
     }
 }
 
-/// Requests snapshots from the seeds until this router reads the store. Uses the newest configuration and the newest list of
-/// endpoints of all responses: a seed that was cut off from the store may still have customers' keys and endpoints that were
-/// removed.
+/// Requests snapshots from the seeds, and from some of the routers that they name, until this router reads the store. Uses the
+/// newest configuration and the newest list of endpoints of all responses: a router that was cut off from the store may still have
+/// customers' keys and endpoints that were removed.
 pub async fn run(gateway: Arc<Gateway>, seeds: Vec<SocketAddr>) {
     sleep(STORE_HEAD_START).await;
+    let mut sources = Sources { seeds, learned: IndexSet::new() };
     while !gateway.watching_store() {
-        let requests = seeds.iter().map(|seed| fetch_snapshot(&gateway, *seed));
-        let snapshots = join_all(requests).await;
-        apply_newest(&gateway, snapshots.into_iter().flatten());
+        let chosen = sources.choose();
+        let requests = chosen.iter().map(|source| fetch_snapshot(&gateway, *source));
+        let snapshots: Vec<_> = join_all(requests).await.into_iter().flatten().collect();
+        for snapshot in &snapshots {
+            sources.learn(&snapshot.sources);
+        }
+        apply_newest(&gateway, snapshots.into_iter());
         sleep(ROUND_INTERVAL).await;
     }
 }
 
+impl Gateway {
+    /// Replaces the addresses at which other routers serve snapshots.
+    pub(crate) fn set_snapshot_sources(&self, sources: Vec<SocketAddr>) {
+        *lock(&self.snapshot_sources) = sources;
+    }
+}
+
 /// Puts the newest configuration and the newest list of endpoints in force, unless this router has newer ones.
 fn apply_newest(gateway: &Gateway, snapshots: impl Iterator<Item = Snapshot>) {
     let (catalogs, directories): (Vec<_>, Vec<_>) =
@@ -118,12 +178,12 @@
     }
 }
 
-/// Fetches the snapshot of a seed, if it responds in time.
-async fn fetch_snapshot(gateway: &Gateway, seed: SocketAddr) -> Option<Snapshot> {
-    match timeout(RESPONSE_TIMEOUT, request_snapshot(gateway, seed)).await {
+/// Fetches the snapshot of a router, if it responds in time.
+async fn fetch_snapshot(gateway: &Gateway, source: SocketAddr) -> Option<Snapshot> {
+    match timeout(RESPONSE_TIMEOUT, request_snapshot(gateway, source)).await {
         Ok(Ok(snapshot)) => return snapshot,
-        Ok(Err(error)) => log::info!(seed:% = seed; "snapshot cannot be fetched: {error:#}"),
-        Err(_) => log::info!(seed:% = seed; "seed did not respond in time"),
+        Ok(Err(error)) => log::info!(seed:% = source; "snapshot cannot be fetched: {error:#}"),
+        Err(_) => log::info!(seed:% = source; "seed did not respond in time"),
     }
     None
 }
@@ -144,7 +204,9 @@
         *response.status_mut() = StatusCode::NOT_MODIFIED;
         return response;
     }
-    match Snapshot::encode(&catalog, &directory, gateway.clock.now()) {
+    let sources = lock(&gateway.snapshot_sources).clone();
+    let named = sources.into_iter().choose_multiple(&mut rand::rng(), NAMED_SOURCES_MAX);
+    match Snapshot::encode(&catalog, &directory, &named, gateway.clock.now()) {
         Ok(bytes) => Response::new(respond::full_body(bytes)),
         Err(error) => {
             log::error!("snapshot cannot be encoded: {error}");
--- a/siskin-gateway/tests/main/crashing_requests.rs
+++ b/siskin-gateway/tests/main/crashing_requests.rs
@@ -125,7 +125,7 @@
             peers: Peers::start(Arc::clone(&gateway), node, control, listener),
             router: TestRouter::serve(Arc::clone(&gateway)).await,
             gateway,
-            listing: Listing { router, address, callers: None },
+            listing: Listing { router, address, callers: None, snapshots: None },
         }
     }
 }
--- a/siskin-gateway/tests/main/seed.rs
+++ b/siskin-gateway/tests/main/seed.rs
@@ -1,12 +1,16 @@
 //! A router that starts during a store outage.
 
 use {
-    crate::fixture::{TestRouter, catalog, gateway_at},
+    crate::{
+        crashing_requests::Member,
+        fixture::{TestRouter, catalog, gateway_at},
+    },
     googletest::prelude::*,
     siskin_gateway::{
         catalog::{Catalog, Kind},
         directory::Directory,
         gateway::{Gateway, Server, Source},
+        peers::Listing,
         seed,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -89,3 +93,28 @@
     expect_that!(timeout(Duration::from_secs(3), asking).await.is_ok(), eq(true), "it ends");
     router.stop().await;
 }
+
+/// Guards against a withdrawn key that an added router uses for as long as the store turns it away, because its seeds have left and
+/// it knows no other routers.
+#[googletest::test]
+#[tokio::test]
+async fn newer_versions_are_fetched_from_routers_that_a_seed_names() {
+    let directory = Directory::new(1, Vec::new());
+    let first = Member::start(0, catalog(Kind::AtMostOnce), &directory).await;
+    let other = Member::start(1, catalog(Kind::AtMostOnce), &directory).await;
+    let listings = [&first, &other].map(|member| {
+        let snapshots = Some(member.router.control());
+        Listing { snapshots, ..member.listing.clone() }
+    });
+    first.peers.list(&listings);
+    let starting = gateway_at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    tokio::spawn(seed::run(Arc::clone(&starting), vec![first.router.control()]));
+    wait_for_version(&starting, 1).await;
+    expect_that!(starting.catalog().map(|catalog| catalog.version), some(eq(1)));
+    first.router.stop().await;
+    let newer = Catalog { version: 2, ..catalog(Kind::AtMostOnce) };
+    other.gateway.set_catalog(newer, Source::Store);
+    wait_for_version(&starting, 2).await;
+    expect_that!(starting.catalog().unwrap().version, eq(2));
+    other.router.stop().await;
+}
