--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -9,6 +9,7 @@
 //! endpoints, and which routers of the data centre are short of processor time.
 
 mod readiness;
+mod versions;
 
 use {
     crate::{
@@ -39,18 +40,12 @@
         sync::mpsc,
         time::{self, Instant},
     },
+    versions::{Asked, Need, Pair, Versions},
 };
 
 /// Time after its last digest for which a router that the platform does not list counts as a peer.
 const UNLISTED_PEER_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Time for which a router is behind a peer before it requests the newer version: the store usually sends changes to both
-/// at about the same time.
-const STORE_HEAD_START: Duration = Duration::from_millis(300);
-
-/// Time between requests for newer versions, in which the peer has to respond.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Most received frames that wait in the queue.
 const QUEUE_FRAMES: usize = 1_024;
 
@@ -61,7 +56,7 @@
     node: Node,
     control: Arc<Control>,
     by_node: Mutex<IndexMap<Node, Peer>>,
-    newest: Mutex<Versions>,
+    versions: Mutex<Versions>,
     exchange: Mutex<Exchange>,
     readiness: Mutex<Readiness>,
 }
@@ -86,17 +81,6 @@
     last_heard: Option<Instant>,
 }
 
-/// The newest versions that peers have reported.
-#[derive(Debug, Default)]
-struct Versions {
-    config_version: u64,
-    directory_position: Position,
-    /// The peer that is asked for them.
-    from: Option<SocketAddr>,
-    behind_since: Option<Instant>,
-    last_request: Option<Instant>,
-}
-
 impl Peers {
     /// Starts the exchange on bound sockets. It runs until the process ends.
     #[must_use]
@@ -113,7 +97,7 @@
             node,
             control: Arc::clone(&control),
             by_node: Mutex::default(),
-            newest: Mutex::default(),
+            versions: Mutex::default(),
             exchange: Mutex::new(Exchange::new(node)),
             readiness: Mutex::new(Readiness::new(node)),
         });
@@ -203,27 +187,9 @@
         if counted && digest.scope != Scope::Own {
             self.record_hub_reading(digest);
         }
-        self.record_versions(from, digest);
-    }
-
-    /// Records the versions that a peer has. Of the peers that have the newest one that this router lacks, the last one to report is
-    /// asked for it: the first one may be gone.
-    fn record_versions(&self, from: SocketAddr, digest: &Digest) {
-        let (config_version, directory_position) = self.known_versions();
-        let mut newest = lock(&self.newest);
-        let newer = digest.config_version > newest.config_version
-            || digest.directory_position > newest.directory_position;
-        newest.config_version = newest.config_version.max(digest.config_version);
-        newest.directory_position = newest.directory_position.max(digest.directory_position);
-        let has_newest_config = digest.config_version == newest.config_version
-            && digest.config_version > config_version;
-        let has_newest_directory = digest.directory_position == newest.directory_position
-            && digest.directory_position > directory_position;
-        if has_newest_config || has_newest_directory {
-            newest.from = Some(from);
-        }
-        drop(newest);
-        if newer {
+        let reported = Pair::new(digest.config_version, digest.directory_position);
+        let is_newer = lock(&self.versions).record(from, reported, self.own_versions());
+        if is_newer {
             self.gateway.record_newer_version_at_peer();
         }
     }
@@ -410,39 +376,32 @@
         lock(&self.by_node).get(&node).map(|peer| peer.address)
     }
 
-    /// Requests newer versions from the peer that reported them: at once if this router leaves reading the store to its hub,
-    /// otherwise once the store has not delivered them for [`STORE_HEAD_START`].
+    /// Requests newer versions from a peer that reported them: at once if this router leaves reading the store to its hub,
+    /// otherwise once the store has not delivered them for a while.
     fn request_newer_versions(&self) {
-        let (config_version, directory_position) = self.known_versions();
-        let mut newest = lock(&self.newest);
+        let own = self.own_versions();
         let delegates_to_hub = self.gateway.reading(|reading| reading.delegates_to_hub());
-        let follows_peers = delegates_to_hub || !self.gateway.watching_store();
-        let behind = newest.config_version > config_version
-            || (newest.directory_position > directory_position && follows_peers);
-        let now = Instant::now();
-        if !behind {
-            newest.behind_since = None;
-            return;
-        }
-        let since = *newest.behind_since.get_or_insert(now);
-        let delay = if delegates_to_hub { Duration::ZERO } else { STORE_HEAD_START };
-        let waiting = newest.last_request.is_some_and(|at| now - at < REQUEST_INTERVAL);
-        let Some(from) = newest.from.filter(|_| now - since >= delay && !waiting) else { return };
-        newest.last_request = Some(now);
-        let (newest_config, newest_directory) = (newest.config_version, newest.directory_position);
-        // If that peer is gone, the next reports show which others have newer versions, even if not the newest one.
-        (newest.config_version, newest.directory_position) = (config_version, directory_position);
-        newest.from = None;
-        drop(newest);
+        let need = Need {
+            directory: delegates_to_hub || !self.gateway.watching_store(),
+            at_once: delegates_to_hub,
+        };
+        let due = lock(&self.versions).due_request(Instant::now(), own, need);
+        let Some(Asked { from, newest }) = due else { return };
         log::info!(
-            config_version, newest = newest_config, directory = directory_position.number(),
-            newest_directory = newest_directory.number(), peer:% = from;
+            config_version = own.config, newest = newest.config, directory = own.directory.number(),
+            newest_directory = newest.directory.number(), peer:% = from;
             "versions are older than those of a peer; requesting newer ones"
         );
-        let request = relay::Message::Ask { config_version, directory_position };
+        let request =
+            relay::Message::Ask { config_version: own.config, directory_position: own.directory };
         self.control.send(None, from, &Message::Relay(request));
     }
 
+    fn own_versions(&self) -> Pair {
+        let (config, directory) = self.known_versions();
+        Pair::new(config, directory)
+    }
+
     fn known_versions(&self) -> (u64, Position) {
         let version = self.gateway.catalog().map_or(0, |catalog| catalog.version);
         (version, self.gateway.directory().position())
