--- a/siskin-gateway/src/peers.rs
+++ b/siskin-gateway/src/peers.rs
@@ -40,7 +40,7 @@
         sync::mpsc,
         time::{self, Instant},
     },
-    versions::{Asked, Need, Pair, Versions},
+    versions::{Need, Pair, Request, Versions},
 };
 
 /// Time after its last digest for which a router that the platform does not list counts as a peer.
@@ -385,8 +385,8 @@
             directory: delegates_to_hub || !self.gateway.watching_store(),
             at_once: delegates_to_hub,
         };
-        let due = lock(&self.versions).due_request(Instant::now(), own, need);
-        let Some(Asked { from, newest }) = due else { return };
+        let due = lock(&self.versions).take_due_request(Instant::now(), own, need);
+        let Some(Request { from, newest }) = due else { return };
         log::info!(
             config_version = own.config, newest = newest.config, directory = own.directory.number(),
             newest_directory = newest.directory.number(), peer:% = from;
--- a/siskin-gateway/src/peers/versions.rs
+++ b/siskin-gateway/src/peers/versions.rs
@@ -13,7 +13,7 @@
 /// Time between requests for newer versions, in which the peer has to respond.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Versions of the configuration and of the list of endpoints.
+/// The version of a configuration and that of a list of endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Pair {
     /// Version of the configuration, 0 for none.
@@ -42,9 +42,9 @@
     pub(super) at_once: bool,
 }
 
-/// A request that is due.
+/// A request for newer versions.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Asked {
+pub(super) struct Request {
     /// The peer to ask.
     pub(super) from: SocketAddr,
     /// The newest versions that peers have reported.
@@ -78,8 +78,13 @@
         is_newer
     }
 
-    /// The request that is due now, if any. It is taken to be sent.
-    pub(super) fn due_request(&mut self, now: Instant, own: Pair, need: Need) -> Option<Asked> {
+    /// Takes the request that is due now, if any. The caller sends it.
+    pub(super) fn take_due_request(
+        &mut self,
+        now: Instant,
+        own: Pair,
+        need: Need,
+    ) -> Option<Request> {
         let newest = self.newest;
         let behind =
             newest.config > own.config || (newest.directory > own.directory && need.directory);
@@ -95,6 +100,6 @@
         // If that peer is gone, the next reports show which others have newer versions, even if not the newest one.
         self.newest = own;
         self.from = None;
-        Some(Asked { from, newest })
+        Some(Request { from, newest })
     }
 }
