Hold a watch for at least a tenth of a second whatever the settings say

A contact_ms of 0 made routers without a hub call the store without a pause (by reading; watches_are_held_for_a_while_without_time_limits fails before). Nothing changes from 304 ms on.

--- a/siskin-dispatch/src/reading.rs
+++ b/siskin-dispatch/src/reading.rs
@@ -31,8 +31,8 @@
 /// Longest such pause, as a share of the propagation limit. The rest covers the call itself and late timers.
 const PAUSE_SHARE: f64 = 0.55;
 
-/// Shortest watch timeout that a hub asks the store for.
-const HUB_WATCH_TIMEOUT_MIN: Duration = Duration::from_millis(100);
+/// Shortest watch timeout that a router asks the store for.
+const WATCH_TIMEOUT_MIN: Duration = Duration::from_millis(100);
 
 /// Watch timeout of a router that is not a hub, as a share of the recovery limit.
 const WATCH_TIMEOUT_SHARE: f64 = 0.33;
@@ -44,8 +44,10 @@
 /// [`WATCH_TIMEOUT_SHARE`] it leaves a third of the limit for the list.
 const RESPONSE_TIMEOUT_SHARE: f64 = 0.33;
 
-/// Shortest and longest time for the store's response: it responds within milliseconds, or a few hundred when it is slow.
+/// Shortest time for the store's response: it takes milliseconds, or a few hundred when it is slow.
 const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(300);
+
+/// Longest time for the store's response.
 const RESPONSE_TIMEOUT_MAX: Duration = Duration::from_secs(2);
 
 /// Longest delay before a failed read is repeated, as a share of the recovery limit.
@@ -214,13 +216,14 @@
         let Limits { propagation, recovery } = self.limits;
         let longest = recovery
             .mul_f64(WATCH_TIMEOUT_SHARE)
-            .min(propagation.mul_f64(WATCH_TIMEOUT_PROPAGATION_SHARE));
+            .min(propagation.mul_f64(WATCH_TIMEOUT_PROPAGATION_SHARE))
+            .max(WATCH_TIMEOUT_MIN);
         if self.role != Role::Hub {
             return longest;
         }
         let interval = propagation.mul_f64(HUB_READ_INTERVAL_SHARE).min(longest);
         let age = self.age(now, Scope::Own).unwrap_or_default();
-        interval.saturating_sub(age).max(HUB_WATCH_TIMEOUT_MIN)
+        interval.saturating_sub(age).max(WATCH_TIMEOUT_MIN)
     }
 
     /// How long to wait for the store's response to a read. For a watch this begins when the store may no longer hold it.
--- a/siskin-dispatch/tests/main/store_calls_at_size.rs
+++ b/siskin-dispatch/tests/main/store_calls_at_size.rs
@@ -322,3 +322,15 @@
         }
     }
 }
+
+/// Guards against a router that calls the store without a pause because its settings name no time.
+#[googletest::test]
+fn watches_are_held_for_a_while_without_time_limits() {
+    let limits = Limits { propagation: Duration::ZERO, recovery: Duration::ZERO };
+    let mut reading = Freshness::new(limits);
+    for role in [Role::Peer, Role::Member, Role::Hub] {
+        reading.set_role(role);
+        expect_that!(reading.watch_timeout(NOW), ge(Duration::from_millis(100)), "{role:?}");
+        expect_that!(reading.response_timeout(), ge(Duration::from_millis(300)), "{role:?}");
+    }
+}
