--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -182,8 +182,8 @@
 async fn fetch_snapshot(gateway: &Gateway, source: SocketAddr) -> Option<Snapshot> {
     match timeout(RESPONSE_TIMEOUT, request_snapshot(gateway, source)).await {
         Ok(Ok(snapshot)) => return snapshot,
-        Ok(Err(error)) => log::info!(seed:% = source; "snapshot cannot be fetched: {error:#}"),
-        Err(_) => log::info!(seed:% = source; "seed did not respond in time"),
+        Ok(Err(error)) => log::info!(source:% = source; "snapshot cannot be fetched: {error:#}"),
+        Err(_) => log::info!(source:% = source; "router did not send its snapshot in time"),
     }
     None
 }
