Send the software versions of endpoints to other routers

Cause: a router that reads the list of endpoints from a peer or a seed would not know their software versions.

--- a/siskin-gateway/src/directory.rs
+++ b/siskin-gateway/src/directory.rs
@@ -169,9 +169,18 @@
         self.drained.is_some()
     }
 
-    /// Adds what a list from a router of the previous version does not say. At the position of the `known` list it is the same
-    /// list, so what is known applies; at a higher one no data centre is drained. Endpoints stay cold for as long as is known.
+    /// Number of endpoints whose software version is known.
+    pub(crate) fn software_known(&self) -> usize {
+        self.endpoints.iter().filter(|endpoint| endpoint.software.is_some()).count()
+    }
+
+    /// Adds what a list from a router of a previous version does not say. At the position of the `known` list it is the same
+    /// list, so what is known applies; at a higher one no data centre is drained. Endpoints stay cold for as long as is known, and
+    /// keep their software versions: an instance that starts again has another identifier.
     pub(crate) fn complete_from(&mut self, known: &Self) {
+        for endpoint in self.endpoints.iter_mut().filter(|endpoint| endpoint.software.is_none()) {
+            endpoint.software = known.get(endpoint.id).and_then(|known| known.software.clone());
+        }
         if self.is_complete() {
             return;
         }
--- a/siskin-gateway/src/seed.rs
+++ b/siskin-gateway/src/seed.rs
@@ -67,18 +67,21 @@
         now: Instant,
     ) -> postcard::Result<Vec<u8>> {
         let mut bytes = catalog.encode_base()?;
-        bytes.extend(directory.encode(now)?);
+        bytes.extend(directory.encode_first(now)?);
         bytes.extend(catalog.encode_warm_ups()?);
         bytes.extend(postcard::to_stdvec(sources)?);
+        bytes.extend(directory.encode_software()?);
         Ok(bytes)
     }
 
     /// Decodes a snapshot of this or an earlier version, which lacks parts at the end.
     fn decode(bytes: &[u8], known: Option<&Catalog>, now: Instant) -> postcard::Result<Self> {
         let (mut catalog, rest) = postcard::take_from_bytes::<Catalog>(bytes)?;
-        let (directory, rest) = Directory::decode_first(rest, now)?;
+        let (mut directory, rest) = Directory::decode_first(rest, now)?;
         let rest = catalog.decode_warm_ups(rest, known)?;
-        let sources = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        let (sources, rest) =
+            if rest.is_empty() { (Vec::new(), rest) } else { postcard::take_from_bytes(rest)? };
+        directory.decode_software(rest)?;
         Ok(Self { catalog, directory, sources })
     }
 }
@@ -168,7 +171,9 @@
 fn apply_newest(gateway: &Gateway, snapshots: impl Iterator<Item = Snapshot>) {
     let (catalogs, directories): (Vec<_>, Vec<_>) =
         snapshots.map(|one| (one.catalog, one.directory)).unzip();
-    let directory = directories.into_iter().max_by_key(|one| (one.position(), one.is_complete()));
+    let directory = directories
+        .into_iter()
+        .max_by_key(|one| (one.position(), one.is_complete(), one.software_known()));
     let catalog = catalogs.into_iter().max_by_key(|catalog| catalog.version);
     if let Some(directory) = directory.filter(|one| *one != *gateway.directory()) {
         gateway.set_directory(directory, Source::Peer);
--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -23,6 +23,7 @@
 mod outcome;
 mod overload;
 mod peers;
+mod previous;
 mod readiness;
 mod resume;
 mod seed;
