Parse what a caller says of the stream that it takes up again

Cause: the gateway could not tell a request that takes a stream up from a new one, nor the request that began it.

--- a/siskin-gateway/src/protocol.rs
+++ b/siskin-gateway/src/protocol.rs
@@ -19,6 +19,17 @@
     pub prompt: Prompt,
     /// Expected number of generated tokens.
     pub output_tokens: u32,
+    /// The stream that the caller takes up again; `None` if the request begins anew.
+    pub continuation: Option<Continuation>,
+}
+
+/// What a caller says of the stream that it takes up again.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Continuation {
+    /// Identifier of the last event that the caller has received.
+    pub last_event: Option<String>,
+    /// Identifier of the request that began the stream; `None` if the caller does not name exactly one.
+    pub origin: Option<String>,
 }
 
 /// A required header is missing, or a header cannot be parsed.
--- a/siskin-gateway/tests/main/fixture.rs
+++ b/siskin-gateway/tests/main/fixture.rs
@@ -14,7 +14,7 @@
         directory::{Directory, Endpoint},
         gateway::{Gateway, Options, Parameters, Server, Source},
         metrics::Metrics,
-        protocol::{Answer, Head, Malformed, Outbound, Protocol},
+        protocol::{Answer, Continuation, Head, Malformed, Outbound, Protocol},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -23,8 +23,8 @@
     },
 };
 
-/// Protocol of the tests, with the headers `id`, `key`, `tokens`, `parts`, `not-run`, `signed`, `leaving`, `backoff-ms`
-/// `limit` and `load`.
+/// Protocol of the tests, with the headers `id`, `key`, `tokens`, `parts`, `last-event`, `origin`, `not-run`, `signed`, `leaving`,
+/// `backoff-ms`, `limit` and `load`.
 #[derive(Debug)]
 pub(crate) struct TestProtocol;
 
@@ -43,10 +43,12 @@
         let tokens = text("tokens").and_then(|tokens| tokens.parse().ok());
         let parts = text("parts").unwrap_or_default();
         let parts = parts.split(',').filter_map(|part| Some((part.parse().ok()?, PART_TOKENS)));
+        let continuation = Continuation { last_event: text("last-event"), origin: text("origin") };
         Ok(Head {
             id: text("id").ok_or(missing)?,
             key: text("key"),
             prompt: Prompt::new("m", tokens.map(|tokens| (1, tokens)).into_iter().chain(parts)),
+            continuation: (continuation != Continuation::default()).then_some(continuation),
             ..Head::default()
         })
     }
