Name the software version of a listed endpoint

Change: Directory::software, and the version in the log line of an endpoint that is listed or has changed.

--- a/siskin-gateway/src/directory.rs
+++ b/siskin-gateway/src/directory.rs
@@ -74,6 +74,8 @@
 /// let directory = Directory::new(7, vec![endpoint("b"), endpoint("a")]).with_drained(["east"]);
 /// assert_eq!(directory.get(Endpoint::number("a")).unwrap().instance, "a");
 /// assert!(directory.get(Endpoint::number("c")).is_none());
+/// assert_eq!(directory.software(Endpoint::number("a")).unwrap().as_ref(), "1");
+/// assert!(directory.software(Endpoint::number("c")).is_none());
 /// assert!(directory.is_drained("east") && !directory.is_drained("west"));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -196,4 +198,10 @@
         let index = self.endpoints.binary_search_by_key(&id, |endpoint| endpoint.id).ok()?;
         self.endpoints.get(index)
     }
+
+    /// Software version of the endpoint with this identifier; `None` if it is not known or the endpoint is not listed.
+    #[must_use]
+    pub fn software(&self, id: id::Endpoint) -> Option<&Arc<str>> {
+        self.get(id)?.software.as_ref()
+    }
 }
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -226,6 +226,7 @@
         log::info!(
             instance:% = endpoint.instance, endpoint:% = endpoint.id,
             service:% = endpoint.service, address:% = endpoint.address,
+            software = endpoint.software.as_deref().unwrap_or("unknown"),
             state = if endpoint.leaving { "leaving" } else { "ready" }, known = known.is_some(),
             era = after.position().era(), revision = after.position().revision(), source;
             "endpoint listed"
