Say in the log which requests continue a stream, and on which terms they were refused

Change: the line of a refusal has the terms of admission and, as the line of a send, the request that began the stream (`continues`). The terms move into a module of their own.

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Forwards one request: admission, choice of an endpoint, attempts, and the response to the caller.
 
 mod accept;
+mod admission;
 mod attempt;
 mod progress;
 
@@ -9,19 +10,18 @@
         catalog::{Account, Kind},
         directory::hash_to_u32,
         gateway::Gateway,
+        protocol::Continuation,
         respond::{self, Body},
         stream,
     },
+    admission::Admission,
     attempt::Outcome,
     bytes::Bytes,
     hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming},
     progress::{Conclusion, Failure, Progress},
     siskin_dispatch::{
-        admit,
         condition::Reason,
         pool::{Cause, Demand, End, Placement, Refusal},
-        share::Usage,
-        sizes::Class,
     },
     siskin_net::{body_memory::Reservation, clock::Deadline},
     siskin_outcome::features::Features,
@@ -59,6 +59,8 @@
     pub(crate) route: String,
     pub(crate) kind: Kind,
     pub(crate) service: String,
+    /// Set if the request takes a stream up again.
+    pub(crate) continuation: Option<Continuation>,
     pub(crate) account: Option<Account>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -82,6 +84,11 @@
     pub(crate) const fn can_go_on_elsewhere(&self) -> bool {
         self.kind.repeatable() && self.max_attempts > 1
     }
+
+    /// Identifier of the request that began the stream that this one continues, if its caller names it.
+    pub(crate) fn origin(&self) -> Option<&str> {
+        self.continuation.as_ref()?.origin.as_deref()
+    }
 }
 
 /// Handles one request of a caller and returns the response.
@@ -97,35 +104,22 @@
 
 async fn forward_request(gateway: &Arc<Gateway>, call: Arc<Call>) -> Response<Body> {
     gateway.count_request(&call.service);
-    let (patience, share_received) = record_demand(gateway, &call);
-    let (class, own_weight, patience) = classify_size(gateway, &call, patience);
+    let admission = Admission::assess(gateway, &call);
     let mut progress = Progress::new();
+    let end = |progress, refusal| end_without_retry(gateway, &call, &admission, progress, refusal);
     loop {
         if !gateway.outlasts_request(&call.service, call.deadline.left()) {
-            return end_without_retry(gateway, &call, progress, STOPPING_REFUSAL);
+            return end(progress, STOPPING_REFUSAL);
         }
         let isolation = match gateway.check_quarantine(&call) {
             Ok(isolation) => isolation,
-            Err(refusal) => return end_without_retry(gateway, &call, progress, refusal),
-        };
-        let placement = match choose_endpoint(
-            gateway,
-            &call,
-            (patience, own_weight),
-            progress.tried(),
-            isolation,
-        ) {
-            Ok(placement) => placement,
-            Err(refusal) => {
-                log::info!(
-                    request:% = call.id, patience:% = Decimal(patience), got:% = Decimal(share_received),
-                    own_weight:% = Decimal(own_weight), tokens = call.demand.prompt.tokens(),
-                    tried = progress.tried().len();
-                    "no endpoint would begin soon enough"
-                );
-                return end_without_retry(gateway, &call, progress, refusal);
-            }
+            Err(refusal) => return end(progress, refusal),
         };
+        let placement =
+            match choose_endpoint(gateway, &call, &admission, progress.tried(), isolation) {
+                Ok(placement) => placement,
+                Err(refusal) => return end(progress, refusal),
+            };
         let connection =
             match attempt::connect_to_endpoint(gateway, &call, placement.endpoint).await {
                 Ok(connection) => connection,
@@ -137,7 +131,7 @@
                     if progress.record_unreachable(placement.endpoint) && !call.deadline.passed() {
                         continue;
                     }
-                    return end_without_retry(gateway, &call, progress, UNREACHABLE_REFUSAL);
+                    return end(progress, UNREACHABLE_REFUSAL);
                 }
             };
         let in_flight = match Guard::start(gateway, &call, placement.endpoint) {
@@ -150,9 +144,9 @@
             }
         };
         progress.record_send();
-        log_request_sent(&call, &placement, progress.sends(), (patience, share_received));
+        log_request_sent(&call, &placement, progress.sends(), &admission);
         if progress.sends() == 1 {
-            record_first_send(gateway, &call, class);
+            admission.record_first_send(gateway, &call);
         }
         let attempt = match attempt::send_request(gateway, &call, connection, in_flight).await {
             Outcome::Answered(response) => {
@@ -192,7 +186,7 @@
             retry_after: call.demand.allowed.mul_f64(0.3).min(Duration::from_secs(1)),
             wait: Duration::ZERO,
         };
-        return end_without_retry(gateway, &call, progress, refusal);
+        return end(progress, refusal);
     }
 }
 
@@ -200,13 +194,14 @@
 fn end_without_retry(
     gateway: &Gateway,
     call: &Call,
+    admission: &Admission,
     progress: Progress<Response<Body>>,
     refusal: Refusal,
 ) -> Response<Body> {
     let sends = progress.sends();
     match progress.final_outcome() {
         Conclusion::Failed(response) => finish_with_response(gateway, call, response, sends),
-        Conclusion::NotRun => refuse_not_run(gateway, call, refusal, sends),
+        Conclusion::NotRun => refuse_not_run(gateway, call, admission, refusal, sends),
         Conclusion::Unknown => {
             let message = "the endpoint broke off; the request may have run";
             let response = respond::text_response(StatusCode::BAD_GATEWAY, message);
@@ -215,60 +210,16 @@
     }
 }
 
-/// Adds the cost of the request to the customer's demand. Returns the share of the latency target that the request may
-/// wait at an endpoint, and the part of its fair share of capacity that the customer has received.
-fn record_demand(gateway: &Gateway, call: &Call) -> (f64, f64) {
-    let (Some(account), true) = (&call.account, call.cost > 0) else { return (1.0, 0.0) };
-    let standing = gateway.standing(account.id);
-    gateway.count_demand(account.id, call.cost);
-    (admit::patience(&standing), standing.used_share())
-}
-
-/// Returns the size class of the request, the weight of its own prompt in the expected wait, and the adjusted share of
-/// the latency target that it may wait.
-fn classify_size(gateway: &Gateway, call: &Call, patience: f64) -> (Class, f64, f64) {
-    let now = gateway.clock.now();
-    let (class, own_weight, patience) = gateway.with_dispatch(|state| {
-        let sizes = state.sizes.entry(call.route.clone()).or_default();
-        let class = sizes.asked(now, call.cost);
-        (class, sizes.own_weight(class), sizes.patience(class, patience))
-    });
-    count_by_size(gateway, call, class, "asked");
-    (class, own_weight, patience)
-}
-
-/// Counts a request with a prompt by its size class.
-fn count_by_size(gateway: &Gateway, call: &Call, class: Class, step: &str) {
-    if call.cost > 0 {
-        gateway.metrics.requests_by_size.with_label_values(&[class.label(), step]).inc();
-    }
-}
-
-/// Counts the request as served to its size class and to its customer, when it is first sent to an endpoint.
-fn record_first_send(gateway: &Gateway, call: &Call, class: Class) {
-    count_by_size(gateway, call, class, "sent");
-    gateway.with_dispatch(|state| {
-        if let Some(sizes) = state.sizes.get_mut(&call.route) {
-            sizes.served(class);
-        }
-    });
-    let (Some(account), true) = (&call.account, call.cost > 0) else { return };
-    let now = gateway.clock.now();
-    gateway.with_dispatch(|state| {
-        state.ledger.add(now, account.id, Usage { asked: 0, begun: call.cost });
-        state.usages.entry(account.id).or_default().begun += call.cost;
-    });
-}
-
 fn choose_endpoint(
     gateway: &Gateway,
     call: &Call,
-    (patience, own_weight): (f64, f64),
+    admission: &Admission,
     tried: &[Endpoint],
     isolation: Option<u64>,
 ) -> Result<Placement, Refusal> {
     let now = gateway.clock.now();
     let allowed = call.deadline.left();
+    let Admission { patience, own_weight, .. } = *admission;
     let demand = Demand { patience, own_weight, allowed, isolation, ..call.demand.clone() };
     gateway.with_dispatch(|state| match state.pools.get(&call.service) {
         Some(pool) => pool.choose_endpoint(now, &demand, tried),
@@ -281,12 +232,21 @@
 }
 
 /// Refuses a request that no endpoint has run.
-fn refuse_not_run(gateway: &Gateway, call: &Call, refusal: Refusal, sends: u32) -> Response<Body> {
+fn refuse_not_run(
+    gateway: &Gateway,
+    call: &Call,
+    admission: &Admission,
+    refusal: Refusal,
+    sends: u32,
+) -> Response<Body> {
     let outcome = refusal.cause.label();
     let refusal = refusal.with_jitter(hash_to_u32(&call.id));
     gateway.metrics.requests.with_label_values(&[call.kind.label(), outcome]).inc();
     log::info!(
         request:% = call.id, route:% = call.route, customer = customer_name(call), outcome, sends,
+        continues = call.origin().unwrap_or_default(), patience:% = Decimal(admission.patience),
+        got:% = Decimal(admission.share_received), own_weight:% = Decimal(admission.own_weight),
+        tokens = call.demand.prompt.tokens(),
         wait_ms = saturating_millis(refusal.wait), retry_after_ms = saturating_millis(refusal.retry_after),
         waited_ms = saturating_millis(call.arrived.elapsed()), config = call.version;
         "request refused"
@@ -340,15 +300,11 @@
     );
 }
 
-fn log_request_sent(
-    call: &Call,
-    placement: &Placement,
-    sends: u32,
-    (patience, share_received): (f64, f64),
-) {
+fn log_request_sent(call: &Call, placement: &Placement, sends: u32, admission: &Admission) {
     log::info!(
         request:% = call.id, endpoint:% = placement.endpoint, sends,
-        patience:% = Decimal(patience), got:% = Decimal(share_received),
+        continues = call.origin().unwrap_or_default(),
+        patience:% = Decimal(admission.patience), got:% = Decimal(admission.share_received),
         wait_ms = saturating_millis(placement.wait), tokens = placement.tokens, backlog = placement.backlog,
         in_flight = placement.in_flight, cost_ms = saturating_millis(placement.cost.time),
         slowness:% = Decimal(placement.slowness), shut = placement.blocked, waited_ms = saturating_millis(call.arrived.elapsed());
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -102,6 +102,7 @@
         route: route.name.clone(),
         kind: route.kind,
         service: service.to_owned(),
+        continuation: head.continuation,
         account,
         uri,
         method: parts.method,
