Show that a stream taken up again is refused as a new request

The refusals are `outcome=busy` with an expected wait of at most 500 ms, half of them logged with patience 0: the customer with most of the load returns first after all routers were killed and is far ahead of its share.

--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod cold;
 mod cold_endpoints;
+mod continuations;
 mod crash_fleet;
 mod crashing_requests;
 mod directory;
