Add a register of streams and the versions that began them

Cause: endpoints of a service may run several software versions, and a stream may go on only at the one that began it.

--- a/siskin-outcome/src/lib.rs
+++ b/siskin-outcome/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod features;
 pub mod life;
+pub mod origin;
 pub mod outcome;
 pub mod poison;
 pub mod quarantine;
