--- a/siskin-outcome/tests/main/main.rs
+++ b/siskin-outcome/tests/main/main.rs
@@ -1,7 +1,8 @@
-//! Tests of outcomes, the lifecycle of a request, and poison detection.
+//! Tests of outcomes, the lifecycle of a request, poison detection, and the versions that began streams.
 
 mod fleet;
 mod life;
+mod origin;
 mod outcome;
 mod poison;
 mod poison_fleet;
