--- a/siskin-gateway/src/directory.rs
+++ b/siskin-gateway/src/directory.rs
@@ -6,7 +6,7 @@
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     siskin_types::{id, position::Position, time::Instant},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// A listed endpoint.
@@ -28,6 +28,10 @@
     pub leaving: bool,
     /// Whether its entry expired during a store outage. The endpoint may register again.
     pub expired: bool,
+    /// Version of its software; `None` if it is not known.
+    // Not part of this encoding, which routers of the previous version read: the module `encoding` appends it.
+    #[serde(skip)]
+    pub software: Option<Arc<str>>,
 }
 
 impl Endpoint {
@@ -65,10 +69,13 @@
 ///     slots: 4,
 ///     leaving: false,
 ///     expired: false,
+///     software: Some("1".into()),
 /// };
 /// let directory = Directory::new(7, vec![endpoint("b"), endpoint("a")]).with_drained(["east"]);
 /// assert_eq!(directory.get(Endpoint::number("a")).unwrap().instance, "a");
 /// assert!(directory.get(Endpoint::number("c")).is_none());
+/// assert_eq!(directory.software(Endpoint::number("a")).unwrap().as_ref(), "1");
+/// assert!(directory.software(Endpoint::number("c")).is_none());
 /// assert!(directory.is_drained("east") && !directory.is_drained("west"));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -164,9 +171,18 @@
         self.drained.is_some()
     }
 
-    /// Adds what a list from a router of the previous version does not say. At the position of the `known` list it is the same
-    /// list, so what is known applies; at a higher one no data centre is drained. Endpoints stay cold for as long as is known.
+    /// Number of endpoints whose software version is known.
+    pub(crate) fn software_known(&self) -> usize {
+        self.endpoints.iter().filter(|endpoint| endpoint.software.is_some()).count()
+    }
+
+    /// Adds what a list from a router of a previous version does not say. At the position of the `known` list it is the same
+    /// list, so what is known applies; at a higher one no data centre is drained. Endpoints stay cold for as long as is known, and
+    /// keep their software versions: an instance that starts again has another identifier.
     pub(crate) fn complete_from(&mut self, known: &Self) {
+        for endpoint in self.endpoints.iter_mut().filter(|endpoint| endpoint.software.is_none()) {
+            endpoint.software = known.get(endpoint.id).and_then(|known| known.software.clone());
+        }
         if self.is_complete() {
             return;
         }
@@ -182,4 +198,10 @@
         let index = self.endpoints.binary_search_by_key(&id, |endpoint| endpoint.id).ok()?;
         self.endpoints.get(index)
     }
+
+    /// Software version of the endpoint with this identifier; `None` if it is not known or the endpoint is not listed.
+    #[must_use]
+    pub fn software(&self, id: id::Endpoint) -> Option<&Arc<str>> {
+        self.get(id)?.software.as_ref()
+    }
 }
