Keep the register of streams' versions in the gateway

Cause: the versions of listed endpoints and the streams that began at them have to be known to requests, and to the task that shares them. Change: the gateway holds the register, sets the listed versions before a list is in force and the retention with a configuration, and lets requests wait for one common read of what other routers recorded.

--- a/siskin-gateway/src/gateway.rs
+++ b/siskin-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod known;
 mod load;
 mod offload;
+mod origins;
 mod serve;
 
 use {
@@ -192,6 +193,8 @@
     crashes: Mutex<Register>,
     /// Features of the causes of crashes that have been logged.
     logged_causes: Mutex<Vec<Features>>,
+    /// The versions at which resumable streams began.
+    origins: origins::State,
     /// Memory for the bodies in flight.
     pub(crate) body_memory: Limiter,
     /// Open connections from callers.
@@ -238,6 +241,7 @@
             reading: Mutex::new(Freshness::new(options.parameters.reading_limits())),
             crashes: Mutex::new(Register::new(quarantine::Options::default())),
             logged_causes: Mutex::default(),
+            origins: origins::State::default(),
             caller_connections: server::Open::default(),
             parameters: RwLock::new(options.parameters),
             resumed: Notify::new(),
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -92,6 +92,7 @@
         self.metrics.config_version.set(i64::try_from(catalog.version).unwrap_or(i64::MAX));
         #[expect(clippy::cast_precision_loss)]
         let capacity = catalog.limits.tokens_per_second as f64;
+        self.adapt_origin_retention(&catalog);
         let catalog = Arc::new(catalog);
         *self.catalog.write().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&catalog));
         self.with_dispatch(|state| state.ledger.set_capacity(capacity));
@@ -125,6 +126,8 @@
         self.metrics.endpoints.with_label_values(&["ready"]).set(count(ready));
         self.metrics.endpoints.with_label_values(&["leaving"]).set(count(leaving));
         self.metrics.data_centres_drained.set(count(directory.drained().len()));
+        // Before a request can reach an endpoint of another version.
+        self.record_listed_versions(&directory);
         *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
         self.update_pools();
         true
