Record which software version made the first event of a resumable stream

Cause: nothing outlives a request, so a router that gets a continuation knows neither that the stream began nor at which version. Change: the version of the endpoint at the time of sending goes into the register of streams with the first event, under the request's identifier and, for a continuation, under that of the request that began the stream.

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod admission;
 mod attempt;
+mod continuation;
 mod progress;
 
 use {
@@ -84,11 +85,6 @@
     pub(crate) const fn can_go_on_elsewhere(&self) -> bool {
         self.kind.repeatable() && self.max_attempts > 1
     }
-
-    /// Identifier of the request that began the stream that this one continues, if its caller names it.
-    pub(crate) fn origin(&self) -> Option<&str> {
-        self.continuation.as_ref()?.origin.as_deref()
-    }
 }
 
 /// Handles one request of a caller and returns the response.
--- a/siskin-gateway/src/exchange/attempt.rs
+++ b/siskin-gateway/src/exchange/attempt.rs
@@ -69,6 +69,8 @@
     gateway: Arc<Gateway>,
     service: String,
     attempt: Attempt,
+    /// Version of the endpoint's software when the request was sent.
+    software: Option<Arc<str>>,
     end: End,
 }
 
@@ -95,6 +97,7 @@
             gateway: Arc::clone(gateway),
             service: call.service.clone(),
             attempt,
+            software: gateway.directory().software(endpoint).cloned(),
             end: End::Abandoned,
         })
     }
@@ -103,6 +106,11 @@
         self.attempt.endpoint
     }
 
+    /// Version of the endpoint's software; `None` if it is not known.
+    pub(crate) const fn software(&self) -> Option<&Arc<str>> {
+        self.software.as_ref()
+    }
+
     /// Records that the response body has begun.
     pub(crate) fn record_response_start(&mut self) {
         let now = self.gateway.clock.now();
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        catalog::Kind,
         events::{Malformed, Splitter},
         exchange::{
             Call, Guard, Started, Summary, connect_to_endpoint, log_not_accepting, log_request_end,
@@ -40,6 +39,8 @@
     sends: u32,
     status: u16,
     response_started: bool,
+    /// Whether the caller has an event.
+    has_begun: bool,
     ended: bool,
     /// Time from the request to the first data.
     first_part: Option<Duration>,
@@ -84,7 +85,7 @@
     sends: u32,
 ) -> Response<Body> {
     let Started { head, body, connection, in_flight } = started;
-    let resumable = matches!(call.kind, Kind::Stream { resumable: true });
+    let resumable = call.is_resumable();
     let forwarded = Forwarder {
         gateway,
         call,
@@ -95,6 +96,7 @@
         sends,
         status: head.status().as_u16(),
         response_started: false,
+        has_begun: false,
         ended: false,
         first_part: None,
         last_part: None,
@@ -182,7 +184,23 @@
             return Ok(Some(bytes));
         }
         let complete = self.splitter.push(&bytes)?;
-        Ok((!complete.is_empty()).then(|| complete.into()))
+        if complete.is_empty() {
+            return Ok(None);
+        }
+        self.record_version();
+        Ok(Some(complete.into()))
+    }
+
+    /// Records the version that makes the first event, before the caller has it.
+    fn record_version(&mut self) {
+        if self.has_begun || !self.call.is_resumable() {
+            return;
+        }
+        self.has_begun = true;
+        let software = self.source.as_ref().and_then(|source| source.in_flight.software());
+        if let Some(version) = software {
+            self.call.record_version(&self.gateway, version);
+        }
     }
 
     fn complete(&mut self) {
@@ -223,8 +241,7 @@
 
     /// Resumes the stream at another endpoint after the last complete event. Returns whether it did.
     async fn resume(&mut self) -> bool {
-        let resumable = matches!(self.call.kind, Kind::Stream { resumable: true });
-        while resumable && self.sends < self.call.max_attempts {
+        while self.call.is_resumable() && self.sends < self.call.max_attempts {
             let Some(endpoint) = self.choose_endpoint() else { return false };
             self.tried.push(endpoint);
             let Some((connection, in_flight)) = self.connect(endpoint).await else { continue };
--- a/siskin-outcome/src/origin.rs
+++ b/siskin-outcome/src/origin.rs
@@ -163,6 +163,12 @@
         }
     }
 
+    /// Whether it is known which version began a stream.
+    #[must_use]
+    pub fn knows(&self, now: Instant, stream: Stream) -> bool {
+        self.table.version(now, self.options.retention, stream).is_some()
+    }
+
     /// Takes the streams of mixed services that were recorded here and have not been taken, for the other routers.
     pub fn take_batch(&mut self, now: Instant) -> Batch {
         self.advance(now);
