Show that streams go on at another software version than their own

Tests: resumption within one response, continuations by callers (known, unknown, not named, of another customer, of a version that is gone, with and without the store), chains of them, and continuations on a route with two services.

--- a/siskin-gateway/tests/main/main.rs
+++ b/siskin-gateway/tests/main/main.rs
@@ -30,5 +30,6 @@
 mod seed;
 mod silent_endpoints;
 mod slow_readers;
+mod software_versions;
 mod truncated_heads;
 mod wrong_bytes;
