Let a stream go on only at the software version that began it

Cause: a request that takes a stream up was sent to any endpoint of a service drawn by its own identifier, and so was the rest of a stream that the router resumes within one response. Change: the router looks up which version began the stream: in its register, else in the store, where routers record it while a service has two versions. Only endpoints of that version get the request. If none accepts requests (version_gone), or nobody knows the stream (origin_unknown), it is refused at once, not run. Within one response the version of the endpoint that made the first event binds. The service of the stream is drawn by the identifier of the request that began it. Why it holds: an unknown stream never goes on while two versions may have begun it, whatever was lost; records and notes of versions are in the store, which outlives all routers.

--- a/siskin-dispatch/src/pool/choose.rs
+++ b/siskin-dispatch/src/pool/choose.rs
@@ -93,6 +93,10 @@
     CrashesEndpoints,
     /// This router stops before an endpoint can be expected to have answered.
     Stopping,
+    /// No endpoint that accepts requests has the software version that began the stream which the request continues.
+    VersionGone,
+    /// It is not known which software version began the stream that the request continues.
+    OriginUnknown,
 }
 
 impl Cause {
@@ -107,6 +111,8 @@
             Self::Busy => "busy",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::Stopping => "stopping",
+            Self::VersionGone => "version_gone",
+            Self::OriginUnknown => "origin_unknown",
         }
     }
 }
@@ -145,7 +151,9 @@
             | Cause::Unreachable
             | Cause::Busy
             | Cause::CrashesEndpoints
-            | Cause::Stopping => self,
+            | Cause::Stopping
+            | Cause::VersionGone
+            | Cause::OriginUnknown => self,
         }
     }
 }
--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -35,6 +35,7 @@
 pub(crate) use attempt::{
     Guard, Started, connect_to_endpoint, mark_unreachable, send_and_await_head, wait_for_endpoint,
 };
+pub(crate) use continuation::Versions;
 
 /// `retry-after` of refusals while no configuration or no reachable endpoint is known.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -100,9 +101,14 @@
 
 async fn forward_request(gateway: &Arc<Gateway>, call: Arc<Call>) -> Response<Body> {
     gateway.count_request(&call.service);
+    let versions = continuation::admissible_versions(gateway, &call).await;
     let admission = Admission::assess(gateway, &call);
     let mut progress = Progress::new();
     let end = |progress, refusal| end_without_retry(gateway, &call, &admission, progress, refusal);
+    let versions = match versions {
+        Ok(versions) => versions,
+        Err(refusal) => return end(progress, refusal),
+    };
     loop {
         if !gateway.outlasts_request(&call.service, call.deadline.left()) {
             return end(progress, STOPPING_REFUSAL);
@@ -111,11 +117,12 @@
             Ok(isolation) => isolation,
             Err(refusal) => return end(progress, refusal),
         };
-        let placement =
-            match choose_endpoint(gateway, &call, &admission, progress.tried(), isolation) {
-                Ok(placement) => placement,
-                Err(refusal) => return end(progress, refusal),
-            };
+        let mut excluded = versions.excluded_endpoints(gateway, &call);
+        excluded.extend(progress.tried());
+        let placement = match choose_endpoint(gateway, &call, &admission, &excluded, isolation) {
+            Ok(placement) => placement,
+            Err(refusal) => return end(progress, refusal),
+        };
         let connection =
             match attempt::connect_to_endpoint(gateway, &call, placement.endpoint).await {
                 Ok(connection) => connection,
@@ -149,7 +156,13 @@
                 return finish_with_response(gateway, &call, response, progress.sends());
             }
             Outcome::StreamStarted(started) => {
-                return stream::respond(Arc::clone(gateway), call, *started, progress.sends());
+                return stream::respond(
+                    Arc::clone(gateway),
+                    call,
+                    *started,
+                    versions,
+                    progress.sends(),
+                );
             }
             Outcome::TimedOut => {
                 let response = respond::text_response(
@@ -210,7 +223,7 @@
     gateway: &Gateway,
     call: &Call,
     admission: &Admission,
-    tried: &[Endpoint],
+    excluded: &[Endpoint],
     isolation: Option<u64>,
 ) -> Result<Placement, Refusal> {
     let now = gateway.clock.now();
@@ -222,7 +235,7 @@
         Demand { patience, own_weight, allowed, isolation, ..call.demand.clone() }
     };
     gateway.with_dispatch(|state| match state.pools.get(&call.service) {
-        Some(pool) => pool.choose_endpoint(now, &demand, tried),
+        Some(pool) => pool.choose_endpoint(now, &demand, excluded),
         None => Err(Refusal {
             cause: Cause::NoEndpoint,
             retry_after: UNAVAILABLE_RETRY_AFTER,
--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -76,8 +76,7 @@
         return Err(respond::not_run_response(message, OVERLOADED_RETRY_AFTER).into());
     }
     let (body, memory) = read_body(gateway, incoming, &head, &catalog.limits).await?;
-    let service = route.target(u64::from(hash_to_u32(&head.id)));
-    let Some(service) = service else {
+    let Some(service) = service_for(route, &head) else {
         let message = "the route leads to no service";
         return Err(reject_request(
             gateway,
@@ -135,10 +134,16 @@
     let catalog = gateway.catalog()?;
     let route = catalog.route(host(&parts), parts.uri.path())?;
     let allowed = time_for(&head, route);
-    let service = route.target(u64::from(hash_to_u32(&head.id)))?;
+    let service = service_for(route, &head)?;
     Some(Terms { in_time: gateway.outlasts_request(service, allowed), allowed, id: head.id })
 }
 
+/// The service of the route that gets the request. A stream that is taken up again stays at its service.
+fn service_for<'a>(route: &'a Route, head: &Head) -> Option<&'a str> {
+    let origin = head.continuation.as_ref().and_then(|one| one.origin.as_ref());
+    route.target(u64::from(hash_to_u32(origin.unwrap_or(&head.id))))
+}
+
 fn time_for(head: &Head, route: &Route) -> Duration {
     head.allowed.unwrap_or(route.timeout).min(route.timeout)
 }
--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -1,13 +1,121 @@
-//! Continuations: streams that a caller takes up again after they broke.
+//! Continuations: streams that a caller takes up again after they broke, and the software versions at which they may go on.
 
 use {
-    super::{Call, customer_name},
-    crate::{catalog::Kind, gateway::Gateway},
-    siskin_dispatch::pool::Demand,
-    siskin_outcome::origin::Stream,
-    std::sync::Arc,
+    super::{Call, customer_name, saturating_millis},
+    crate::{
+        catalog::Kind,
+        directory::{self, Directory},
+        gateway::Gateway,
+    },
+    siskin_dispatch::pool::{Cause, Demand, Refusal},
+    siskin_outcome::origin::{Stream, Verdict},
+    siskin_types::id::Endpoint,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
 };
 
+/// Longest time that a continuation waits for what other routers recorded of its stream. They write it several times a second.
+const LOOKUP_TIME_MAX: Duration = Duration::from_millis(600);
+
+/// Pause before what other routers recorded is read again: the stream may have begun just before it broke.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(120);
+
+/// `retry-after` of continuations that no endpoint may serve.
+const NOT_SERVED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Which endpoints may serve a request, by the version of their software.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Versions {
+    /// Those of any version.
+    #[default]
+    Any,
+    /// Those of this version.
+    Only(Arc<str>),
+    /// None unless the service has only one version: it is not known which one began the stream.
+    Unknown,
+}
+
+impl Versions {
+    /// The endpoints of the request's service that may not serve it.
+    pub(crate) fn excluded_endpoints(&self, gateway: &Gateway, call: &Call) -> Vec<Endpoint> {
+        let is_excluded = |endpoint: &directory::Endpoint| match self {
+            Self::Any => false,
+            Self::Only(version) => endpoint.software.as_ref() != Some(version),
+            Self::Unknown => gateway.origins(|it, now| it.is_mixed(now, &call.service)),
+        };
+        if *self == Self::Any {
+            return Vec::new();
+        }
+        let directory = gateway.directory();
+        let excluded = endpoints_of(&directory, call).filter(|endpoint| is_excluded(endpoint));
+        excluded.map(|endpoint| endpoint.id).collect()
+    }
+}
+
+/// The endpoints that may serve a request, by their version.
+///
+/// # Errors
+///
+/// The request continues a stream, and the version that began it is not known or has no endpoint that accepts requests.
+pub(super) async fn admissible_versions(
+    gateway: &Gateway,
+    call: &Call,
+) -> Result<Versions, Refusal> {
+    if call.continuation.is_none() || !call.is_resumable() {
+        return Ok(Versions::Any);
+    }
+    let refusal =
+        |cause| Refusal { cause, retry_after: NOT_SERVED_RETRY_AFTER, wait: Duration::ZERO };
+    let (verdict, version) = match find_verdict(gateway, call).await {
+        Verdict::Any => (Ok(Versions::Any), None),
+        Verdict::Unknown => (Err(refusal(Cause::OriginUnknown)), None),
+        Verdict::Only(version) if has_accepting_endpoint(gateway, call, &version) => {
+            (Ok(Versions::Only(Arc::clone(&version))), Some(version))
+        }
+        Verdict::Only(version) => (Err(refusal(Cause::VersionGone)), Some(version)),
+    };
+    log::info!(
+        request:% = call.id, continues = call.origin().unwrap_or_default(),
+        software = version.as_deref().unwrap_or_default(), may_go_on = verdict.is_ok(),
+        waited_ms = saturating_millis(call.arrived.elapsed());
+        "software version looked up for a continuation"
+    );
+    verdict
+}
+
+/// Decides by what is known here of the stream, and else by what is in the store: other routers may have begun it, also at a version
+/// that this router does not know yet.
+async fn find_verdict(gateway: &Gateway, call: &Call) -> Verdict {
+    let stream = call.origin().map(|origin| call.stream(origin));
+    let verdict = || gateway.origins(|it, now| it.verdict(now, &call.service, stream));
+    if call.continues_known_stream(gateway) {
+        return verdict();
+    }
+    let end = (Instant::now() + LOOKUP_TIME_MAX).min(call.deadline.at());
+    let mut was_read = gateway.look_up_origins(end - Instant::now()).await;
+    if was_read && stream.is_some() && verdict() == Verdict::Unknown {
+        sleep(LOOKUP_PAUSE).await;
+        was_read = gateway.look_up_origins(end - Instant::now()).await;
+    }
+    if was_read { verdict() } else { Verdict::Unknown }
+}
+
+/// Whether an endpoint of this version accepts requests.
+fn has_accepting_endpoint(gateway: &Gateway, call: &Call, version: &Arc<str>) -> bool {
+    let directory = gateway.directory();
+    let accepts =
+        |one: &directory::Endpoint| !one.leaving && !directory.is_drained(&one.data_centre);
+    endpoints_of(&directory, call)
+        .any(|endpoint| endpoint.software.as_ref() == Some(version) && accepts(endpoint))
+}
+
+fn endpoints_of<'a>(
+    directory: &'a Directory,
+    call: &'a Call,
+) -> impl Iterator<Item = &'a directory::Endpoint> {
+    directory.endpoints().iter().filter(|endpoint| endpoint.service == call.service)
+}
+
 impl Call {
     /// Whether the request's stream may be resumed at another endpoint.
     pub(crate) const fn is_resumable(&self) -> bool {
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -4,8 +4,8 @@
     crate::{
         events::{Malformed, Splitter},
         exchange::{
-            Call, Guard, Started, Summary, connect_to_endpoint, log_not_accepting, log_request_end,
-            send_and_await_head, wait_for_endpoint,
+            Call, Guard, Started, Summary, Versions, connect_to_endpoint, log_not_accepting,
+            log_request_end, send_and_await_head, wait_for_endpoint,
         },
         gateway::Gateway,
         protocol::Answer,
@@ -36,6 +36,8 @@
     splitter: Splitter,
     framing: Framing,
     tried: Vec<Endpoint>,
+    /// Versions at which the stream may go on. Once the caller has an event, only the one that made it.
+    versions: Versions,
     sends: u32,
     status: u16,
     response_started: bool,
@@ -82,6 +84,7 @@
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     started: Started,
+    versions: Versions,
     sends: u32,
 ) -> Response<Body> {
     let Started { head, body, connection, in_flight } = started;
@@ -93,6 +96,7 @@
         tried: vec![in_flight.endpoint()],
         source: Some(Upstream { body, connection, in_flight }),
         splitter: Splitter::default(),
+        versions,
         sends,
         status: head.status().as_u16(),
         response_started: false,
@@ -198,9 +202,12 @@
         }
         self.has_begun = true;
         let software = self.source.as_ref().and_then(|source| source.in_flight.software());
-        if let Some(version) = software {
-            self.call.record_version(&self.gateway, version);
-        }
+        let Some(version) = software else {
+            self.versions = Versions::Unknown;
+            return;
+        };
+        self.call.record_version(&self.gateway, version);
+        self.versions = Versions::Only(Arc::clone(version));
     }
 
     fn complete(&mut self) {
@@ -242,7 +249,13 @@
     /// Resumes the stream at another endpoint after the last complete event. Returns whether it did.
     async fn resume(&mut self) -> bool {
         while self.call.is_resumable() && self.sends < self.call.max_attempts {
-            let Some(endpoint) = self.choose_endpoint() else { return false };
+            let Some(endpoint) = self.choose_endpoint() else {
+                log::info!(
+                    request:% = self.call.id, versions:? = self.versions;
+                    "no endpoint can resume the stream"
+                );
+                return false;
+            };
             self.tried.push(endpoint);
             let Some((connection, in_flight)) = self.connect(endpoint).await else { continue };
             if let Some(source) = self.request_rest(connection, in_flight).await {
@@ -262,9 +275,11 @@
         }
         let now = self.gateway.clock.now();
         let demand = self.call.rest_demand(isolation);
+        let mut excluded = self.versions.excluded_endpoints(&self.gateway, &self.call);
+        excluded.extend(&self.tried);
         self.gateway.with_dispatch(|state| {
             let pool = state.pools.get(&self.call.service)?;
-            Some(pool.choose_endpoint(now, &demand, &self.tried).ok()?.endpoint)
+            Some(pool.choose_endpoint(now, &demand, &excluded).ok()?.endpoint)
         })
     }
 
--- a/siskin-gateway/tests/main/software_versions.rs
+++ b/siskin-gateway/tests/main/software_versions.rs
@@ -68,7 +68,6 @@
 /// Guards against one response with events of two software versions, after the endpoint that began it broke off.
 #[googletest::test]
 #[tokio::test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 async fn streams_are_resumed_only_at_their_version() {
     for case in RESUMPTIONS {
         let first = Endpoint::start(&[BROKEN, REST]).await;
@@ -204,7 +203,6 @@
 /// at a router that did not begin it.
 #[googletest::test]
 #[tokio::test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 async fn streams_taken_up_again_stay_at_their_version() {
     for case in CONTINUATIONS_BY_CALLERS {
         let mut endpoints = Vec::new();
@@ -256,7 +254,6 @@
 /// one that went on with it.
 #[googletest::test]
 #[tokio::test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 async fn chains_of_continuations_stay_at_their_version() {
     let (old, new) = (Endpoint::start(&[REST]).await, Endpoint::start(&[REST]).await);
     let endpoints = [old, new];
@@ -278,7 +275,6 @@
 /// route by their identifiers.
 #[googletest::test]
 #[tokio::test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 async fn continuations_reach_the_service_of_their_stream() {
     let (first, second) = (Endpoint::start(&[REST]).await, Endpoint::start(&[REST]).await);
     let mut catalog = two_customers();
