Test that no answer of siskin-router joins two software versions

Cause: a stream that breaks is resumed at its own endpoint, whatever process answers there by then. After an upgrade in place that is one of another software version, and an engine that goes on without a check gives the caller the text of both.

Change: a test with an engine whose process is replaced when its stream breaks, as the load report's instance and software show.

--- a/siskin-router/tests/router/main.rs
+++ b/siskin-router/tests/router/main.rs
@@ -7,3 +7,4 @@
 mod process;
 mod program;
 mod relay;
+mod software;
