Resume streams of siskin-router only at the software version that began them

Cause: a stream is resumed at its own endpoint, whatever process answers there by then, and engines go on without a check. What the router knew of an endpoint did not include its software version, and routers that do not own the pool ask for the load only after a failure, so a table alone may be of an earlier process.

Change: the load report has an optional field `software`. The router asks for it on each new connection to an engine, before a chat is sent there, and the connection keeps the answer: it cannot pass to another process. A stream remembers what answered on the connection that began it. It goes on only where the version is the same; unknown ones count as the same at the same instance, or where no engine of the pool names one. Otherwise the run is lost as if the endpoint could not be reached (run again if the caller has nothing, else `unknown`, `broken`), with a warning that names both versions. The stand-in engine has a version, "1" by default.

Not measured: the time that the question adds to the first request on a new connection.

--- a/siskin-net/src/upstream/connect.rs
+++ b/siskin-net/src/upstream/connect.rs
@@ -7,6 +7,7 @@
     },
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
+    siskin_types::process::Process,
     socket2::{SockRef, TcpKeepalive},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpStream, time::timeout},
@@ -51,6 +52,7 @@
         written,
         request_end: 0,
         is_close_delimited: false,
+        process: Process::default(),
         sender,
     })
 }
--- a/siskin-net/src/upstream/mod.rs
+++ b/siskin-net/src/upstream/mod.rs
@@ -17,7 +17,7 @@
         client::conn::http1::SendRequest,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
-    siskin_types::id::Endpoint,
+    siskin_types::{id::Endpoint, process::Process},
     std::{net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration},
     written::Written,
 };
@@ -123,6 +123,8 @@
     request_end: u64,
     /// Whether the body of the last response ends with the connection.
     is_close_delimited: bool,
+    /// What answers on it.
+    process: Process,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -177,6 +179,22 @@
         self.is_close_delimited && !self.written.is_complete(self.request_end)
     }
 
+    /// Waits until it can carry another request, after its last response was read. Returns whether it can.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// The process that answers on it, as far as it was noted.
+    #[must_use]
+    pub const fn process(&self) -> &Process {
+        &self.process
+    }
+
+    /// Notes which process answers on it. A connection cannot pass to another process.
+    pub fn set_process(&mut self, process: Process) {
+        self.process = process;
+    }
+
     /// The endpoint's address.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
--- a/siskin-net/src/upstream/pool.rs
+++ b/siskin-net/src/upstream/pool.rs
@@ -71,7 +71,7 @@
     /// Returns a connection to the pool after its last response was read to the end. It is kept once it is ready for
     /// another request, which its task reports shortly after the last byte.
     pub async fn release(&self, mut connection: Connection) {
-        if connection.sender.ready().await.is_err() {
+        if !connection.is_ready().await {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -99,7 +99,8 @@
         announced.map_or(self.options.idle_timeout, |time| time.min(self.options.idle_timeout))
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the most recently used idle connection, if there is one.
+    pub fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|idle| {
--- a/siskin-router/src/endpoints.rs
+++ b/siskin-router/src/endpoints.rs
@@ -53,6 +53,8 @@
     versions: HashMap<String, String>,
     #[serde(default)]
     role: String,
+    #[serde(default)]
+    software: Option<String>,
 }
 
 /// What an endpoint said of itself.
@@ -68,6 +70,8 @@
     pub(crate) versions: HashMap<String, String>,
     /// Its role; `None` for one that is not known. An endpoint that names none serves whole requests.
     pub(crate) role: Option<Role>,
+    /// Version of its software; `None` if it does not tell it.
+    pub(crate) software: Option<String>,
 }
 
 /// What the owner of a pool knows of an engine's ability to serve.
@@ -77,6 +81,8 @@
     models: Option<Vec<String>>,
     /// Whether it serves whole requests in its role.
     whole: bool,
+    /// Version of its software, if it tells it.
+    software: Option<String>,
 }
 
 impl Shared {
@@ -320,6 +326,7 @@
         let ability = Ability {
             models: probe.models.clone(),
             whole: probe.role.is_some_and(Role::serves_requests),
+            software: probe.software.clone(),
         };
         let before = lock(&self.loaded).insert(endpoint, ability.clone());
         if before != Some(ability) {
@@ -329,28 +336,14 @@
 
     async fn ask_load(&self, address: SocketAddr) -> Option<Probe> {
         let mut connection = self.upstream.open(address).await.ok()?;
-        let request = HttpRequest::get("/load").header(HOST, address.to_string());
-        let request = request.body(Full::new(Bytes::new())).ok()?;
-        let response = connection.send(request).await.ok()?;
-        if response.status() != StatusCode::OK {
-            // A plain service that has no load report is alive all the same.
-            return Some(Probe { role: Some(Role::default()), ..Probe::default() });
-        }
-        let body = Limited::new(response.into_body(), PROBE_BYTES).collect().await.ok()?.to_bytes();
-        let load = serde_json::from_slice::<LoadReport>(&body).unwrap_or_default();
-        let report = health::Report {
-            running: load.running,
-            waiting: load.waiting,
-            slots: load.slots,
-            leaving: load.leaving,
-            instance: load.instance,
-        };
-        // An engine that names no models and has never had an order serves any model.
-        let any = load.models.is_empty() && load.loading.is_empty() && load.fencing == 0;
-        let models = (!any).then_some(load.models);
-        let role =
-            if load.role.is_empty() { Some(Role::default()) } else { Role::named(&load.role) };
-        Some(Probe { report, models, loading: load.loading, versions: load.versions, role })
+        ask_load(&mut connection).await
+    }
+
+    /// Whether any endpoint of a pool names the version of its software, as far as this router knows.
+    pub(crate) fn names_software(&self, view: &View, pool: &Pool) -> bool {
+        let loaded = lock(&self.loaded);
+        let mut known = view.endpoints(pool.name()).filter_map(|one| loaded.get(&one.id));
+        known.any(|ability| ability.software.is_some())
     }
 
     /// Tells an engine to stop a run that nobody follows any more.
@@ -408,6 +401,32 @@
     slots / settings.fleet_size + u32::from(settings.node.0 % settings.fleet_size < remainder)
 }
 
+/// Asks for the load of what answers on a connection.
+pub(crate) async fn ask_load(connection: &mut Connection) -> Option<Probe> {
+    let request = HttpRequest::get("/load").header(HOST, connection.address().to_string());
+    let request = request.body(Full::new(Bytes::new())).ok()?;
+    let response = connection.send(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        // A plain service that has no load report is alive all the same.
+        return Some(Probe { role: Some(Role::default()), ..Probe::default() });
+    }
+    let body = Limited::new(response.into_body(), PROBE_BYTES).collect().await.ok()?.to_bytes();
+    let load = serde_json::from_slice::<LoadReport>(&body).unwrap_or_default();
+    let report = health::Report {
+        running: load.running,
+        waiting: load.waiting,
+        slots: load.slots,
+        leaving: load.leaving,
+        instance: load.instance,
+    };
+    // An engine that names no models and has never had an order serves any model.
+    let any = load.models.is_empty() && load.loading.is_empty() && load.fencing == 0;
+    let models = (!any).then_some(load.models);
+    let role = if load.role.is_empty() { Some(Role::default()) } else { Role::named(&load.role) };
+    let software = load.software.filter(|software| !software.is_empty());
+    Some(Probe { report, models, loading: load.loading, versions: load.versions, role, software })
+}
+
 async fn stop_run(mut connection: Connection, request: Request) -> Option<()> {
     let order = HttpRequest::builder()
         .method(Method::DELETE)
--- a/siskin-router/src/exchange/mod.rs
+++ b/siskin-router/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 mod event_size;
 mod read;
 mod send;
+mod software;
 mod stage;
 
 use {
@@ -32,6 +33,7 @@
     siskin_types::{
         cost::Units,
         id::{Customer, Endpoint, Model, Request},
+        process::Process,
         time::Instant,
     },
     stage::{Event, Stage},
@@ -159,6 +161,8 @@
     probed: bool,
     started_at: time::Instant,
     resuming: bool,
+    /// What began the present answer.
+    began: Process,
     /// Deaths of endpoints.
     deaths: watch::Receiver<()>,
     /// When a queued request is refused, if no endpoint that could serve it comes back.
@@ -200,6 +204,7 @@
         probed: false,
         started_at: time::Instant::now(),
         resuming: false,
+        began: Process::default(),
     };
     exchange.run().await
 }
--- a/siskin-router/src/exchange/read.rs
+++ b/siskin-router/src/exchange/read.rs
@@ -77,6 +77,9 @@
         if !actions.is_empty() {
             return actions;
         }
+        if !self.resuming {
+            self.began = connection.process().clone();
+        }
         self.shared.endpoint_answered(self.slot);
         self.started_waiting();
         if self.delivery.first_byte(self.started_at.elapsed()) {
--- a/siskin-router/src/exchange/send.rs
+++ b/siskin-router/src/exchange/send.rs
@@ -4,13 +4,13 @@
     super::{Answer, Exchange, Kind, Stage},
     crate::caller::answer::REQUEST_ID,
     bytes::Bytes,
-    futures_util::FutureExt,
+    futures_util::{FutureExt, future::BoxFuture},
     http_body_util::Full,
     hyper::{
         HeaderMap, Method, Request, Uri,
         header::{CONTENT_TYPE, HOST, HeaderValue},
     },
-    siskin_net::upstream::{Connection, Error, Pool},
+    siskin_net::upstream::{Connection, Error},
     siskin_outcome::life::{Action, Attempt},
     siskin_types::{id::Endpoint, time::Instant},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -22,6 +22,9 @@
 /// Header that tells an endpoint how long the caller will wait.
 const TIMEOUT_MS: &str = "x-siskin-timeout-ms";
 
+/// The opening of a connection.
+type Opening = BoxFuture<'static, Result<Connection, Error>>;
+
 impl Exchange {
     /// Starts to connect for a new run.
     pub(super) fn connect(&mut self, attempt: Attempt, endpoint: Endpoint) {
@@ -43,14 +46,16 @@
         self.started_waiting();
         let address = self.shared.view().address(endpoint);
         let shared = Arc::clone(&self.shared);
+        let is_engine = matches!(self.call.kind, Kind::Chat { .. });
         let opening = async move {
             let Some(address) = address else {
                 return Err(Error::Unconfigured { endpoint });
             };
-            if fresh {
-                shared.upstream.open(address).await
-            } else {
-                shared.upstream.take(address).await
+            match (is_engine, fresh) {
+                (true, true) => shared.open_engine(address).await,
+                (true, false) => shared.take_engine(address).await,
+                // Answers of applications are not resumed.
+                (false, _) => shared.upstream.take(address).await,
             }
         };
         self.stage = Stage::Connecting { attempt, endpoint, opening: opening.boxed() };
@@ -63,16 +68,29 @@
         attempt: Attempt,
         connection: Connection,
     ) -> Vec<Action> {
+        let Some(endpoint) = self.slot else { return Vec::new() };
+        if self.resuming && !self.may_go_on(endpoint, &connection) {
+            return self.life.connect_failed(now, attempt, &mut self.call.pool.budget());
+        }
         if self.life.bytes_sent(now, attempt).is_err() {
             return self.life.tick(now);
         }
-        let Some(endpoint) = self.slot else { return Vec::new() };
-        let Some(request) = self.request(connection.address(), self.call.deadline - now) else {
+        let address = connection.address();
+        let Some(request) = self.request(address, self.call.deadline - now) else {
             return self.life.cancelled(now);
         };
         self.started_waiting();
         let shared = Arc::clone(&self.shared);
-        let sending = async move { send(&shared.upstream, connection, request).await };
+        let reopening = match (&self.call.kind, self.resuming) {
+            (_, true) => None,
+            (Kind::Chat { .. }, false) => {
+                Some(async move { shared.open_engine(address).await }.boxed())
+            }
+            (Kind::Application(_), false) => {
+                Some(async move { shared.upstream.open(address).await }.boxed())
+            }
+        };
+        let sending = send(connection, request, reopening);
         self.stage = Stage::Sending { attempt, endpoint, sending: sending.boxed() };
         Vec::new()
     }
@@ -114,21 +132,22 @@
 }
 
 /// Sends a request. If an idle connection was closed by the endpoint before a byte was written, a new one is used:
-/// the library gives the request back only if it wrote nothing.
+/// the library gives the request back only if it wrote nothing. The rest of a stream is not asked for on another connection than
+/// the one on which the software version was found.
 async fn send(
-    upstream: &Pool,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    reopening: Option<Opening>,
 ) -> (Connection, Answer) {
     let again = request.clone();
-    match connection.send(request).await {
-        Err(Error::Unsent { address }) => match upstream.open(address).await {
+    match (connection.send(request).await, reopening) {
+        (Err(Error::Unsent { .. }), Some(reopening)) => match reopening.await {
             Ok(mut fresh) => {
                 let answer = fresh.send(again).await;
                 (fresh, answer)
             }
             Err(error) => (connection, Err(error)),
         },
-        answer => (connection, answer),
+        (answer, _) => (connection, answer),
     }
 }
--- a/siskin-standin/src/engine/batch.rs
+++ b/siskin-standin/src/engine/batch.rs
@@ -114,6 +114,7 @@
                 .filter(|_| !options.version.is_empty())
                 .map(|model| (model.clone(), options.version.clone()))
                 .collect(),
+            software: options.software.clone(),
             role: options.role.clone(),
             ..Load::default()
         };
--- a/siskin-standin/src/engine/mod.rs
+++ b/siskin-standin/src/engine/mod.rs
@@ -62,6 +62,8 @@
     pub models: Vec<String>,
     /// Version of the models that are loaded at start or by an order that names none; empty: not reported.
     pub version: String,
+    /// Version of its software; empty: not reported.
+    pub software: String,
     /// Role at start.
     pub role: String,
     /// Time to load one model.
@@ -86,6 +88,7 @@
             events_gap: 0.0,
             models: Vec::new(),
             version: String::new(),
+            software: "1".to_owned(),
             role: WHOLE.to_owned(),
             load_time: Duration::from_millis(200),
             check_fencing: true,
--- a/siskin-standin/src/load.rs
+++ b/siskin-standin/src/load.rs
@@ -30,6 +30,9 @@
     pub versions: BTreeMap<String, String>,
     /// Role of an engine; empty for applications.
     pub role: String,
+    /// Version of the software; empty: not reported.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software: String,
     /// Highest fencing number of an accepted order.
     pub fencing: u64,
 }
--- a/siskin-standin/tests/standin/engine.rs
+++ b/siskin-standin/tests/standin/engine.rs
@@ -283,6 +283,30 @@
     call(server.address(), "POST", "/orders", &[], &order).await.unwrap()
 }
 
+/// Guards against an engine whose software version cannot be told from its load report.
+#[gtest]
+#[tokio::test]
+async fn software() {
+    struct Case {
+        software: Option<&'static str>,
+        want: serde_json::Value,
+    }
+    let cases = [
+        Case { software: None, want: json!("1") },
+        Case { software: Some("2"), want: json!("2") },
+        Case { software: Some(""), want: json!(null) },
+    ];
+    for case in cases {
+        let mut options = quick();
+        if let Some(software) = case.software {
+            options.software = software.to_owned();
+        }
+        let server = Server::start(options).unwrap();
+        let load = call(server.address(), "GET", "/load", &[], "").await.unwrap();
+        expect_that!(load.json()["software"], eq(&case.want), "{:?}", case.software);
+    }
+}
+
 /// Guards against a crash that leaves connections open or keeps the instance number.
 #[gtest]
 #[tokio::test]
--- a/siskin-types/src/lib.rs
+++ b/siskin-types/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod cost;
 pub mod id;
 pub mod position;
+pub mod process;
 pub mod role;
 pub mod time;
