--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -264,10 +264,16 @@
         waited_ms = saturating_millis(call.arrived.elapsed()), config = call.version;
         "request refused"
     );
-    respond::not_run_response(
-        "no endpoint can take the request now; it has not run",
-        refusal.retry_after,
-    )
+    let message = match refusal.cause {
+        Cause::VersionGone => {
+            "no endpoint has the software version that began the stream; the request has not run, begin a new stream"
+        }
+        Cause::OriginUnknown => {
+            "it is not known which software version began the stream; the request has not run, name the request that brought its first event or begin a new stream"
+        }
+        _ => "no endpoint can take the request now; it has not run",
+    };
+    respond::not_run_response(message, refusal.retry_after)
 }
 
 /// Ends a request with a response that was received completely or made by the gateway.
--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -64,23 +64,32 @@
     if call.continuation.is_none() || !call.is_resumable() {
         return Ok(Versions::Any);
     }
-    let refusal =
-        |cause| Refusal { cause, retry_after: NOT_SERVED_RETRY_AFTER, wait: Duration::ZERO };
-    let (verdict, version) = match find_verdict(gateway, call).await {
-        Verdict::Any => (Ok(Versions::Any), None),
-        Verdict::Unknown => (Err(refusal(Cause::OriginUnknown)), None),
+    let (found, versions) = match find_verdict(gateway, call).await {
+        Verdict::Any => ("free", Ok(Versions::Any)),
+        Verdict::Unknown => (Cause::OriginUnknown.label(), Err(Cause::OriginUnknown)),
         Verdict::Only(version) if has_accepting_endpoint(gateway, call, &version) => {
-            (Ok(Versions::Only(Arc::clone(&version))), Some(version))
+            ("bound", Ok(Versions::Only(version)))
         }
-        Verdict::Only(version) => (Err(refusal(Cause::VersionGone)), Some(version)),
+        Verdict::Only(_) => (Cause::VersionGone.label(), Err(Cause::VersionGone)),
     };
+    gateway.metrics.origins.continuations.with_label_values(&[found]).inc();
     log::info!(
-        request:% = call.id, continues = call.origin().unwrap_or_default(),
-        software = version.as_deref().unwrap_or_default(), may_go_on = verdict.is_ok(),
+        request:% = call.id, continues = call.origin().unwrap_or_default(), found,
+        software = known_version(gateway, call).as_deref().unwrap_or_default(),
         waited_ms = saturating_millis(call.arrived.elapsed());
-        "software version looked up for a continuation"
+        "caller takes a stream up again"
     );
-    verdict
+    versions.map_err(|cause| Refusal {
+        cause,
+        retry_after: NOT_SERVED_RETRY_AFTER,
+        wait: Duration::ZERO,
+    })
+}
+
+/// The version that began the stream that a request continues, if it is known here.
+fn known_version(gateway: &Gateway, call: &Call) -> Option<Arc<str>> {
+    let stream = call.stream(call.origin()?);
+    gateway.origins(|register, now| register.version(now, stream).cloned())
 }
 
 /// Decides by what is known here of the stream, and else by what is in the store: other routers may have begun it, also at a version
@@ -134,9 +143,7 @@
 
     /// Whether the request takes up a stream that is known to have begun for its customer.
     pub(crate) fn continues_known_stream(&self, gateway: &Gateway) -> bool {
-        let stream = self.origin().map(|origin| self.stream(origin));
-        let is_known = |stream| gateway.origins(|register, now| register.knows(now, stream));
-        self.is_resumable() && stream.is_some_and(is_known)
+        self.is_resumable() && known_version(gateway, self).is_some()
     }
 
     /// What the rest of a stream requires of an endpoint. The caller has waited already and has a part of the response, so any
--- a/siskin-gateway/src/gateway/known.rs
+++ b/siskin-gateway/src/gateway/known.rs
@@ -43,6 +43,10 @@
             let millis = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
             self.metrics.store.view_age.set(millis);
         }
+        let (streams, mixed) =
+            self.origins(|register, now| (register.streams(), register.any_mixed(now)));
+        self.metrics.origins.streams.set(i64::try_from(streams).unwrap_or(i64::MAX));
+        self.metrics.origins.mixed.set(i64::from(mixed));
         self.metrics.page()
     }
 
--- a/siskin-gateway/src/gateway/origins.rs
+++ b/siskin-gateway/src/gateway/origins.rs
@@ -84,6 +84,8 @@
 
     /// Says that such a read has ended, and whether it succeeded.
     pub fn end_origin_lookup(&self, succeeded: bool) {
+        let result = if succeeded { "read" } else { "failed" };
+        self.metrics.origins.lookups.with_label_values(&[result]).inc();
         self.origins.lookups.send_modify(|lookups| {
             lookups.ended = lookups.begun;
             lookups.succeeded = succeeded;
--- a/siskin-gateway/src/metrics.rs
+++ b/siskin-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a gateway. Label values come from fixed sets and from the configured services and kinds of routes.
 
 mod offload;
+mod origins;
 mod store;
 
 use {
@@ -12,7 +13,7 @@
     std::time::Duration,
 };
 
-pub use {offload::Offload, store::Store};
+pub use {offload::Offload, origins::Origins, store::Store};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
@@ -72,6 +73,8 @@
     pub crash_trials: IntCounter,
     /// Other routers that are listed or have recently sent digests.
     pub peers: IntGauge,
+    /// Streams that are taken up again.
+    pub origins: Origins,
     /// Calls to the platform's store.
     pub store: Store,
     /// Frames between routers.
@@ -171,6 +174,7 @@
                 "Requests with a cause of crashes that were let through to try it.",
             )?,
             peers: create.gauge("siskin_peers", "Routers heard of lately.")?,
+            origins: Origins::new(&create)?,
             store: Store::new(&create)?,
             control: control::Metrics::new(&create)?,
             registry,
--- a/siskin-outcome/src/origin.rs
+++ b/siskin-outcome/src/origin.rs
@@ -163,10 +163,10 @@
         }
     }
 
-    /// Whether it is known which version began a stream.
+    /// The version that began a stream, if it is known here.
     #[must_use]
-    pub fn knows(&self, now: Instant, stream: Stream) -> bool {
-        self.table.version(now, self.options.retention, stream).is_some()
+    pub fn version(&self, now: Instant, stream: Stream) -> Option<&Arc<str>> {
+        self.table.version(now, self.options.retention, stream)
     }
 
     /// Takes the streams of mixed services that were recorded here and have not been taken, for the other routers.
