--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -18,7 +18,7 @@
 const LOOKUP_TIME_MAX: Duration = Duration::from_millis(600);
 
 /// Pause before what other routers recorded is read again: the stream may have begun just before it broke.
-const LOOKUP_PAUSE: Duration = Duration::from_millis(120);
+const LOOKUP_PAUSE: Duration = Duration::from_millis(250);
 
 /// `retry-after` of continuations that no endpoint may serve.
 const NOT_SERVED_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/siskin-gateway/src/gateway/origins.rs
+++ b/siskin-gateway/src/gateway/origins.rs
@@ -16,8 +16,9 @@
     },
 };
 
-/// A stream may be taken up for this multiple of its longest duration after it began.
-const RETENTION_FACTOR: u32 = 2;
+/// Time for which streams are kept, relative to the longest duration of one. Its caller takes it up within that duration; the rest covers the
+/// time until all routers know of a change.
+const RETENTION_FACTOR: f64 = 1.5;
 
 /// Shortest time for which streams are kept.
 const RETENTION_MIN: Duration = Duration::from_secs(10);
@@ -127,5 +128,5 @@
 fn retention(catalog: &Catalog) -> Option<Duration> {
     let is_resumable = |route: &&Route| matches!(route.kind, Kind::Stream { resumable: true });
     let longest = catalog.routes.iter().filter(is_resumable).map(|route| route.timeout).max()?;
-    Some(longest.saturating_mul(RETENTION_FACTOR).max(RETENTION_MIN))
+    Some(longest.mul_f64(RETENTION_FACTOR).max(RETENTION_MIN))
 }
