Keep the retries of a continuation at its version, also if another one comes meanwhile

Cause: where one version served, a continuation was let free at once; a retry within the same request chose from the list as it was then, which may have a second version. A refused continuation of an unknown stream was told to come back in a second, though the router that began the stream has recorded it by then or nobody ever will. Change: a known stream is bound to its version also while it is the only one; an unknown one goes on only while there is one. The time to come back is 0.25 s for an unknown stream.

--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -20,8 +20,11 @@
 /// Pause before what other routers recorded is read again: the stream may have begun just before it broke.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(250);
 
-/// `retry-after` of continuations that no endpoint may serve.
-const NOT_SERVED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `retry-after` of a continuation of a stream that nobody knows. By then, the router that began it has recorded it, or nobody will know it.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// `retry-after` of a continuation of a stream whose version has no endpoint. One that crashed is back after seconds.
+const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Which endpoints may serve a request, by the version of their software.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -64,13 +67,20 @@
     if call.continuation.is_none() || !call.is_resumable() {
         return Ok(Versions::Any);
     }
-    let (found, versions) = match find_verdict(gateway, call).await {
-        Verdict::Any => ("free", Ok(Versions::Any)),
-        Verdict::Unknown => (Cause::OriginUnknown.label(), Err(Cause::OriginUnknown)),
+    let refusal = |cause, retry_after| Err(Refusal { cause, retry_after, wait: Duration::ZERO });
+    let versions = match find_verdict(gateway, call).await {
+        // Another version may be listed before the request is sent, or sent again.
+        Verdict::Any => Ok(known_version(gateway, call).map_or(Versions::Unknown, Versions::Only)),
+        Verdict::Unknown => refusal(Cause::OriginUnknown, UNKNOWN_RETRY_AFTER),
         Verdict::Only(version) if has_accepting_endpoint(gateway, call, &version) => {
-            ("bound", Ok(Versions::Only(version)))
+            Ok(Versions::Only(version))
         }
-        Verdict::Only(_) => (Cause::VersionGone.label(), Err(Cause::VersionGone)),
+        Verdict::Only(_) => refusal(Cause::VersionGone, VERSION_GONE_RETRY_AFTER),
+    };
+    let found = match &versions {
+        Ok(Versions::Any | Versions::Unknown) => "free",
+        Ok(Versions::Only(_)) => "bound",
+        Err(refusal) => refusal.cause.label(),
     };
     gateway.metrics.origins.continuations.with_label_values(&[found]).inc();
     log::info!(
@@ -79,11 +89,7 @@
         waited_ms = saturating_millis(call.arrived.elapsed());
         "caller takes a stream up again"
     );
-    versions.map_err(|cause| Refusal {
-        cause,
-        retry_after: NOT_SERVED_RETRY_AFTER,
-        wait: Duration::ZERO,
-    })
+    versions
 }
 
 /// The version that began the stream that a request continues, if it is known here.
@@ -97,7 +103,7 @@
 async fn find_verdict(gateway: &Gateway, call: &Call) -> Verdict {
     let stream = call.origin().map(|origin| call.stream(origin));
     let verdict = || gateway.origins(|it, now| it.verdict(now, &call.service, stream));
-    if call.continues_known_stream(gateway) {
+    if known_version(gateway, call).is_some() {
         return verdict();
     }
     let end = (Instant::now() + LOOKUP_TIME_MAX).min(call.deadline.at());
--- a/siskin-gateway/tests/main/software_versions.rs
+++ b/siskin-gateway/tests/main/software_versions.rs
@@ -11,9 +11,14 @@
         directory::{self, Directory},
         gateway::{Gateway, Source},
     },
-    siskin_outcome::origin::{Batch, Group, Stream},
+    siskin_outcome::origin::{Batch, Group, Options, Register, Stream},
     siskin_types::id::Customer,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        time::sleep,
+    },
 };
 
 const BROKEN: Step = Step::RespondAndClose(
@@ -299,3 +304,51 @@
     expect_that!(strayed.received().len(), eq(0));
     router.stop().await;
 }
+
+/// The head and the first event of a response whose connection is closed after it.
+const FIRST_EVENT: &[u8] =
+    b"HTTP/1.1 200 OK\r\nid: s1\r\nsigned: a\r\ncontent-length: 30\r\n\r\nid: 1\ndata: a\n\n";
+
+/// Serves the stream `s1` up to its first event, and ends the connection of the next request when another version is listed.
+async fn serve_until_release(listener: TcpListener, gateway: Arc<Gateway>, released: Directory) {
+    let mut buffer = [0; 4096];
+    let (mut first, _) = listener.accept().await.unwrap();
+    let _ = first.read(&mut buffer).await;
+    first.write_all(FIRST_EVENT).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    drop(first);
+    let (mut second, _) = listener.accept().await.unwrap();
+    let _ = second.read(&mut buffer).await;
+    gateway.set_directory(released, Source::Store);
+}
+
+/// Guards against a continuation that goes on at another version on a retry, as that version came after its own was looked up.
+#[googletest::test]
+#[tokio::test]
+async fn retries_of_continuations_stay_at_their_version() {
+    for is_known in [true, false] {
+        let newer = Endpoint::start(&[REST]).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let old = endpoint("e0", listener.local_addr().unwrap());
+        let gateway = gateway();
+        gateway.origins(|register, _| register.set_notes_complete());
+        serve_lookups(&gateway);
+        let router = TestRouter::start_configured(Arc::clone(&gateway), two_customers(), &[]).await;
+        gateway.set_directory(Directory::new(2, vec![old.clone()]), Source::Store);
+        let released = Directory::new(3, vec![old, listed("e1", &newer, Some("2"))]);
+        tokio::spawn(serve_until_release(listener, Arc::clone(&gateway), released));
+        let begun = router.send_request("s1", "key: a\r\n").await;
+        expect_that!((begun.status, begun.complete), eq((200, false)), "known: {is_known}");
+        if !is_known {
+            // As at another router, which has no record of the stream while one version serves.
+            gateway.origins(|register, now| {
+                *register = Register::new(Options::default());
+                register.set_notes_complete();
+                register.set_listed(now, [("app", Some("1"))]);
+            });
+        }
+        router.send_request("t1", "key: a\r\norigin: s1\r\nlast-event: 1\r\n").await;
+        expect_that!(newer.received().len(), eq(0), "known: {is_known}");
+        router.stop().await;
+    }
+}
