Give the terms of a resumption only to streams that are open

Cause: the terms of a resumption were given for any stream that is known, so that a customer ahead of its share could name one small whole stream in each new request. Change: they are given after an event, for a stream that is known to have begun and not known here to be whole. Result: the two new cases (a whole stream, no event) pass; the endpoint of the test now breaks the stream that is taken up, as the case says. A customer that breaks off a stream itself can still take it up at other routers, until its record expires.

--- a/siskin-gateway/src/exchange/admission.rs
+++ b/siskin-gateway/src/exchange/admission.rs
@@ -9,7 +9,8 @@
 /// The terms of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Admission {
-    /// Whether the request continues a stream that is known to have begun. Patience and weight do not apply then.
+    /// Whether the request continues a stream that is known to have begun and not to be complete. Patience and weight do not apply
+    /// then.
     pub(super) continues: bool,
     /// Share of the latency target that the request may wait.
     pub(super) patience: f64,
@@ -25,7 +26,7 @@
     pub(super) fn assess(gateway: &Gateway, call: &Call) -> Self {
         let (patience, share_received) = record_demand(gateway, call);
         let (class, own_weight, patience) = classify_size(gateway, call, patience);
-        let continues = call.continues_known_stream(gateway);
+        let continues = call.continues_open_stream(gateway);
         Self { continues, patience, own_weight, share_received, class }
     }
 
--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -147,9 +147,23 @@
         Stream::new(customer_name(self), request)
     }
 
-    /// Whether the request takes up a stream that is known to have begun for its customer.
-    pub(crate) fn continues_known_stream(&self, gateway: &Gateway) -> bool {
-        self.is_resumable() && known_version(gateway, self).is_some()
+    /// Whether the request takes up a stream after an event, and that stream is known to have begun for its customer and not to be
+    /// complete.
+    pub(crate) fn continues_open_stream(&self, gateway: &Gateway) -> bool {
+        let has_event = self.continuation.as_ref().is_some_and(|one| one.last_event.is_some());
+        let is_open =
+            |origin| gateway.origins(|register, now| register.is_open(now, self.stream(origin)));
+        self.is_resumable() && has_event && self.origin().is_some_and(is_open)
+    }
+
+    /// Records that the caller has the whole stream.
+    pub(crate) fn record_complete(&self, gateway: &Gateway) {
+        let requests = [Some(self.id.as_str()), self.origin()];
+        gateway.origins(|register, _| {
+            for request in requests.into_iter().flatten() {
+                register.complete(self.stream(request));
+            }
+        });
     }
 
     /// What the rest of a stream requires of an endpoint. The caller has waited already and has a part of the response, so any
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -212,6 +212,9 @@
 
     fn complete(&mut self) {
         self.ended = true;
+        if self.has_begun {
+            self.call.record_complete(&self.gateway);
+        }
         if let Some(Upstream { connection, mut in_flight, .. }) = self.source.take() {
             // An engine sends an event for each token. Streams of other kinds have no events that are counted.
             let events = u32::try_from(self.splitter.event_count()).ok();
--- a/siskin-gateway/tests/main/continuations.rs
+++ b/siskin-gateway/tests/main/continuations.rs
@@ -15,6 +15,12 @@
     "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\ncontent-length: 15\r\n\r\nid: 1\ndata: a\n\n",
 );
 
+/// A stream that breaks after its first event.
+const BROKEN: Step = Step::RespondAndClose(
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: a\r\ntransfer-encoding: chunked\r\n\r\n\
+     14\r\nid: 1\ndata: a\n\nid: 2\r\n",
+);
+
 /// Prompt of a request that gives its customer several times its fair share.
 const LARGE: &str = "tokens: 6000\r\n";
 
@@ -31,11 +37,14 @@
     Catalog { accounts: Some(accounts), ..catalog }
 }
 
-/// Starts a router whose customer `hot` has begun the stream `s1` and is far ahead of its share, while `cold` gets nothing.
+/// Starts a router whose customer `hot` has begun the stream `s1`, which broke, has the whole stream `s2`, and is far ahead of its
+/// share, while `cold` gets nothing. The endpoint breaks its first response.
 async fn start_with_hot_customer(address: SocketAddr) -> TestRouter {
     let router = TestRouter::start_configured(gateway(), two_customers(), &[address]).await;
     let begun = router.send_request("s1", &format!("key: hot\r\n{LARGE}")).await;
-    expect_that!(begun.status, eq(200));
+    expect_that!((begun.status, begun.complete), eq((200, false)));
+    let whole = router.send_request("s2", "key: hot\r\ntokens: 1\r\n").await;
+    expect_that!((whole.status, whole.complete), eq((200, true)));
     let refused = router.send_request("c1", &format!("key: cold\r\n{TOO_LARGE}")).await;
     expect_that!(refused.status, eq(503));
     router
@@ -47,13 +56,23 @@
     want: u16,
 }
 
-const CASES: [Case; 5] = [
+const CASES: [Case; 7] = [
     Case { name: "new request", headers: "key: hot\r\ntokens: 600\r\n", want: 503 },
     Case {
         name: "continuation",
         headers: "key: hot\r\norigin: s1\r\nlast-event: 1\r\ntokens: 600\r\n",
         want: 200,
     },
+    Case {
+        name: "continuation of a whole stream",
+        headers: "key: hot\r\norigin: s2\r\nlast-event: 1\r\ntokens: 600\r\n",
+        want: 503,
+    },
+    Case {
+        name: "continuation without an event",
+        headers: "key: hot\r\norigin: s1\r\ntokens: 600\r\n",
+        want: 503,
+    },
     Case {
         name: "continuation that names no stream",
         headers: "key: hot\r\nlast-event: 1\r\ntokens: 600\r\n",
@@ -77,7 +96,7 @@
 #[tokio::test]
 async fn streams_taken_up_again_are_not_refused_as_new_requests() {
     for case in CASES {
-        let endpoint = Endpoint::start(&[EVENT]).await;
+        let endpoint = Endpoint::start(&[BROKEN, EVENT]).await;
         let router = start_with_hot_customer(endpoint.address).await;
         let reply = router.send_request("t1", case.headers).await;
         expect_that!(reply.status, eq(case.want), "{}", case.name);
--- a/siskin-outcome/src/origin.rs
+++ b/siskin-outcome/src/origin.rs
@@ -169,6 +169,31 @@
         self.table.version(now, self.options.retention, stream)
     }
 
+    /// Records that the caller has the whole stream.
+    pub fn complete(&mut self, stream: Stream) {
+        self.table.complete(stream);
+    }
+
+    /// Whether a stream is known to have begun, and not to be complete.
+    ///
+    /// ```
+    /// use {
+    ///     siskin_outcome::origin::{Options, Register, Stream},
+    ///     siskin_types::time::Instant,
+    /// };
+    /// let mut register = Register::new(Options::default());
+    /// let now = Instant::from_micros(1);
+    /// let stream = Stream::new("customer", "request");
+    /// register.record(now, stream, "chat", &"1".into());
+    /// assert!(register.is_open(now, stream));
+    /// register.complete(stream);
+    /// assert!(!register.is_open(now, stream));
+    /// ```
+    #[must_use]
+    pub fn is_open(&self, now: Instant, stream: Stream) -> bool {
+        self.version(now, stream).is_some() && !self.table.is_complete(stream)
+    }
+
     /// Takes the streams of mixed services that were recorded here and have not been taken, for the other routers.
     pub fn take_batch(&mut self, now: Instant) -> Batch {
         self.advance(now);
--- a/siskin-outcome/src/origin/table.rs
+++ b/siskin-outcome/src/origin/table.rs
@@ -23,6 +23,8 @@
     number: u64,
     version: Arc<str>,
     source: Source,
+    /// Whether the caller has the whole stream.
+    is_complete: bool,
 }
 
 /// Streams in the order in which they were recorded.
@@ -66,6 +68,18 @@
         }
     }
 
+    /// Records that the caller has the whole stream.
+    pub(super) fn complete(&mut self, stream: Stream) {
+        if let Some(record) = self.records.get_mut(&stream) {
+            record.is_complete = true;
+        }
+    }
+
+    /// Whether the caller has the whole stream.
+    pub(super) fn is_complete(&self, stream: Stream) -> bool {
+        self.records.get(&stream).is_some_and(|record| record.is_complete)
+    }
+
     /// The version of a stream that is known and not too old.
     pub(super) fn version(
         &self,
@@ -143,7 +157,10 @@
         self.last_number += 1;
         let number = self.last_number;
         self.order.insert(number, stream);
-        self.records.insert(stream, Record { at, number, version: Arc::clone(version), source });
+        self.records.insert(
+            stream,
+            Record { at, number, version: Arc::clone(version), source, is_complete: false },
+        );
     }
 
     fn remove(&mut self, stream: Stream) -> Option<Record> {
