Record the version of a stream when it is sent, before its first event

Change: the version is recorded when the request is sent, and the stream stays with it on retries. The first event comes some hundred milliseconds later.

--- a/siskin-gateway/src/exchange.rs
+++ b/siskin-gateway/src/exchange.rs
@@ -105,7 +105,7 @@
     let admission = Admission::assess(gateway, &call);
     let mut progress = Progress::new();
     let end = |progress, refusal| end_without_retry(gateway, &call, &admission, progress, refusal);
-    let versions = match versions {
+    let mut versions = match versions {
         Ok(versions) => versions,
         Err(refusal) => return end(progress, refusal),
     };
@@ -146,6 +146,7 @@
                 continue;
             }
         };
+        versions = versions.bind_to_send(gateway, &call, in_flight.software());
         progress.record_send();
         log_request_sent(&call, &placement, progress.sends(), &admission);
         if progress.sends() == 1 {
--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -39,6 +39,22 @@
 }
 
 impl Versions {
+    /// Records the version of the endpoint that a resumable stream is sent to, and binds the stream to it. The record is in the store
+    /// by the time of the first event then, in most cases, so that a loss of this router right after it does not lose the stream.
+    pub(super) fn bind_to_send(
+        self,
+        gateway: &Gateway,
+        call: &Call,
+        software: Option<&Arc<str>>,
+    ) -> Self {
+        if !call.is_resumable() {
+            return self;
+        }
+        let Some(version) = software else { return Self::Unknown };
+        call.record_version(gateway, version);
+        Self::Only(Arc::clone(version))
+    }
+
     /// The endpoints of the request's service that may not serve it.
     pub(crate) fn excluded_endpoints(&self, gateway: &Gateway, call: &Call) -> Vec<Endpoint> {
         let is_excluded = |endpoint: &directory::Endpoint| match self {
@@ -173,9 +189,9 @@
         Demand { aim: allowed, allowed, patience: 1.0, isolation, ..self.demand.clone() }
     }
 
-    /// Records the version of the endpoint that made the first event for the caller. The caller names this request or the one that
-    /// began the stream if it takes the stream up again.
-    pub(crate) fn record_version(&self, gateway: &Gateway, version: &Arc<str>) {
+    /// Records the version of the endpoint that the request is sent to. The caller names this request or the one that began the
+    /// stream if it takes the stream up again.
+    fn record_version(&self, gateway: &Gateway, version: &Arc<str>) {
         let requests = [Some(self.id.as_str()), self.origin()];
         gateway.origins(|register, now| {
             for request in requests.into_iter().flatten() {
--- a/siskin-gateway/src/stream.rs
+++ b/siskin-gateway/src/stream.rs
@@ -36,13 +36,11 @@
     splitter: Splitter,
     framing: Framing,
     tried: Vec<Endpoint>,
-    /// Versions at which the stream may go on. Once the caller has an event, only the one that made it.
+    /// Versions at which the stream may go on.
     versions: Versions,
     sends: u32,
     status: u16,
     response_started: bool,
-    /// Whether the caller has an event.
-    has_begun: bool,
     ended: bool,
     /// Time from the request to the first data.
     first_part: Option<Duration>,
@@ -100,7 +98,6 @@
         sends,
         status: head.status().as_u16(),
         response_started: false,
-        has_begun: false,
         ended: false,
         first_part: None,
         last_part: None,
@@ -188,31 +185,12 @@
             return Ok(Some(bytes));
         }
         let complete = self.splitter.push(&bytes)?;
-        if complete.is_empty() {
-            return Ok(None);
-        }
-        self.record_version();
-        Ok(Some(complete.into()))
-    }
-
-    /// Records the version that makes the first event, before the caller has it.
-    fn record_version(&mut self) {
-        if self.has_begun || !self.call.is_resumable() {
-            return;
-        }
-        self.has_begun = true;
-        let software = self.source.as_ref().and_then(|source| source.in_flight.software());
-        let Some(version) = software else {
-            self.versions = Versions::Unknown;
-            return;
-        };
-        self.call.record_version(&self.gateway, version);
-        self.versions = Versions::Only(Arc::clone(version));
+        Ok((!complete.is_empty()).then(|| complete.into()))
     }
 
     fn complete(&mut self) {
         self.ended = true;
-        if self.has_begun {
+        if self.call.is_resumable() {
             self.call.record_complete(&self.gateway);
         }
         if let Some(Upstream { connection, mut in_flight, .. }) = self.source.take() {
