Never shorten the time for which streams are kept

Cause: a configuration with a shorter timeout forgot streams, and versions, that began under the longer one and may still go on. Change: the time only grows while a process runs.

--- a/siskin-gateway/src/gateway/origins.rs
+++ b/siskin-gateway/src/gateway/origins.rs
@@ -27,6 +27,9 @@
 #[derive(Debug)]
 pub(super) struct State {
     register: Mutex<Register>,
+    /// Time for which streams are kept, once a configuration says it. A shorter one would forget the versions of streams that are older
+    /// than that configuration, so it only grows.
+    retention: Mutex<Option<Duration>>,
     /// Notified when the versions of the listed endpoints were set.
     listed: Notify,
     lookups: watch::Sender<Lookups>,
@@ -49,6 +52,7 @@
     fn default() -> Self {
         Self {
             register: Mutex::new(Register::new(Options::default())),
+            retention: Mutex::default(),
             listed: Notify::new(),
             lookups: watch::Sender::default(),
         }
@@ -65,8 +69,7 @@
     /// Longest time after its beginning in which a stream may be taken up.
     #[must_use]
     pub fn origin_retention(&self) -> Duration {
-        let configured = self.catalog().and_then(|catalog| retention(&catalog));
-        configured.unwrap_or_else(|| Options::default().retention)
+        lock(&self.origins.retention).unwrap_or_else(|| Options::default().retention)
     }
 
     /// Waits until the versions of the listed endpoints are set anew. A change between two calls is not missed.
@@ -118,8 +121,11 @@
 
     /// Adapts the time for which streams are kept to a configuration.
     pub(super) fn adapt_origin_retention(&self, catalog: &Catalog) {
-        if let Some(retention) = retention(catalog) {
-            self.origins(|register, _| register.set_retention(retention));
+        let mut known = lock(&self.origins.retention);
+        let longest = retention(catalog).max(*known);
+        if longest != *known {
+            *known = longest;
+            self.origins(|register, _| register.set_retention(longest.unwrap_or_default()));
         }
     }
 }
