--- a/siskin-gateway/src/exchange/accept.rs
+++ b/siskin-gateway/src/exchange/accept.rs
@@ -67,7 +67,12 @@
     let cost = request_cost(&head);
     if !gateway.admit_request() {
         let customer = account.as_ref().map_or("", |account| &account.name);
-        log::info!(request:% = head.id, customer, outcome = "overloaded"; "request refused");
+        let origin = head.continuation.as_ref().and_then(|one| one.origin.as_deref());
+        log::info!(
+            request:% = head.id, customer, outcome = "overloaded",
+            continues = origin.unwrap_or_default();
+            "request refused"
+        );
         count_refusal(gateway, "overloaded");
         if let Some(account) = &account {
             gateway.count_demand(account.id, cost);
