Write a stream at once if the last write is long enough ago

Cause: a router of a large fleet, which begins few streams a second, still waited for its next write, 0.37 s apart. Change: the first stream after a pause is written at once, and only the next ones wait.

--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -193,10 +193,7 @@
     /// stream if it takes the stream up again.
     fn record_version(&self, gateway: &Gateway, version: &Arc<str>) {
         let requests = [Some(self.id.as_str()), self.origin()];
-        gateway.origins(|register, now| {
-            for request in requests.into_iter().flatten() {
-                register.record(now, self.stream(request), &self.service, version);
-            }
-        });
+        let streams = requests.into_iter().flatten().map(|request| self.stream(request));
+        gateway.record_origins(&self.service, streams, version);
     }
 }
--- a/siskin-gateway/src/gateway/origins.rs
+++ b/siskin-gateway/src/gateway/origins.rs
@@ -7,9 +7,12 @@
         directory::Directory,
     },
     siskin_net::lock,
-    siskin_outcome::origin::{Options, Register},
+    siskin_outcome::origin::{Options, Register, Stream},
     siskin_types::time::Instant,
-    std::{sync::Mutex, time::Duration},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
     tokio::{
         sync::{Notify, watch},
         time::timeout,
@@ -30,8 +33,8 @@
     /// Time for which streams are kept, once a configuration says it. A shorter one would forget the versions of streams that are older
     /// than that configuration, so it only grows.
     retention: Mutex<Option<Duration>>,
-    /// Notified when the versions of the listed endpoints were set.
-    listed: Notify,
+    /// Notified when the versions of the listed endpoints were set, and when a stream was recorded that other routers have to know.
+    changed: Notify,
     lookups: watch::Sender<Lookups>,
 }
 
@@ -53,7 +56,7 @@
         Self {
             register: Mutex::new(Register::new(Options::default())),
             retention: Mutex::default(),
-            listed: Notify::new(),
+            changed: Notify::new(),
             lookups: watch::Sender::default(),
         }
     }
@@ -72,9 +75,28 @@
         lock(&self.origins.retention).unwrap_or_else(|| Options::default().retention)
     }
 
-    /// Waits until the versions of the listed endpoints are set anew. A change between two calls is not missed.
-    pub async fn wait_for_listed_versions(&self) {
-        self.origins.listed.notified().await;
+    /// Waits until the versions of the listed endpoints are set anew, or a stream is recorded that other routers have to know. A
+    /// change between two calls is not missed.
+    pub async fn wait_for_origin_change(&self) {
+        self.origins.changed.notified().await;
+    }
+
+    /// Records the version at which streams begin or go on.
+    pub(crate) fn record_origins(
+        &self,
+        service: &str,
+        streams: impl Iterator<Item = Stream>,
+        version: &Arc<str>,
+    ) {
+        let mixed = self.origins(|register, now| {
+            for stream in streams {
+                register.record(now, stream, service, version);
+            }
+            register.is_mixed(now, service)
+        });
+        if mixed {
+            self.origins.changed.notify_one();
+        }
     }
 
     /// Waits until a request has to know more of the streams that other routers recorded. The read that serves it begins
@@ -116,7 +138,7 @@
             .iter()
             .map(|endpoint| (endpoint.service.as_str(), endpoint.software.as_deref()));
         self.origins(|register, now| register.set_listed(now, versions));
-        self.origins.listed.notify_one();
+        self.origins.changed.notify_one();
     }
 
     /// Adapts the time for which streams are kept to a configuration.
