--- a/siskin-gateway/src/directory/encoding.rs
+++ b/siskin-gateway/src/directory/encoding.rs
@@ -72,7 +72,7 @@
         Ok(bytes)
     }
 
-    /// Encodes the list so that values that the previous version knows can follow: without the software versions.
+    /// Encodes the list without the software versions, so that values of the previous encoding can follow.
     pub(crate) fn encode_first(&self, now: Instant) -> postcard::Result<Vec<u8>> {
         let cold_for = self.cold.iter().map(|(endpoint, until)| (*endpoint, *until - now));
         let cold = cold_for.filter(|(_, time)| !time.is_zero()).map(|(endpoint, time)| {
--- a/siskin-gateway/src/exchange/continuation.rs
+++ b/siskin-gateway/src/exchange/continuation.rs
@@ -20,7 +20,7 @@
 /// Pause before what other routers recorded is read again: the stream may have begun just before it broke.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(250);
 
-/// `retry-after` of a continuation of a stream that nobody knows. By then, the router that began it has recorded it, or nobody will know it.
+/// `retry-after` of a continuation of a stream that is not recorded. By then, the router that began it has written it, or it is lost.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// `retry-after` of a continuation of a stream whose version has no endpoint. One that crashed is back after seconds.
--- a/siskin-gateway/tests/main/software_versions.rs
+++ b/siskin-gateway/tests/main/software_versions.rs
@@ -29,7 +29,7 @@
     "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: b\r\ncontent-length: 22\r\n\r\nid: 2\ndata: b\n\nid: 3\n\n",
 );
 
-/// Continuations sent in each case, as an endpoint of the wrong version may be chosen or not.
+/// Continuations sent in each case: the choice of an endpoint is partly random.
 const CONTINUATIONS: usize = 6;
 
 /// A listed endpoint of the service `app` with this software version.
--- a/siskin-outcome/src/origin.rs
+++ b/siskin-outcome/src/origin.rs
@@ -41,7 +41,7 @@
     Any,
     /// Only endpoints of this version.
     Only(Arc<str>),
-    /// Not known here; what other routers recorded may tell.
+    /// Not recorded here; another router may have recorded it.
     Unknown,
 }
 
--- a/siskin-outcome/src/origin/table.rs
+++ b/siskin-outcome/src/origin/table.rs
@@ -10,7 +10,7 @@
 /// Who recorded a stream.
 #[derive(Debug)]
 enum Source {
-    /// This router, and whether the other routers are told of it or are to be told.
+    /// This router, and whether the record has been taken for the other routers.
     Own { service: Arc<str>, is_taken: bool },
     /// Another router.
     Learned,
--- a/siskin-router/src/endpoints.rs
+++ b/siskin-router/src/endpoints.rs
@@ -70,7 +70,7 @@
     pub(crate) versions: HashMap<String, String>,
     /// Its role; `None` for one that is not known. An endpoint that names none serves whole requests.
     pub(crate) role: Option<Role>,
-    /// Version of its software; `None` if it does not tell it.
+    /// Version of its software; `None` if it does not report it.
     pub(crate) software: Option<String>,
 }
 
@@ -81,7 +81,7 @@
     models: Option<Vec<String>>,
     /// Whether it serves whole requests in its role.
     whole: bool,
-    /// Version of its software, if it tells it.
+    /// Version of its software, if it reports it.
     software: Option<String>,
 }
 
--- a/siskin-types/src/process.rs
+++ b/siskin-types/src/process.rs
@@ -1,6 +1,6 @@
 //! Processes of endpoints.
 
-/// The process that answers at an endpoint, as far as its load report tells.
+/// The process that answers at an endpoint, as its load report describes it.
 ///
 /// ```
 /// use siskin_types::process::Process;
